Lay out the workspace

Ruled out: one large crate (slower builds, no border between concerns). Before: nothing. Conclusion: crates can be filled in parallel.

--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' HTTP interface and its client.
--- /dev/null
+++ b/crates/agreement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log replication core without input or output.
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims and their stored outcomes.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hosts the replicated state: agreement, journal, state machine.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serves callers: HTTP, streams, retries, outcomes.
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Development stand-ins: engine, booking service, experiments.
--- /dev/null
+++ b/crates/gentiancleat/src/main.rs
@@ -0,0 +1,5 @@
+//! Starts the command line.
+
+fn main() -> std::process::ExitCode {
+    gentiancleat::run(std::env::args())
+}
--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checksummed, synced log files and snapshots.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the processes of a deployment.
--- /dev/null
+++ b/crates/session/src/lib.rs
@@ -0,0 +1,1 @@
+//! Instance membership, leases and publication without input or output.
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,1 @@
+//! Customers' rows, edits and revisions.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics, histograms and logs.
