Add instance membership cores and the inner protocol

Cause: instances have no way to find, authenticate or serve one another. Ruled out: gossip between all instances (bytes grow with their square, no common point from which an edit is known to be in force); one service a role (more connections, no common heartbeat). Change: session cores (roster, publisher, configuration lease, upstream choice, shard assignments, endpoint leases) and one tarpc service whose connections begin with a mutual proof of the deployment's key. Conclusion: the node can be wired on these types.

--- a/crates/dispatch/src/action.rs
+++ b/crates/dispatch/src/action.rs
@@ -1,4 +1,5 @@
 use names::{EndpointId, PermitId, RequestId};
+use serde::{Deserialize, Serialize};
 
 /// What the owner must do.
 #[derive(Debug, Clone, Copy, Eq, PartialEq)]
@@ -31,7 +32,7 @@
 }
 
 /// Why a request is refused.
-#[derive(Debug, Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Debug, Clone, Copy, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum RefusalReason {
     /// The predicted wait is longer than the row allows.
     Overload,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,4 +1,5 @@
 use names::{EndpointId, PermitId, RequestId};
+use serde::{Deserialize, Serialize};
 
 /// Position of a customer in the owner's list.
 #[derive(Debug, Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
@@ -40,7 +41,7 @@
 }
 
 /// How a permit ended.
-#[derive(Debug, Clone, Copy, Eq, PartialEq)]
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
 pub enum End {
     /// The caller went away or the generation was cancelled.
     Cancelled,
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One running instance.
--- /dev/null
+++ b/crates/protocol/src/connection.rs
@@ -0,0 +1,159 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tarpc::serde_transport::{Transport, new};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{ClientMessage, Response, client};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::Error;
+use crate::counted::{Counted, Traffic};
+use crate::handshake::{FleetKey, Side};
+use crate::inner::{InnerClient, InnerRequest, InnerResponse};
+
+/// Time allowed for connecting and for the opening exchange, each.
+const OPEN_TIMEOUT_MS: u64 = 1_000;
+
+/// Largest message; a snapshot of the whole table fits.
+const FRAME_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// Transport of the serving side.
+pub type ServerTransport = Transport<
+    Counted,
+    ClientMessage<InnerRequest>,
+    Response<InnerResponse>,
+    Bincode<ClientMessage<InnerRequest>, Response<InnerResponse>>,
+>;
+
+/// Accepts connections of other instances.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    key: FleetKey,
+    socket: TcpListener,
+    traffic: Arc<Traffic>,
+}
+
+impl Listener {
+    /// Listens on `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn bind(
+        address: SocketAddr,
+        key: &FleetKey,
+        traffic: &Arc<Traffic>,
+    ) -> Result<Self, Error> {
+        let listen = |source| Error::Listen { address, source };
+        let listener = TcpListener::bind(address).await.map_err(listen)?;
+        let address = listener.local_addr().map_err(listen)?;
+        Ok(Self {
+            address,
+            key: key.clone(),
+            socket: listener,
+            traffic: Arc::clone(traffic),
+        })
+    }
+
+    /// The address listened on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes the next connection; the opening exchange is left to `Pending::open`.
+    pub async fn accept(&self) -> Option<Pending> {
+        let (stream, address) = self.socket.accept().await.ok()?;
+        Some(Pending {
+            address,
+            key: self.key.clone(),
+            stream,
+            traffic: Arc::clone(&self.traffic),
+        })
+    }
+}
+
+/// An accepted connection before its opening exchange.
+#[derive(Debug)]
+pub struct Pending {
+    address: SocketAddr,
+    key: FleetKey,
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+}
+
+impl Pending {
+    /// Runs the opening exchange.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other side does not hold the key, or does not answer in time.
+    pub async fn open(self) -> Result<ServerTransport, Error> {
+        let stream = open(
+            self.stream,
+            self.address,
+            &self.key,
+            Side::Server,
+            &self.traffic,
+        )
+        .await?;
+        Ok(new(codec().new_framed(stream), Bincode::default()))
+    }
+}
+
+/// Connects to the instance at `address`.
+///
+/// # Errors
+///
+/// Fails if the instance cannot be reached, does not hold the key, or does not answer in time.
+pub async fn connect(
+    address: SocketAddr,
+    key: &FleetKey,
+    traffic: &Arc<Traffic>,
+) -> Result<InnerClient, Error> {
+    let stream = limit(address, TcpStream::connect(address))
+        .await?
+        .map_err(|source| Error::Connect { address, source })?;
+    let stream = open(stream, address, key, Side::Client, traffic).await?;
+    let transport = new(codec().new_framed(stream), Bincode::default());
+    Ok(InnerClient::new(client::Config::default(), transport).spawn())
+}
+
+fn codec() -> tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(FRAME_BYTES_MAX);
+    builder
+}
+
+async fn limit<F: Future>(address: SocketAddr, future: F) -> Result<F::Output, Error> {
+    timeout(Duration::from_millis(OPEN_TIMEOUT_MS), future)
+        .await
+        .map_err(|_| Error::Timeout {
+            address,
+            timeout_ms: OPEN_TIMEOUT_MS,
+        })
+}
+
+async fn open(
+    stream: TcpStream,
+    address: SocketAddr,
+    key: &FleetKey,
+    side: Side,
+    traffic: &Arc<Traffic>,
+) -> Result<Counted, Error> {
+    let connect = |source| Error::Connect { address, source };
+    stream.set_nodelay(true).map_err(connect)?;
+    let mut stream = Counted::new(stream, Arc::clone(traffic));
+    let authentic = limit(address, key.authenticate(&mut stream, side))
+        .await?
+        .map_err(connect)?;
+    if authentic {
+        Ok(stream)
+    } else {
+        Err(Error::Authentication { address })
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/progress.rs
@@ -0,0 +1,57 @@
+use names::{CustomerName, EndpointName, Epoch, InstanceName, KindName, PermitId};
+use serde::{Deserialize, Serialize};
+use session::Shard;
+
+/// News of an instance's permits of one shard.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct ProgressReport {
+    /// Permits that ended since the last report.
+    pub ended: Vec<EndedPermit>,
+    /// Ownership that the reporting instance knows of.
+    pub epoch: Epoch,
+    /// The reporting instance.
+    pub instance: InstanceName,
+    /// All permits that run.
+    pub running: Vec<RunningPermit>,
+    /// The shard.
+    pub shard: Shard,
+}
+
+/// A permit that ended.
+#[derive(Debug, Clone, Copy, Deserialize, Serialize)]
+pub struct EndedPermit {
+    /// How it ended.
+    pub end: dispatch::End,
+    /// Tokens generated in all.
+    pub generated_tokens: u32,
+    /// The permit.
+    pub permit: PermitId,
+}
+
+/// A permit that runs, with what a new owner must know of it.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct RunningPermit {
+    /// Who pays for it.
+    pub customer: CustomerName,
+    /// Where it runs.
+    pub endpoint: EndpointName,
+    /// Tokens generated so far.
+    pub generated_tokens: u32,
+    /// Kind of work.
+    pub kind: KindName,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// The permit.
+    pub permit: PermitId,
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+}
+
+/// What the owner did with a report.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ProgressAnswer {
+    /// The asked instance does not own the shard under that epoch.
+    NotOwner,
+    /// The report counts.
+    Taken,
+}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -1,1 +1,56 @@
-//! Instance membership, leases and publication without input or output.
+//! Instance membership, leases, shard ownership and publication, without input or output.
+//!
+//! One subscription per instance carries heartbeats upwards and configuration, membership and
+//! shard assignments downwards: voters serve one relay per data centre, relays serve the other
+//! instances of their data centre. The same subscription renews the configuration lease, without
+//! which an instance neither admits new work nor grants permits.
+//!
+//! Every type here takes `now_ms`, a monotonic clock of the calling process in milliseconds.
+
+mod announcement;
+mod assignment;
+mod assignments;
+mod endpoints;
+mod error;
+mod lease;
+mod member;
+mod planner;
+mod publisher;
+mod rendezvous;
+mod roster;
+mod shard;
+mod upstream;
+
+pub use announcement::{
+    Announcement, CacheNews, EndpointState, EngineOffer, EngineRole, LoadReport, Offer,
+    ServiceOffer,
+};
+pub use assignment::Assignment;
+pub use assignments::{AssignCommand, Assignments, AssignmentsUpdate};
+pub use endpoints::{Endpoint, EndpointEvent, Endpoints};
+pub use error::Error;
+pub use lease::{ConfigurationLease, LeaseState};
+pub use member::{Member, MemberState, Role};
+pub use planner::plan;
+pub use publisher::{Heard, Heartbeat, Publisher};
+pub use rendezvous::rendezvous_order;
+pub use roster::{Roster, RosterUpdate};
+pub use shard::Shard;
+pub use upstream::Upstream;
+
+/// Longest time an instance may act on a configuration after it asked for it.
+pub const CONFIGURATION_LEASE_MS: u64 = 2_500;
+
+/// Longest time without an announcement before an endpoint's lease lapses.
+pub const ENDPOINT_LEASE_MS: u64 = 3_000;
+
+/// Longest time that a publisher keeps a subscriber's request open without news.
+pub const HEARTBEAT_INTERVAL_MS: u64 = 500;
+
+/// Time without a heartbeat after which an instance leaves the roster.
+///
+/// It is longer than the configuration lease, so that an instance outside the roster holds none.
+pub const MEMBER_TIMEOUT_MS: u64 = CONFIGURATION_LEASE_MS + 500;
+
+/// Time without an answer after which a subscriber moves to another publisher.
+pub const UPSTREAM_TIMEOUT_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
--- /dev/null
+++ b/crates/session/src/planner.rs
@@ -0,0 +1,61 @@
+//! Decides which shards need another owner.
+//!
+//! Assignments are sticky: a shard moves only when its owner is gone, restarted or draining. A
+//! shard whose region has no live dispatch instance goes to an instance of another region.
+
+use names::{Epoch, InstanceName};
+
+use crate::{AssignCommand, Assignment, Assignments, Member, Roster, Shard, rendezvous_order};
+
+/// Commands that give every shard in `wanted` or already assigned a live owner.
+///
+/// An owner that is missing from the roster holds no configuration lease any more, because the
+/// roster keeps an instance longer than its lease lasts.
+#[must_use]
+pub fn plan(roster: &Roster, assignments: &Assignments, wanted: &[Shard]) -> Vec<AssignCommand> {
+    let unassigned = wanted
+        .iter()
+        .filter(|shard| assignments.get(shard).is_none())
+        .filter_map(|shard| assign(roster, shard, None));
+    let moved = assignments
+        .iter()
+        .filter(|assignment| !owner_serves(roster, assignment))
+        .filter_map(|assignment| assign(roster, &assignment.shard, Some(assignment)));
+    unassigned.chain(moved).collect()
+}
+
+fn assign(roster: &Roster, shard: &Shard, current: Option<&Assignment>) -> Option<AssignCommand> {
+    let owner = roster.get(&choose(roster, shard)?)?;
+    Some(AssignCommand {
+        expected_epoch: current.map_or(Epoch(0), |assignment| assignment.epoch),
+        incarnation: owner.incarnation,
+        owner: owner.name.clone(),
+        predecessor_live: current.is_some_and(|assignment| owner_runs(roster, assignment)),
+        shard: shard.clone(),
+    })
+}
+
+fn choose(roster: &Roster, shard: &Shard) -> Option<InstanceName> {
+    let key = shard.to_string();
+    let serving = || roster.members().filter(|member| member.dispatches());
+    let home = serving().filter(|member| member.region == shard.region);
+    let order = rendezvous_order(&key, home);
+    if let Some(&owner) = order.first() {
+        return Some(owner.clone());
+    }
+    rendezvous_order(&key, serving()).first().copied().cloned()
+}
+
+fn owner<'a>(roster: &'a Roster, assignment: &Assignment) -> Option<&'a Member> {
+    roster
+        .get(&assignment.owner)
+        .filter(|member| member.incarnation == assignment.incarnation)
+}
+
+fn owner_runs(roster: &Roster, assignment: &Assignment) -> bool {
+    owner(roster, assignment).is_some()
+}
+
+fn owner_serves(roster: &Roster, assignment: &Assignment) -> bool {
+    owner(roster, assignment).is_some_and(Member::dispatches)
+}
--- /dev/null
+++ b/crates/session/src/roster.rs
@@ -0,0 +1,159 @@
+//! The versioned list of live instances.
+//!
+//! Each entry keeps the version at which it last changed, removed ones stay as tombstones for a
+//! bounded number of versions, so a delta needs no separate log of changes.
+
+use names::InstanceName;
+use serde::{Deserialize, Serialize};
+
+use crate::Member;
+
+/// Versions for which a removed member can still be reported in a delta.
+const TOMBSTONE_VERSIONS: u64 = 1_024;
+
+#[derive(Debug, Clone)]
+struct Slot {
+    changed: u64,
+    member: Option<Member>,
+    name: InstanceName,
+}
+
+/// The live instances, sorted by name.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    epoch: u64,
+    slots: Vec<Slot>,
+    version: u64,
+}
+
+/// What changed in a roster since a version.
+#[derive(Debug, Clone, Deserialize, PartialEq, Serialize)]
+pub struct RosterUpdate {
+    /// Which publisher's count of versions this is; versions of two epochs do not compare.
+    pub epoch: u64,
+    /// Whether `present` is the whole roster.
+    pub full: bool,
+    /// Changed members.
+    pub present: Vec<Member>,
+    /// Members that left.
+    pub removed: Vec<InstanceName>,
+    /// Version reached by the update.
+    pub version: u64,
+}
+
+impl Roster {
+    /// Starts an empty roster whose versions belong to `epoch`.
+    #[must_use]
+    pub fn new(epoch: u64) -> Self {
+        Self {
+            epoch,
+            ..Self::default()
+        }
+    }
+
+    /// Takes an update; an update older than the roster changes nothing.
+    pub fn apply(&mut self, update: &RosterUpdate) {
+        if update.epoch == self.epoch && update.version <= self.version {
+            return;
+        }
+        if update.full {
+            self.slots.clear();
+        }
+        self.epoch = update.epoch;
+        self.version = update.version;
+        update
+            .present
+            .iter()
+            .for_each(|member| self.set(&member.name, Some(member)));
+        update.removed.iter().for_each(|name| self.set(name, None));
+    }
+
+    /// The publisher whose versions the roster follows.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The member of that name.
+    #[must_use]
+    pub fn get(&self, name: &InstanceName) -> Option<&Member> {
+        let position = self.position(name).ok()?;
+        self.slots[position].member.as_ref()
+    }
+
+    /// Adds or changes a member.
+    pub fn insert(&mut self, member: &Member) {
+        if self.get(&member.name) == Some(member) {
+            return;
+        }
+        self.version += 1;
+        self.set(&member.name, Some(member));
+    }
+
+    /// The live members, by name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.slots.iter().filter_map(|slot| slot.member.as_ref())
+    }
+
+    /// Removes a member.
+    pub fn remove(&mut self, name: &InstanceName) {
+        if self.get(name).is_none() {
+            return;
+        }
+        self.version += 1;
+        self.set(name, None);
+        let oldest = self.version.saturating_sub(TOMBSTONE_VERSIONS);
+        self.slots
+            .retain(|slot| slot.member.is_some() || slot.changed > oldest);
+    }
+
+    /// What changed since `version` of `epoch`, the whole roster where that is unknown.
+    #[must_use]
+    pub fn since(&self, epoch: u64, version: u64) -> Option<RosterUpdate> {
+        if epoch == self.epoch && version == self.version {
+            return None;
+        }
+        let full = epoch != self.epoch
+            || version > self.version
+            || version + TOMBSTONE_VERSIONS < self.version;
+        let changed = self
+            .slots
+            .iter()
+            .filter(|slot| full || slot.changed > version);
+        Some(RosterUpdate {
+            epoch: self.epoch,
+            full,
+            present: changed
+                .clone()
+                .filter_map(|slot| slot.member.clone())
+                .collect(),
+            removed: changed
+                .filter(|slot| !full && slot.member.is_none())
+                .map(|slot| slot.name.clone())
+                .collect(),
+            version: self.version,
+        })
+    }
+
+    /// Number of changes so far.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn position(&self, name: &InstanceName) -> Result<usize, usize> {
+        self.slots.binary_search_by(|slot| slot.name.cmp(name))
+    }
+
+    fn set(&mut self, name: &InstanceName, member: Option<&Member>) {
+        let slot = Slot {
+            changed: self.version,
+            member: member.cloned(),
+            name: name.clone(),
+        };
+        match self.position(name) {
+            Ok(position) => self.slots[position] = slot,
+            Err(position) => self.slots.insert(position, slot),
+        }
+    }
+}
--- /dev/null
+++ b/crates/session/src/shard.rs
@@ -0,0 +1,43 @@
+use std::fmt::{self, Display, Formatter};
+
+use names::{EndpointName, RegionName};
+use serde::{Deserialize, Serialize};
+
+use crate::rendezvous::score;
+
+/// A group of endpoints of one region and offer that have one owner.
+#[derive(Debug, Clone, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Shard {
+    /// Number within the region and offer.
+    pub number: u16,
+    /// Model or service that its endpoints offer.
+    pub offer: String,
+    /// Region of its endpoints.
+    pub region: RegionName,
+}
+
+impl Shard {
+    /// The shard of an endpoint where its region and offer are split into `shards`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `shards` is zero.
+    #[must_use]
+    pub fn of(endpoint: &EndpointName, offer: &str, region: &RegionName, shards: u16) -> Self {
+        assert!(shards > 0, "an offer has at least one shard");
+        let number = (0..shards)
+            .max_by_key(|number| score(endpoint.as_str(), &number.to_le_bytes()))
+            .unwrap_or(0);
+        Self {
+            number,
+            offer: offer.to_owned(),
+            region: region.clone(),
+        }
+    }
+}
+
+impl Display for Shard {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.region, self.offer, self.number)
+    }
+}
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,1 +1,4 @@
-//! Customers' rows, edits and revisions.
+//! placeholder.
+/// Update.
+#[derive(Debug, Clone, serde::Deserialize, serde::Serialize)]
+pub struct Update;
