Add telemetry and the predecessor of a shard's owner

Cause: users ask for histograms per customer and class; a new owner must know whether its predecessor's lease may still be live. Ruled out: one series per customer without a bound (37,000 customers). Before: none. After: two tests of the scrape pass. Conclusion: memory of the scrape is bounded by the customer bound.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -22,6 +22,6 @@
 pub use error::Error;
 pub use handshake::FleetKey;
 pub use inner::{Inner, InnerClient};
-pub use progress::{EndedPermit, ProgressAnswer, ProgressReport, RunningPermit};
+pub use progress::{EndedPermit, PermitKey, ProgressAnswer, ProgressReport, RunningPermit};
 pub use propose::{ProposeError, Proposed};
 pub use sync::{SyncAnswer, SyncRequest, SyncUpdate};
--- a/crates/protocol/src/progress.rs
+++ b/crates/protocol/src/progress.rs
@@ -25,7 +25,7 @@
     /// Tokens generated in all.
     pub generated_tokens: u32,
     /// The permit.
-    pub permit: PermitId,
+    pub permit: PermitKey,
 }
 
 /// A permit that runs, with what a new owner must know of it.
@@ -42,7 +42,7 @@
     /// Most tokens to generate.
     pub max_tokens: u32,
     /// The permit.
-    pub permit: PermitId,
+    pub permit: PermitKey,
     /// Length of the prompt.
     pub prompt_tokens: u32,
 }
@@ -55,3 +55,12 @@
     /// The report counts.
     Taken,
 }
+
+/// Names a permit across owners of a shard.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PermitKey {
+    /// Ownership under which the permit was granted.
+    pub epoch: Epoch,
+    /// Number within that ownership.
+    pub permit: PermitId,
+}
--- a/crates/session/src/assignment.rs
+++ b/crates/session/src/assignment.rs
@@ -12,8 +12,19 @@
     pub incarnation: Incarnation,
     /// The owner.
     pub owner: InstanceName,
-    /// Whether an earlier owner's lease may still be live when the assignment is committed.
-    pub predecessor_live: bool,
+    /// The owner before, as known when the assignment was proposed.
+    pub predecessor: Predecessor,
     /// The shard.
     pub shard: Shard,
 }
+
+/// What the owner of a shard must know of the owner before it.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Predecessor {
+    /// Its lease had lapsed when the assignment was proposed; its permits may still run.
+    Lapsed,
+    /// Its lease may still be live.
+    Live,
+    /// There was none.
+    None,
+}
--- a/crates/session/src/assignments.rs
+++ b/crates/session/src/assignments.rs
@@ -1,7 +1,7 @@
 use names::{Epoch, Incarnation, InstanceName, LogIndex};
 use serde::{Deserialize, Serialize};
 
-use crate::{Assignment, Shard};
+use crate::{Assignment, Predecessor, Shard};
 
 /// Gives a shard to an owner; part of the replicated log.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
@@ -12,8 +12,8 @@
     pub incarnation: Incarnation,
     /// The new owner.
     pub owner: InstanceName,
-    /// Whether the earlier owner's lease may still be live.
-    pub predecessor_live: bool,
+    /// The owner before.
+    pub predecessor: Predecessor,
     /// The shard.
     pub shard: Shard,
 }
@@ -51,7 +51,7 @@
             epoch: Epoch(index.0),
             incarnation: command.incarnation,
             owner: command.owner.clone(),
-            predecessor_live: command.predecessor_live,
+            predecessor: command.predecessor,
             shard: command.shard.clone(),
         });
         true
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -25,7 +25,7 @@
     Announcement, CacheNews, EndpointState, EngineOffer, EngineRole, LoadReport, Offer,
     ServiceOffer,
 };
-pub use assignment::Assignment;
+pub use assignment::{Assignment, Predecessor};
 pub use assignments::{AssignCommand, Assignments, AssignmentsUpdate};
 pub use endpoints::{Endpoint, EndpointEvent, Endpoints};
 pub use error::Error;
--- a/crates/session/src/planner.rs
+++ b/crates/session/src/planner.rs
@@ -5,7 +5,9 @@
 
 use names::{Epoch, InstanceName};
 
-use crate::{AssignCommand, Assignment, Assignments, Member, Roster, Shard, rendezvous_order};
+use crate::{
+    AssignCommand, Assignment, Assignments, Member, Predecessor, Roster, Shard, rendezvous_order,
+};
 
 /// Commands that give every shard in `wanted` or already assigned a live owner.
 ///
@@ -30,7 +32,7 @@
         expected_epoch: current.map_or(Epoch(0), |assignment| assignment.epoch),
         incarnation: owner.incarnation,
         owner: owner.name.clone(),
-        predecessor_live: current.is_some_and(|assignment| owner_runs(roster, assignment)),
+        predecessor: predecessor(roster, current),
         shard: shard.clone(),
     })
 }
@@ -52,10 +54,14 @@
         .filter(|member| member.incarnation == assignment.incarnation)
 }
 
-fn owner_runs(roster: &Roster, assignment: &Assignment) -> bool {
-    owner(roster, assignment).is_some()
-}
-
 fn owner_serves(roster: &Roster, assignment: &Assignment) -> bool {
     owner(roster, assignment).is_some_and(Member::dispatches)
 }
+
+fn predecessor(roster: &Roster, current: Option<&Assignment>) -> Predecessor {
+    match current {
+        None => Predecessor::None,
+        Some(assignment) if owner(roster, assignment).is_some() => Predecessor::Live,
+        Some(_) => Predecessor::Lapsed,
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/class.rs
@@ -0,0 +1,104 @@
+use std::sync::Arc;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+
+/// Customers that get series of their own.
+pub const CUSTOMERS_MAX: usize = 128;
+
+const MICROSECONDS_PER_SECOND: f64 = 1_000_000.0;
+
+/// Instruments that all classes share.
+#[derive(Debug)]
+pub(crate) struct Instruments {
+    pub(crate) dropped: Counter<u64>,
+    pub(crate) first_token: Histogram<f64>,
+    pub(crate) preemptions: Counter<u64>,
+    pub(crate) queueing: Histogram<f64>,
+    pub(crate) refusals: Counter<u64>,
+    pub(crate) restarts: Counter<u64>,
+    pub(crate) resumes: Counter<u64>,
+    pub(crate) stalls: Histogram<f64>,
+    pub(crate) token_intervals: Histogram<f64>,
+    pub(crate) tokens: Counter<u64>,
+}
+
+/// Metrics of one customer and kind of work.
+#[derive(Debug)]
+pub struct Class {
+    attributes: [KeyValue; 2],
+    instruments: Arc<Instruments>,
+}
+
+impl Class {
+    pub(crate) fn new(instruments: &Arc<Instruments>, customer: &str, kind: &str) -> Self {
+        Self {
+            attributes: [
+                KeyValue::new("customer", customer.to_owned()),
+                KeyValue::new("kind", kind.to_owned()),
+            ],
+            instruments: Arc::clone(instruments),
+        }
+    }
+
+    /// Counts a connection that was dropped for a wrong answer.
+    pub fn connection_dropped(&self) {
+        self.instruments.dropped.add(1, &self.attributes);
+    }
+
+    /// Records a time to first token.
+    pub fn first_token(&self, time_us: u64) {
+        record(&self.instruments.first_token, time_us, &self.attributes);
+    }
+
+    /// Counts a preemption.
+    pub fn preempted(&self) {
+        self.instruments.preemptions.add(1, &self.attributes);
+    }
+
+    /// Records a queueing time.
+    pub fn queued(&self, time_us: u64) {
+        record(&self.instruments.queueing, time_us, &self.attributes);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: &'static str) {
+        let [customer, kind] = self.attributes.clone();
+        let attributes = [customer, kind, KeyValue::new("reason", reason)];
+        self.instruments.refusals.add(1, &attributes);
+    }
+
+    /// Counts a generation that was started again.
+    pub fn restarted(&self) {
+        self.instruments.restarts.add(1, &self.attributes);
+    }
+
+    /// Counts a generation that was resumed.
+    pub fn resumed(&self) {
+        self.instruments.resumes.add(1, &self.attributes);
+    }
+
+    /// Records a stall.
+    pub fn stalled(&self, time_us: u64) {
+        record(&self.instruments.stalls, time_us, &self.attributes);
+    }
+
+    /// Records a time between tokens.
+    pub fn token_interval(&self, time_us: u64) {
+        record(&self.instruments.token_intervals, time_us, &self.attributes);
+    }
+
+    /// Counts delivered tokens.
+    pub fn tokens(&self, count: u64) {
+        self.instruments.tokens.add(count, &self.attributes);
+    }
+}
+
+fn record(histogram: &Histogram<f64>, time_us: u64, attributes: &[KeyValue]) {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "times are far below the largest exact integer"
+    )]
+    let seconds = time_us as f64 / MICROSECONDS_PER_SECOND;
+    histogram.record(seconds, attributes);
+}
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,40 @@
+//! Metrics as a scraper sees them.
+
+use telemetry::{CUSTOMERS_MAX, Metrics};
+
+#[test]
+fn histograms_carry_customer_and_kind() {
+    let metrics = Metrics::open().unwrap();
+    metrics
+        .class("Национален център", "syllabus")
+        .first_token(250_000);
+    let text = metrics.scrape().unwrap();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("time_to_first_token_seconds_sum"))
+        .unwrap();
+    assert!(line.contains("customer=\"Национален център\""), "{line}");
+    assert!(line.contains("kind=\"syllabus\""), "{line}");
+    assert!(line.ends_with(" 0.25"), "{line}");
+}
+
+#[test]
+fn customers_beyond_the_bound_share_one_series() {
+    let metrics = Metrics::open().unwrap();
+    for number in 0..CUSTOMERS_MAX + 20 {
+        metrics
+            .class(&format!("customer {number}"), "advice")
+            .tokens(1);
+    }
+    let text = metrics.scrape().unwrap();
+    let series = text
+        .lines()
+        .filter(|line| line.starts_with("tokens_total"))
+        .count();
+    assert_eq!(series, CUSTOMERS_MAX + 1);
+    let other = text
+        .lines()
+        .find(|line| line.starts_with("tokens_total") && line.contains("customer=\"other\""))
+        .unwrap();
+    assert!(other.ends_with(" 20"), "{other}");
+}
