Decide grants with a weighted fair queue and memory forecasts

A shard's decision core: start-time fair queueing over predicted engine time that is corrected by what was used, limits of the rows, admission by the forecast peak of key-value memory, placement by prefix, load and region, early refusal by predicted wait, and takeover of permits.

Lengths are survival estimates in half-octave buckets, a row's drawn towards its kind's and that towards a prior; a running generation counts each bucket it passes, so that long ones are not missed while they run.

--- /dev/null
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -0,0 +1,251 @@
+use names::{EndpointId, PermitId};
+
+use super::Dispatcher;
+use crate::End;
+use crate::endpoint::Endpoint;
+use crate::forecast::Forecast;
+use crate::lengths::Observation;
+use crate::number::{difference, real, whole};
+use crate::permit::{HeldPermit, Permit, PermitView};
+use crate::work::Work;
+
+impl Dispatcher {
+    /// Takes over permits of an earlier owner, as the entries report them.
+    ///
+    /// A permit that is already known is left as it is.
+    pub fn adopt(&mut self, now_us: u64, held: &[HeldPermit]) {
+        for report in held {
+            if self.permits.contains_key(&report.permit) {
+                continue;
+            }
+            let demand = &report.demand;
+            let row = self.row_index(demand.customer, demand.kind);
+            let work = Work::new(demand, row, now_us, self.next_sequence);
+            self.next_sequence += 1;
+            self.next_permit = self.next_permit.max(report.permit.0 + 1);
+            let permit = self.adopted(now_us, report, work);
+            self.endpoint_mut(report.endpoint);
+            self.start(now_us, report.permit, permit);
+            self.progress(now_us, report.permit, report.generated_tokens);
+        }
+    }
+
+    /// All permits that have not ended.
+    pub fn permits(&self) -> impl Iterator<Item = PermitView> {
+        self.permits.iter().map(|(&number, permit)| PermitView {
+            endpoint: permit.endpoint,
+            generated_tokens: permit.generated_tokens,
+            granted_us: permit.granted_us,
+            permit: number,
+            request: permit.request,
+        })
+    }
+
+    pub(super) fn cached(&mut self, endpoint: EndpointId, hashes: &[u64]) {
+        let Ok(index) = self.endpoint_index(endpoint) else {
+            return;
+        };
+        let retention = &mut self.endpoints[index].retention;
+        for &hash in hashes {
+            self.placement.cached(endpoint, retention, hash);
+        }
+    }
+
+    pub(super) fn finish_failed(&mut self, now_us: u64, number: PermitId) {
+        let generated_tokens = self.permits[&number].generated_tokens;
+        self.finish(now_us, number, End::Failed, generated_tokens);
+    }
+
+    /// Ends a permit; one that is not known has ended before.
+    pub(super) fn finish(&mut self, now_us: u64, number: PermitId, end: End, generated: u32) {
+        if !self.permits.contains_key(&number) {
+            return;
+        }
+        self.progress(now_us, number, generated);
+        let permit = self.permits.remove(&number).expect("the permit is known");
+        self.running.remove(&permit.request);
+        self.release(number, &permit);
+        self.settle(now_us, &permit);
+        self.learn(now_us, &permit, end);
+        if end == End::Refused {
+            let until_us = now_us + self.settings.pause_after_refusal_us;
+            self.endpoint_mut(permit.endpoint).paused_until_us = until_us;
+        }
+        let row = permit.work.row;
+        if permit.cancelling && end != End::Completed && !permit.withdrawn {
+            self.queue_again(now_us, permit);
+        }
+        self.refresh_row(now_us, row);
+    }
+
+    /// Takes news of a generation's length.
+    pub(super) fn progress(&mut self, now_us: u64, number: PermitId, generated_tokens: u32) {
+        let Some(permit) = self.permits.get(&number) else {
+            return;
+        };
+        let before_tokens = permit.generated_tokens;
+        if generated_tokens <= before_tokens {
+            return;
+        }
+        let (row, endpoint_id) = (permit.work.row, permit.endpoint);
+        let observation = Observation {
+            before_tokens,
+            generated_tokens,
+            now_us,
+        };
+        let known = &mut self.rows[row.0 as usize];
+        self.lengths
+            .pass(known.kind, &mut known.lengths, observation);
+        self.forecast_again(number, generated_tokens);
+        let token_us = self.token_us(endpoint_id);
+        let permit = self.permits.get_mut(&number).expect("the permit is known");
+        permit.cancelling = false;
+        permit.used_us += f64::from(generated_tokens - before_tokens) * token_us;
+        let overrun_us = difference(whole(permit.used_us), permit.charged_us);
+        if overrun_us > 0 {
+            permit.charged_us = permit.charged_us.saturating_add_signed(overrun_us);
+            self.correct(row, overrun_us);
+        }
+    }
+
+    /// Puts a permit in force.
+    pub(super) fn start(&mut self, now_us: u64, number: PermitId, permit: Permit) {
+        let row = permit.work.row;
+        let charged_us = permit.charged_us;
+        let weighted_us = self.row(row).weighted_us(charged_us);
+        let known = self.row_mut(row);
+        known.running += 1;
+        known.charge(charged_us, permit.work.urgent);
+        if let Some(bucket) = &mut known.bucket {
+            bucket.take(now_us, permit.taken_tokens);
+        }
+        self.move_flows(row, i64::try_from(weighted_us).unwrap_or(i64::MAX));
+        self.occupy(number, &permit);
+        let doubled = self.running.insert(permit.request, number);
+        assert!(doubled.is_none(), "a request has two permits");
+        let doubled = self.permits.insert(number, permit);
+        assert!(doubled.is_none(), "a permit number was used twice");
+        self.refresh_row(now_us, row);
+    }
+
+    fn adopted(&self, now_us: u64, report: &HeldPermit, work: Work) -> Permit {
+        let prediction = self.predict(&work, 0);
+        let prompt_tokens = u64::from(work.prompt_tokens);
+        Permit {
+            cancelling: false,
+            charged_us: 0,
+            endpoint: report.endpoint,
+            forecast: Forecast::of(&prediction, prompt_tokens),
+            generated_tokens: 0,
+            granted_us: now_us,
+            known_tokens: prompt_tokens,
+            prefill_tokens: prompt_tokens,
+            request: report.request,
+            taken_tokens: 0.0,
+            used_us: 0.0,
+            withdrawn: false,
+            work,
+        }
+    }
+
+    /// Replaces a permit's forecast and known size by those that follow from its length.
+    fn forecast_again(&mut self, number: PermitId, generated_tokens: u32) {
+        let permit = &self.permits[&number];
+        let used_tokens = u64::from(permit.work.prompt_tokens) + u64::from(generated_tokens);
+        let forecast = Forecast::of(&self.predict(&permit.work, generated_tokens), used_tokens);
+        let index = self
+            .endpoint_index(permit.endpoint)
+            .expect("a permit's endpoint is known");
+        let endpoint = &mut self.endpoints[index];
+        let permit = self.permits.get_mut(&number).expect("the permit is known");
+        if permit.generated_tokens == 0 {
+            endpoint.prefill_tokens -= permit.prefill_tokens;
+            endpoint.unstarted.retain(|&unstarted| unstarted != number);
+        }
+        let known_tokens = endpoint.occupied_tokens(used_tokens);
+        endpoint.forecast.subtract(&permit.forecast);
+        endpoint.forecast.add(&forecast);
+        endpoint.known_tokens = endpoint.known_tokens - permit.known_tokens + known_tokens;
+        permit.forecast = forecast;
+        permit.generated_tokens = generated_tokens;
+        permit.known_tokens = known_tokens;
+    }
+
+    fn learn(&mut self, now_us: u64, permit: &Permit, end: End) {
+        let known = &mut self.rows[permit.work.row.0 as usize];
+        let generated_tokens = permit.generated_tokens;
+        self.lengths.forget(known.kind, &mut known.lengths, now_us);
+        if end != End::Completed || generated_tokens >= permit.work.max_tokens {
+            return;
+        }
+        let observation = Observation {
+            before_tokens: generated_tokens,
+            generated_tokens,
+            now_us,
+        };
+        self.lengths
+            .end(known.kind, &mut known.lengths, observation);
+    }
+
+    fn occupy(&mut self, number: PermitId, permit: &Permit) {
+        let index = self
+            .endpoint_index(permit.endpoint)
+            .expect("a permit's endpoint is known");
+        let endpoint = &mut self.endpoints[index];
+        endpoint.running += 1;
+        endpoint.known_tokens += permit.known_tokens;
+        endpoint.forecast.add(&permit.forecast);
+        endpoint.prefill_tokens += permit.prefill_tokens;
+        endpoint.unstarted.push(number);
+        let capacity_tokens = endpoint
+            .profile
+            .as_ref()
+            .map_or(0, |profile| profile.memory_tokens);
+        self.placement.place(
+            permit.endpoint,
+            &mut endpoint.retention,
+            &permit.work.prefix,
+            permit.prefill_tokens,
+            capacity_tokens,
+        );
+    }
+
+    fn release(&mut self, number: PermitId, permit: &Permit) {
+        let index = self
+            .endpoint_index(permit.endpoint)
+            .expect("a permit's endpoint is known");
+        let endpoint = &mut self.endpoints[index];
+        endpoint.running -= 1;
+        endpoint.known_tokens -= permit.known_tokens;
+        endpoint.forecast.subtract(&permit.forecast);
+        if permit.generated_tokens == 0 {
+            endpoint.prefill_tokens -= permit.prefill_tokens;
+            endpoint.unstarted.retain(|&unstarted| unstarted != number);
+        }
+        endpoint.retention.clock_tokens += u64::from(permit.generated_tokens);
+    }
+
+    /// Charges what was really used, and gives back what was not.
+    fn settle(&mut self, now_us: u64, permit: &Permit) {
+        let row = permit.work.row;
+        self.correct(row, difference(whole(permit.used_us), permit.charged_us));
+        let generated_tokens = f64::from(permit.generated_tokens);
+        let known = self.row_mut(row);
+        known.running -= 1;
+        if let Some(bucket) = &mut known.bucket {
+            bucket.take(now_us, generated_tokens - permit.taken_tokens);
+        }
+    }
+
+    fn token_us(&self, endpoint: EndpointId) -> f64 {
+        let measured_us = self.endpoint(endpoint).and_then(Endpoint::token_us);
+        measured_us.unwrap_or(self.settings.token_us)
+    }
+
+    /// Mean number of tokens that a permit's row is expected to generate in all.
+    pub(super) fn expected_cost_us(&self, pool: usize, work: &Work) -> u64 {
+        let decode_us = self.predict(work, 0).mean_tokens() * self.pools[pool].token_us;
+        let prefill_us = real(u64::from(work.prompt_tokens)) * self.settings.prefill_us_per_token;
+        whole(prefill_us + decode_us).max(1)
+    }
+}
