Add a model of an inference engine

Continuous batching with chunked prefill, block memory with preemption by recompute, and a prefix cache, all stepped by the caller's clock.

--- /dev/null
+++ b/crates/fakes/src/engine/model.rs
@@ -0,0 +1,386 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use names::GenerationId;
+
+use crate::engine::memory::Memory;
+use crate::engine::sequence::{Rank, Sequence};
+use crate::engine::{
+    CacheNews, EndReason, EngineSettings, Job, Load, Output, OutputKind, Refusal, SequenceState,
+};
+
+const INTERVAL_WINDOW_US: u64 = 1_000_000;
+/// Part of the memory that stays free when a sequence is admitted, as a divisor.
+const RESERVE_DIVISOR: usize = 100;
+
+/// An engine, advanced by its owner's clock.
+#[derive(Debug)]
+pub struct EngineModel {
+    account_us: Vec<f64>,
+    arrivals: u64,
+    memory: Memory,
+    preemptions: u64,
+    running: Vec<Sequence>,
+    settings: EngineSettings,
+    step_end_us: Option<u64>,
+    step_us: u64,
+    steps: VecDeque<(u64, u64)>,
+    waiting: BTreeMap<Rank, Sequence>,
+}
+
+impl EngineModel {
+    /// Builds an idle engine.
+    #[must_use]
+    pub fn new(settings: EngineSettings) -> Self {
+        Self {
+            account_us: Vec::new(),
+            arrivals: 0,
+            memory: Memory::new(settings.memory_blocks()),
+            preemptions: 0,
+            running: Vec::new(),
+            settings,
+            step_end_us: None,
+            step_us: 0,
+            steps: VecDeque::new(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Engine time used so far by each account.
+    #[must_use]
+    pub fn account_us(&self) -> &[f64] {
+        &self.account_us
+    }
+
+    /// Runs all steps that end by `now_us` and appends what came out.
+    pub fn advance(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
+        while let Some(end_us) = self.step_end_us.filter(|&end_us| end_us <= now_us) {
+            self.finish_step(end_us, outputs);
+            self.start_step(end_us, outputs);
+        }
+    }
+
+    /// Ends a generation early; false if it is not here.
+    ///
+    /// `advance` must have been called for `now_us`.
+    pub fn cancel(&mut self, now_us: u64, id: GenerationId, outputs: &mut Vec<Output>) -> bool {
+        let Some(sequence) = self.remove_running(id).or_else(|| self.remove_waiting(id)) else {
+            return false;
+        };
+        outputs.push(ended(now_us, &sequence, EndReason::Cancelled));
+        true
+    }
+
+    /// Load at `now_us`.
+    #[must_use]
+    pub fn load(&self, now_us: u64) -> Load {
+        let recent = || {
+            let since_us = now_us.saturating_sub(INTERVAL_WINDOW_US);
+            self.steps
+                .iter()
+                .filter(move |(end_us, _)| *end_us > since_us)
+        };
+        let total_us: u64 = recent().map(|(_, step_us)| step_us).sum();
+        Load {
+            memory_used_tokens: self.memory.used() as u64 * u64::from(self.settings.block_tokens),
+            preemptions: self.preemptions,
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            token_interval_us: total_us / recent().count().max(1) as u64,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// When the current step ends; none while idle.
+    #[must_use]
+    pub fn next_us(&self) -> Option<u64> {
+        self.step_end_us
+    }
+
+    /// Queues a job; an idle engine starts on it at once.
+    ///
+    /// `advance` must have been called for `now_us`.
+    ///
+    /// # Errors
+    ///
+    /// Says why the job was not taken; nothing ran.
+    pub fn submit(
+        &mut self,
+        now_us: u64,
+        job: Job,
+        outputs: &mut Vec<Output>,
+    ) -> Result<(), Refusal> {
+        if self.waiting.len() >= self.settings.waiting_max {
+            return Err(Refusal::WaitingFull);
+        }
+        if self.blocks(job.prompt_tokens + 1) + self.reserve() > self.settings.memory_blocks() {
+            return Err(Refusal::TooLarge);
+        }
+        self.arrivals += 1;
+        let sequence = Sequence {
+            arrival: self.arrivals,
+            computed: 0,
+            generated: 0,
+            job,
+            private_blocks: 0,
+            scheduled: 0,
+        };
+        outputs.push(state(now_us, &sequence, SequenceState::Waiting));
+        self.waiting.insert(sequence.rank(), sequence);
+        if self.step_end_us.is_none() {
+            self.start_step(now_us, outputs);
+        }
+        Ok(())
+    }
+
+    /// Takes what changed in the prefix cache since the last call.
+    pub fn take_cache_news(&mut self) -> CacheNews {
+        self.memory.take_news()
+    }
+
+    /// Removes every sequence, as when the engine dies; returns their numbers.
+    pub fn clear(&mut self) -> Vec<GenerationId> {
+        let running = std::mem::take(&mut self.running);
+        let waiting = std::mem::take(&mut self.waiting);
+        self.memory = Memory::new(self.settings.memory_blocks());
+        self.step_end_us = None;
+        running
+            .iter()
+            .chain(waiting.values())
+            .map(|s| s.job.generation)
+            .collect()
+    }
+
+    fn admit_waiting(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
+        while self.running.len() < self.settings.sequences_max as usize {
+            let Some((_, sequence)) = self.waiting.first_key_value() else {
+                return;
+            };
+            let hashes = &sequence.job.prefix_hashes;
+            let hit_blocks = u32::try_from(self.memory.hits(hashes)).unwrap_or(u32::MAX);
+            let private = sequence.private_need(self.settings.block_tokens);
+            let reserve = if self.running.is_empty() {
+                0
+            } else {
+                self.reserve()
+            };
+            if !self.memory.admit(hashes, private, reserve) {
+                return;
+            }
+            let (_, mut sequence) = self.waiting.pop_first().expect("seen above");
+            let hit_tokens = hit_blocks.saturating_mul(self.settings.block_tokens);
+            sequence.computed = hit_tokens.min(sequence.context_tokens() - 1);
+            sequence.private_blocks = private;
+            outputs.push(state(now_us, &sequence, SequenceState::Prefill));
+            self.running.push(sequence);
+        }
+    }
+
+    fn blocks(&self, tokens: u32) -> usize {
+        tokens.div_ceil(self.settings.block_tokens) as usize
+    }
+
+    fn charge(&mut self) {
+        let sequences = self.running.iter().filter(|s| s.scheduled > 0).count();
+        #[expect(clippy::cast_precision_loss, reason = "batches are far below 2^52")]
+        let base_us = self.settings.base_step_us / sequences.max(1) as f64;
+        for sequence in self.running.iter().filter(|s| s.scheduled > 0) {
+            let account = sequence.job.account;
+            if account >= self.account_us.len() {
+                self.account_us.resize(account + 1, 0.0);
+            }
+            let prefill = f64::from(sequence.scheduled - 1);
+            let resident = f64::from(sequence.computed);
+            let own_us = self.settings.step_us(1.0, prefill, resident);
+            self.account_us[account] += own_us - self.settings.base_step_us + base_us;
+        }
+    }
+
+    fn finish_step(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
+        self.charge();
+        self.steps.push_back((now_us, self.step_us));
+        while self
+            .steps
+            .front()
+            .is_some_and(|(end_us, _)| end_us + INTERVAL_WINDOW_US < now_us)
+        {
+            self.steps.pop_front();
+        }
+        let mut ended_any = false;
+        for sequence in &mut self.running {
+            sequence.computed += std::mem::take(&mut sequence.scheduled);
+            if sequence.pending_tokens() > 0 {
+                continue;
+            }
+            if sequence.generated == 0 {
+                outputs.push(state(now_us, sequence, SequenceState::Running));
+            }
+            let kind = OutputKind::Token {
+                index: sequence.generated,
+            };
+            outputs.push(Output {
+                at_us: now_us,
+                generation: sequence.job.generation,
+                kind,
+            });
+            sequence.generated += 1;
+            ended_any |= sequence.generated >= sequence.job.length_tokens;
+        }
+        if ended_any {
+            self.remove_ended(now_us, outputs);
+        }
+    }
+
+    /// Gives each decoding sequence the block it needs, preempting others if need be.
+    fn grow(&mut self, now_us: u64, outputs: &mut Vec<Output>) -> bool {
+        let mut preempted = false;
+        let block_tokens = self.settings.block_tokens;
+        let lacks = |s: &&Sequence| s.private_blocks < s.private_need(block_tokens);
+        let mut order: Vec<Rank> = self
+            .running
+            .iter()
+            .filter(lacks)
+            .map(Sequence::rank)
+            .collect();
+        order.sort_unstable();
+        for rank in order {
+            while let Some(position) = self.running.iter().position(|s| s.rank() == rank) {
+                let sequence = &mut self.running[position];
+                if self.memory.take_private() {
+                    sequence.private_blocks += 1;
+                    break;
+                }
+                self.preempt_last(now_us, outputs);
+                preempted = true;
+            }
+        }
+        preempted
+    }
+
+    fn preempt_last(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
+        let last = self
+            .running
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, s)| s.rank());
+        let (position, _) = last.expect("a sequence that needs memory is running");
+        let mut sequence = self.running.remove(position);
+        self.memory
+            .release(&sequence.job.prefix_hashes, sequence.private_blocks);
+        if self.running.is_empty() {
+            outputs.push(ended(now_us, &sequence, EndReason::Length));
+            return;
+        }
+        self.preemptions += 1;
+        sequence.computed = 0;
+        sequence.private_blocks = 0;
+        outputs.push(state(now_us, &sequence, SequenceState::Preempted));
+        self.waiting.insert(sequence.rank(), sequence);
+    }
+
+    fn remove_ended(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
+        let is_ended = |s: &mut Sequence| s.generated >= s.job.length_tokens;
+        let ended_sequences: Vec<Sequence> = self.running.extract_if(.., is_ended).collect();
+        for sequence in ended_sequences {
+            self.memory
+                .release(&sequence.job.prefix_hashes, sequence.private_blocks);
+            outputs.push(ended(now_us, &sequence, EndReason::Stop));
+        }
+    }
+
+    fn remove_running(&mut self, id: GenerationId) -> Option<Sequence> {
+        let position = self.running.iter().position(|s| s.job.generation == id)?;
+        let sequence = self.running.remove(position);
+        self.memory
+            .release(&sequence.job.prefix_hashes, sequence.private_blocks);
+        Some(sequence)
+    }
+
+    fn remove_waiting(&mut self, id: GenerationId) -> Option<Sequence> {
+        let (rank, _) = self.waiting.iter().find(|(_, s)| s.job.generation == id)?;
+        let rank = *rank;
+        self.waiting.remove(&rank)
+    }
+
+    fn reserve(&self) -> usize {
+        self.settings.memory_blocks() / RESERVE_DIVISOR
+    }
+
+    /// Shares the step's token budget: decoding first, then prefill in order of service.
+    fn schedule(&mut self) -> (u32, u32, u64) {
+        let mut budget = self.settings.step_tokens_max;
+        let mut resident: u64 = 0;
+        let mut sequences = 0;
+        for sequence in &mut self.running {
+            resident += u64::from(sequence.computed);
+            sequence.scheduled = u32::from(sequence.decodes());
+            sequences += sequence.scheduled;
+        }
+        budget = budget.saturating_sub(sequences);
+        let mut prefill = 0;
+        let mut pending: Vec<&mut Sequence> = self
+            .running
+            .iter_mut()
+            .filter(|s| s.scheduled == 0)
+            .collect();
+        pending.sort_unstable_by_key(|s| s.rank());
+        for sequence in pending {
+            sequence.scheduled = sequence.pending_tokens().min(budget);
+            budget -= sequence.scheduled;
+            prefill += sequence.scheduled;
+            sequences += u32::from(sequence.scheduled > 0);
+        }
+        (sequences, prefill, resident)
+    }
+
+    fn start_step(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
+        if !self.grow(now_us, outputs) {
+            self.admit_waiting(now_us, outputs);
+        }
+        if self.running.is_empty() {
+            self.admit_waiting(now_us, outputs);
+        }
+        if self.running.is_empty() {
+            assert!(
+                self.waiting.is_empty(),
+                "an empty engine admits any job it took"
+            );
+            self.step_end_us = None;
+            return;
+        }
+        let (sequences, prefill, resident) = self.schedule();
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "memory is far below 2^52 tokens"
+        )]
+        let step_us =
+            self.settings
+                .step_us(f64::from(sequences), f64::from(prefill), resident as f64);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "positive, small"
+        )]
+        let whole_us = step_us.max(1.0) as u64;
+        self.step_us = whole_us;
+        self.step_end_us = Some(now_us + whole_us);
+    }
+}
+
+fn ended(at_us: u64, sequence: &Sequence, end: EndReason) -> Output {
+    let kind = OutputKind::Ended {
+        end,
+        tokens: sequence.generated,
+    };
+    Output {
+        at_us,
+        generation: sequence.job.generation,
+        kind,
+    }
+}
+
+fn state(at_us: u64, sequence: &Sequence, state: SequenceState) -> Output {
+    Output {
+        at_us,
+        generation: sequence.job.generation,
+        kind: OutputKind::State(state),
+    }
+}
