Put the engine model and a booking service behind HTTP

Both speak the endpoint interface on loopback, announce themselves once a second, and break its rules on demand (in process or by PUT /fault).

--- /dev/null
+++ b/crates/fakes/src/http/fault.rs
@@ -0,0 +1,96 @@
+use std::sync::{Arc, Mutex};
+
+use serde::{Deserialize, Serialize};
+
+/// A rule that a fake breaks.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// Breaks the connection before the token at the index.
+    Cut {
+        /// Index of the token.
+        at_index: u32,
+    },
+    /// Ends the process's server: all connections close, nothing is announced any more.
+    Die,
+    /// Sends the token at the index twice.
+    DuplicateToken {
+        /// Index of the token.
+        at_index: u32,
+    },
+    /// Runs the call, then answers 500.
+    FailAfterRun,
+    /// Takes orders with an old fencing number.
+    IgnoreFencing,
+    /// Runs the call, then closes the connection without an answer.
+    LoseAnswer,
+    /// Sends a broken event in place of the token at the index.
+    MalformedEvent {
+        /// Index of the token.
+        at_index: u32,
+    },
+    /// Refuses new calls without running them.
+    Refuse,
+    /// Announces nothing; calls are answered as before.
+    Silence,
+    /// Answers nothing more and sends no more tokens; connections stay open.
+    Stall,
+    /// Ends the stream in order, but without `end`, before the token at the index.
+    Truncate {
+        /// Index of the token.
+        at_index: u32,
+    },
+    /// Leaves out the token at the index.
+    WrongIndex {
+        /// Index of the token.
+        at_index: u32,
+    },
+    /// Sends the token at the index under the number of another generation.
+    WrongId {
+        /// Index of the token.
+        at_index: u32,
+    },
+}
+
+/// Body of `PUT /fault`.
+#[derive(Debug, Clone, Copy, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FaultOrder {
+    /// The fault; none ends the current one.
+    pub fault: Option<Fault>,
+    /// How many calls it hits; all without it.
+    pub times: Option<u32>,
+}
+
+/// The fault in force, shared between a server and its handle.
+#[derive(Debug, Clone, Default)]
+pub struct FaultSwitch(Arc<Mutex<FaultOrder>>);
+
+impl FaultSwitch {
+    /// The fault in force.
+    #[must_use]
+    pub fn current(&self) -> Option<Fault> {
+        self.lock().fault
+    }
+
+    /// Sets or ends the fault.
+    pub fn set(&self, order: FaultOrder) {
+        *self.lock() = order;
+    }
+
+    /// Consumes one use of the fault in force if `applies` holds for it.
+    pub(crate) fn take(&self, applies: impl Fn(Fault) -> bool) -> Option<Fault> {
+        let mut order = self.lock();
+        let fault = order.fault.filter(|fault| applies(*fault))?;
+        if let Some(times) = &mut order.times {
+            *times = times.saturating_sub(1);
+            if *times == 0 {
+                *order = FaultOrder::default();
+            }
+        }
+        Some(fault)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, FaultOrder> {
+        self.0.lock().expect("no holder of the fault panics")
+    }
+}
