Add the table state machine and its subscribers' view

Operators' rows, kinds of work and hashed keys change by one kind of edit with expected revisions and an edit id.

Ruled out: sorted vectors (an insertion at 111,000 rows moves megabytes); time zone lookups while applying (builds with different time zone databases would part during a rolling upgrade); dropping the oldest answers at the bound (a resent edit would run twice; new edits are refused as busy instead).

--- /dev/null
+++ b/crates/table/src/cells.rs
@@ -0,0 +1,279 @@
+use names::{CustomerName, KindName, ModelName};
+
+use crate::check::{range, range_problem};
+use crate::{Column, LocalTime, Problem, Reason, Revision, Row, RowKey, Window};
+
+const MODEL_SEPARATOR: char = '|';
+const SHOWN_CHARS_MAX: usize = 40;
+
+/// Cells of one row as text, from a CSV file or a JSON object.
+#[derive(Debug, Clone, Default)]
+pub struct Cells {
+    cells: Vec<(Column, String)>,
+    label: String,
+}
+
+impl Cells {
+    /// No cells; `label` names the row in problems.
+    #[must_use]
+    pub fn new(label: &str) -> Self {
+        Self {
+            cells: Vec::new(),
+            label: label.to_owned(),
+        }
+    }
+
+    /// The cells of a row.
+    #[must_use]
+    pub fn of(key: &RowKey, revision: Revision, row: &Row) -> Self {
+        let mut cells = Self::new(&key.to_string());
+        cells.set(Column::Customer, key.customer.as_str());
+        cells.set(Column::Kind, key.kind.as_str());
+        cells.set_row(row);
+        cells.set(Column::Revision, &revision.to_string());
+        cells
+    }
+
+    /// Text of a cell; empty where it was not set.
+    #[must_use]
+    pub fn get(&self, column: Column) -> &str {
+        self.cells
+            .iter()
+            .find(|(held, _)| *held == column)
+            .map_or("", |(_, text)| text)
+    }
+
+    /// Sets a cell.
+    pub fn set(&mut self, column: Column, text: &str) {
+        self.cells.retain(|(held, _)| *held != column);
+        self.cells.push((column, text.trim().to_owned()));
+    }
+
+    /// Reads the key of the row.
+    ///
+    /// # Errors
+    ///
+    /// Names each cell that does not hold a name.
+    pub fn parse_key(&self) -> Result<RowKey, Vec<Problem>> {
+        let mut parser = Parser::new(self);
+        let customer = parser.name(Column::Customer, CustomerName::new);
+        let kind = parser.name(Column::Kind, KindName::new);
+        parser.finish(|| {
+            Some(RowKey {
+                customer: customer?,
+                kind: kind?,
+            })
+        })
+    }
+
+    /// Reads the revision, [`Revision::ABSENT`] where empty.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what is not a whole number.
+    pub fn parse_revision(&self) -> Result<Revision, Vec<Problem>> {
+        let text = self.get(Column::Revision);
+        if text.is_empty() {
+            return Ok(Revision::ABSENT);
+        }
+        text.parse().map_err(|_| {
+            let reason = Reason::NotANumber {
+                text: shorten(text),
+            };
+            vec![self.problem(Column::Revision, reason)]
+        })
+    }
+
+    /// Reads the row.
+    ///
+    /// # Errors
+    ///
+    /// Names each cell that breaks a rule.
+    pub fn parse_row(&self) -> Result<Row, Vec<Problem>> {
+        let mut parser = Parser::new(self);
+        let models = parser.models();
+        let priority = parser.number(Column::Priority);
+        let queued_max = parser.number(Column::QueuedMax);
+        let queueing_ms_max = parser.number(Column::QueueingMsMax);
+        let running_max = parser.number(Column::RunningMax);
+        let tokens_per_second_max = parser.optional_number(Column::TokensPerSecondMax);
+        let urgent_share_percent = parser.number(Column::UrgentSharePercent);
+        let weight = parser.number(Column::Weight);
+        let window = parser.window();
+        parser.finish(|| {
+            Some(Row {
+                models,
+                priority: priority?,
+                queued_max: queued_max?,
+                queueing_ms_max: queueing_ms_max?,
+                running_max: running_max?,
+                tokens_per_second_max,
+                urgent_share_percent: urgent_share_percent?,
+                weight: weight?,
+                window,
+            })
+        })
+    }
+
+    fn problem(&self, column: Column, reason: Reason) -> Problem {
+        Problem {
+            column,
+            reason,
+            row: self.label.clone(),
+        }
+    }
+
+    fn set_row(&mut self, row: &Row) {
+        let models: Vec<&str> = row.models.iter().map(ModelName::as_str).collect();
+        let tokens = row.tokens_per_second_max.map(|tokens| tokens.to_string());
+        self.set(Column::Weight, &row.weight.to_string());
+        self.set(Column::Priority, &row.priority.to_string());
+        self.set(Column::RunningMax, &row.running_max.to_string());
+        self.set(Column::TokensPerSecondMax, &tokens.unwrap_or_default());
+        self.set(Column::QueuedMax, &row.queued_max.to_string());
+        self.set(Column::QueueingMsMax, &row.queueing_ms_max.to_string());
+        self.set(
+            Column::UrgentSharePercent,
+            &row.urgent_share_percent.to_string(),
+        );
+        self.set(Column::Models, &models.join(&MODEL_SEPARATOR.to_string()));
+        let Some(window) = &row.window else {
+            return;
+        };
+        self.set(Column::WindowStart, &window.start.to_string());
+        self.set(Column::WindowEnd, &window.end.to_string());
+        self.set(Column::WindowTimeZone, &window.time_zone);
+        self.set(Column::WindowWeight, &window.weight.to_string());
+        self.set(Column::WindowPriority, &window.priority.to_string());
+    }
+}
+
+struct Parser<'a> {
+    cells: &'a Cells,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Parser<'a> {
+    fn new(cells: &'a Cells) -> Self {
+        Self {
+            cells,
+            problems: Vec::new(),
+        }
+    }
+
+    fn fail<T>(&mut self, column: Column, reason: Reason) -> Option<T> {
+        self.problems.push(self.cells.problem(column, reason));
+        None
+    }
+
+    fn filled(&mut self, column: Column) -> Option<&'a str> {
+        match self.cells.get(column) {
+            "" => self.fail(column, Reason::Missing),
+            text => Some(text),
+        }
+    }
+
+    fn finish<T>(self, value: impl FnOnce() -> Option<T>) -> Result<T, Vec<Problem>> {
+        if !self.problems.is_empty() {
+            return Err(self.problems);
+        }
+        Ok(value().expect("every missing value is a problem"))
+    }
+
+    fn models(&mut self) -> Vec<ModelName> {
+        let text = self.cells.get(Column::Models);
+        let names = text.split(MODEL_SEPARATOR).map(str::trim);
+        let mut models: Vec<ModelName> = names
+            .filter(|name| !name.is_empty())
+            .filter_map(|name| match ModelName::new(name) {
+                Ok(model) => Some(model),
+                Err(error) => self.fail(Column::Models, name_reason(&error)),
+            })
+            .collect();
+        models.sort_unstable();
+        models
+    }
+
+    fn name<T>(
+        &mut self,
+        column: Column,
+        new: impl FnOnce(&str) -> Result<T, names::Error>,
+    ) -> Option<T> {
+        match new(self.filled(column)?) {
+            Ok(name) => Some(name),
+            Err(error) => self.fail(column, name_reason(&error)),
+        }
+    }
+
+    fn number<T: TryFrom<i64>>(&mut self, column: Column) -> Option<T> {
+        let text = self.filled(column)?;
+        let Ok(value) = text.parse::<i64>() else {
+            let text = shorten(text);
+            return self.fail(column, Reason::NotANumber { text });
+        };
+        if let Some(reason) = range_problem(column, value) {
+            return self.fail(column, reason);
+        }
+        let value = T::try_from(value).ok();
+        assert!(value.is_some(), "{column} allows {:?}", range(column));
+        value
+    }
+
+    fn optional_number<T: TryFrom<i64>>(&mut self, column: Column) -> Option<T> {
+        if self.cells.get(column).is_empty() {
+            return None;
+        }
+        self.number(column)
+    }
+
+    fn time(&mut self, column: Column) -> Option<LocalTime> {
+        let text = self.filled(column)?;
+        match text.parse() {
+            Ok(time) => Some(time),
+            Err(_) => self.fail(
+                column,
+                Reason::NotATime {
+                    text: shorten(text),
+                },
+            ),
+        }
+    }
+
+    fn window(&mut self) -> Option<Window> {
+        let columns = [
+            Column::WindowEnd,
+            Column::WindowPriority,
+            Column::WindowStart,
+            Column::WindowTimeZone,
+            Column::WindowWeight,
+        ];
+        if columns
+            .iter()
+            .all(|&column| self.cells.get(column).is_empty())
+        {
+            return None;
+        }
+        let end = self.time(Column::WindowEnd);
+        let priority = self.number(Column::WindowPriority);
+        let start = self.time(Column::WindowStart);
+        let time_zone = self.filled(Column::WindowTimeZone);
+        let weight = self.number(Column::WindowWeight);
+        Some(Window {
+            end: end?,
+            priority: priority?,
+            start: start?,
+            time_zone: time_zone?.into(),
+            weight: weight?,
+        })
+    }
+}
+
+fn name_reason(error: &names::Error) -> Reason {
+    Reason::Name {
+        detail: error.to_string(),
+    }
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().take(SHOWN_CHARS_MAX).collect()
+}
--- /dev/null
+++ b/crates/table/src/csv_file.rs
@@ -0,0 +1,139 @@
+//! The table as a CSV file that a spreadsheet opens.
+//!
+//! A cell that a spreadsheet could take for a formula is written with an apostrophe before it, which
+//! no name begins with; reading takes the apostrophe away. Both `,` and `;` separate cells, since
+//! spreadsheets save with the separator of their locale.
+
+use csv::{ReaderBuilder, StringRecord, Trim, WriterBuilder};
+
+use crate::{Cells, Column, Error, Items, Problem, Revision, Row, RowKey};
+
+const BYTE_ORDER_MARK: char = '\u{feff}';
+const GUARD: char = '\'';
+
+/// One line of a CSV file.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct ProposedRow {
+    /// Names the row.
+    pub key: RowKey,
+    /// Line of the file, from 1.
+    pub line: u64,
+    /// Revision of the table at export; [`Revision::ABSENT`] for a new row.
+    pub revision: Revision,
+    /// Its content.
+    pub row: Row,
+}
+
+/// Reads a CSV file; the outer error is the file's shape, the inner one names cells.
+///
+/// # Errors
+///
+/// Refuses a file that is not CSV in UTF-8 with the columns that [`write_csv`] writes.
+pub fn read_csv(text: &str) -> Result<Result<Vec<ProposedRow>, Vec<Problem>>, Error> {
+    let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
+    let mut reader = ReaderBuilder::new()
+        .delimiter(delimiter(text))
+        .trim(Trim::All)
+        .from_reader(text.as_bytes());
+    let columns = columns(reader.headers().map_err(|error| shape_error(&error))?)?;
+    let mut problems = Vec::new();
+    let mut rows = Vec::new();
+    for record in reader.records() {
+        let record = record.map_err(|error| shape_error(&error))?;
+        match read_record(&columns, &record) {
+            Ok(row) => rows.push(row),
+            Err(found) => problems.extend(found),
+        }
+    }
+    if problems.is_empty() {
+        return Ok(Ok(rows));
+    }
+    Ok(Err(problems))
+}
+
+/// Writes every row, with `revision` as the table's revision at export.
+///
+/// # Panics
+///
+/// Never: writing to memory does not fail.
+#[must_use]
+pub fn write_csv(items: &Items, revision: Revision) -> String {
+    let mut writer = WriterBuilder::new().from_writer(Vec::new());
+    let header = Column::CSV.map(Column::name);
+    writer
+        .write_record(header)
+        .expect("memory takes any record");
+    for (key, _, row) in items.rows() {
+        let cells = Cells::of(key, revision, row);
+        let record = Column::CSV.map(|column| guarded(column, cells.get(column)));
+        writer
+            .write_record(record)
+            .expect("memory takes any record");
+    }
+    let bytes = writer.into_inner().expect("memory takes any record");
+    String::from_utf8(bytes).expect("cells are UTF-8")
+}
+
+fn columns(header: &StringRecord) -> Result<Vec<Column>, Error> {
+    let error = |reason: String| Error::Csv { line: 1, reason };
+    let mut columns = Vec::new();
+    for name in header {
+        let column = Column::CSV.into_iter().find(|column| column.name() == name);
+        let column = column.ok_or_else(|| {
+            let name: String = name.chars().take(40).collect();
+            error(format!("column `{}` is not known", name.escape_debug()))
+        })?;
+        if columns.contains(&column) {
+            return Err(error(format!("column `{column}` stands twice")));
+        }
+        columns.push(column);
+    }
+    match Column::CSV
+        .into_iter()
+        .find(|column| !columns.contains(column))
+    {
+        Some(missing) => Err(error(format!("column `{missing}` is missing"))),
+        None => Ok(columns),
+    }
+}
+
+fn delimiter(text: &str) -> u8 {
+    let header = text.lines().next().unwrap_or_default();
+    if header.contains(';') { b';' } else { b',' }
+}
+
+fn guarded(column: Column, text: &str) -> String {
+    let is_text = !matches!(column, Column::Priority | Column::WindowPriority);
+    if is_text && text.starts_with(['=', '+', '-', '@', '\t', '\r', GUARD]) {
+        return format!("{GUARD}{text}");
+    }
+    text.to_owned()
+}
+
+fn read_record(columns: &[Column], record: &StringRecord) -> Result<ProposedRow, Vec<Problem>> {
+    let line = record.position().map_or(0, csv::Position::line);
+    let mut cells = Cells::new(&format!("line {line}"));
+    for (&column, text) in columns.iter().zip(record) {
+        cells.set(column, text.strip_prefix(GUARD).unwrap_or(text));
+    }
+    let (key, revision, row) = (cells.parse_key(), cells.parse_revision(), cells.parse_row());
+    match (key, revision, row) {
+        (Ok(key), Ok(revision), Ok(row)) => Ok(ProposedRow {
+            key,
+            line,
+            revision,
+            row,
+        }),
+        (key, revision, row) => {
+            let problems = [key.err(), revision.err(), row.err()];
+            Err(problems.into_iter().flatten().flatten().collect())
+        }
+    }
+}
+
+fn shape_error(error: &csv::Error) -> Error {
+    Error::Csv {
+        line: error.position().map_or(0, csv::Position::line),
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/table/src/diff.rs
@@ -0,0 +1,203 @@
+//! What a file of rows would change.
+//!
+//! Each line carries the table's revision at export. A row that was changed after that is a
+//! conflict. A row that the file lacks is removed, unless it was changed after the export: then it
+//! is not the file's to remove.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Cells, Change, Column, Items, ProposedRow, Revision, Row, RowKey};
+
+/// Difference between the table and a proposal.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Diff {
+    /// Rows that cannot be changed, with the reason.
+    pub conflicts: Vec<DiffConflict>,
+    /// Rows that would be added, changed or removed, ordered by key.
+    pub rows: Vec<RowChange>,
+}
+
+/// A line that does not fit the present table.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub enum DiffConflict {
+    /// The row was changed after the export.
+    Changed {
+        /// Which row.
+        key: RowKey,
+        /// Its present revision.
+        revision: Revision,
+    },
+    /// The line has the revision of an existing row, which is gone.
+    Missing {
+        /// Which row.
+        key: RowKey,
+    },
+    /// Two lines have the same customer and kind.
+    Twice {
+        /// Which row.
+        key: RowKey,
+    },
+}
+
+impl Display for DiffConflict {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Changed { key, revision } => {
+                write!(
+                    f,
+                    "! {key}: was changed at revision {revision}, after the export"
+                )
+            }
+            Self::Missing { key } => write!(
+                f,
+                "! {key}: does not exist; empty its cell `revision` to add it"
+            ),
+            Self::Twice { key } => write!(f, "! {key}: stands in two lines"),
+        }
+    }
+}
+
+/// One row that would be added, changed or removed.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowChange {
+    /// Content in the proposal, or none.
+    pub after: Option<Row>,
+    /// Present content, or none.
+    pub before: Option<Row>,
+    /// Which row.
+    pub key: RowKey,
+    /// Present revision.
+    pub revision: Revision,
+}
+
+impl Display for RowChange {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let mark = match (&self.before, &self.after) {
+            (None, _) => '+',
+            (Some(_), None) => '-',
+            (Some(_), Some(_)) => '~',
+        };
+        write!(f, "{mark} {}:", self.key)?;
+        let cells = |row: &Option<Row>| match row {
+            Some(row) => Cells::of(&self.key, Revision::ABSENT, row),
+            None => Cells::default(),
+        };
+        let (before, after) = (cells(&self.before), cells(&self.after));
+        let is_shown = |column: &Column| {
+            !matches!(column, Column::Customer | Column::Kind | Column::Revision)
+                && before.get(*column) != after.get(*column)
+        };
+        for column in Column::CSV.into_iter().filter(is_shown) {
+            match (&self.before, &self.after) {
+                (Some(_), Some(_)) => {
+                    let (before, after) = (before.get(column), after.get(column));
+                    write!(f, " {column} {}→{}", shown(before), shown(after))?;
+                }
+                (Some(_), None) => write!(f, " {column} {}", shown(before.get(column)))?,
+                (None, _) => write!(f, " {column} {}", shown(after.get(column)))?,
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Diff {
+    /// Compares the table with a proposal.
+    #[must_use]
+    pub fn between(current: &Items, proposed: &[ProposedRow]) -> Self {
+        let mut lines: Vec<&ProposedRow> = proposed.iter().collect();
+        lines.sort_by(|a, b| a.key.cmp(&b.key));
+        let mut diff = Self::default();
+        let mut twice: Vec<RowKey> = lines
+            .windows(2)
+            .filter(|pair| pair[0].key == pair[1].key)
+            .map(|pair| pair[0].key.clone())
+            .collect();
+        twice.dedup();
+        for line in &lines {
+            diff.compare_line(current, line);
+        }
+        diff.compare_removed(current, &lines);
+        diff.conflicts
+            .extend(twice.into_iter().map(|key| DiffConflict::Twice { key }));
+        diff.rows.sort_by(|a, b| a.key.cmp(&b.key));
+        diff
+    }
+
+    /// The changes of an edit that brings the proposal about.
+    #[must_use]
+    pub fn changes(&self) -> Vec<Change> {
+        self.rows
+            .iter()
+            .map(|row| Change::row(row.key.clone(), row.revision, row.after.clone()))
+            .collect()
+    }
+
+    fn compare_line(&mut self, current: &Items, line: &ProposedRow) {
+        let key = line.key.clone();
+        let Some((before, revision)) = current.row(&key) else {
+            if line.revision == Revision::ABSENT {
+                self.push(key, Revision::ABSENT, None, Some(&line.row));
+            } else {
+                self.conflicts.push(DiffConflict::Missing { key });
+            }
+            return;
+        };
+        if *before == line.row {
+            return;
+        }
+        if revision > line.revision {
+            self.conflicts.push(DiffConflict::Changed { key, revision });
+            return;
+        }
+        self.push(key, revision, Some(before), Some(&line.row));
+    }
+
+    fn compare_removed(&mut self, current: &Items, lines: &[&ProposedRow]) {
+        let exported = lines.iter().map(|line| line.revision).max();
+        let exported = exported.unwrap_or(Revision::ABSENT);
+        for (key, revision, row) in current.rows() {
+            let is_held = lines.binary_search_by(|line| line.key.cmp(key)).is_ok();
+            if !is_held && revision <= exported {
+                self.push(key.clone(), revision, Some(row), None);
+            }
+        }
+    }
+
+    fn push(&mut self, key: RowKey, revision: Revision, before: Option<&Row>, after: Option<&Row>) {
+        self.rows.push(RowChange {
+            after: after.cloned(),
+            before: before.cloned(),
+            key,
+            revision,
+        });
+    }
+}
+
+impl Display for Diff {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.conflicts
+            .iter()
+            .try_for_each(|line| writeln!(f, "{line}"))?;
+        self.rows
+            .iter()
+            .try_for_each(|line| writeln!(f, "{line}"))?;
+        let count = |is_counted: fn(&RowChange) -> bool| {
+            self.rows.iter().filter(|row| is_counted(row)).count()
+        };
+        writeln!(
+            f,
+            "{} added, {} changed, {} removed, {} in conflict",
+            count(|row| row.before.is_none()),
+            count(|row| row.before.is_some() && row.after.is_some()),
+            count(|row| row.after.is_none()),
+            self.conflicts.len(),
+        )
+    }
+}
+
+fn shown(text: &str) -> &str {
+    if text.is_empty() { "(none)" } else { text }
+}
--- /dev/null
+++ b/crates/table/src/items.rs
@@ -0,0 +1,153 @@
+use std::collections::BTreeMap;
+
+use names::{CustomerName, KindName};
+use serde::{Deserialize, Serialize};
+
+use crate::{CustomerKey, Item, KeyHash, OperatorKey, Revision, Row, RowKey, Target, Versioned};
+
+/// Everything that the table governs, by target.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Items {
+    by_target: BTreeMap<Target, Stored>,
+}
+
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+struct Stored {
+    item: Item,
+    revision: Revision,
+}
+
+impl Items {
+    /// Key of a customer, found by the key as its holder sends it.
+    #[must_use]
+    pub fn customer(&self, secret: &str) -> Option<&CustomerName> {
+        let hash = KeyHash::of(secret);
+        let (target, stored) = self.by_target.get_key_value(&Target::CustomerKey(hash))?;
+        match (target, &stored.item) {
+            (Target::CustomerKey(held), Item::CustomerKey(key)) if held.matches(&hash) => {
+                Some(&key.customer)
+            }
+            _ => None,
+        }
+    }
+
+    /// Every customer's key, ordered by hash.
+    pub fn customer_keys(&self) -> impl Iterator<Item = (&KeyHash, Revision, &CustomerKey)> {
+        self.by_target
+            .iter()
+            .filter_map(|(target, stored)| match (target, &stored.item) {
+                (Target::CustomerKey(hash), Item::CustomerKey(key)) => {
+                    Some((hash, stored.revision, key))
+                }
+                _ => None,
+            })
+    }
+
+    /// Content and revision of one item.
+    #[must_use]
+    pub fn get(&self, target: &Target) -> Option<(&Item, Revision)> {
+        let stored = self.by_target.get(target)?;
+        Some((&stored.item, stored.revision))
+    }
+
+    /// Whether nothing is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_target.is_empty()
+    }
+
+    /// Every declared kind of work, in order of name.
+    pub fn kinds(&self) -> impl Iterator<Item = (&KindName, Revision)> {
+        self.by_target
+            .iter()
+            .filter_map(|(target, stored)| match target {
+                Target::Kind(kind) => Some((kind, stored.revision)),
+                _ => None,
+            })
+    }
+
+    /// Number of items.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_target.len()
+    }
+
+    /// Key of an operator, found by the key as its holder sends it.
+    #[must_use]
+    pub fn operator(&self, secret: &str) -> Option<&OperatorKey> {
+        let hash = KeyHash::of(secret);
+        let (target, stored) = self.by_target.get_key_value(&Target::OperatorKey(hash))?;
+        match (target, &stored.item) {
+            (Target::OperatorKey(held), Item::OperatorKey(key)) if held.matches(&hash) => Some(key),
+            _ => None,
+        }
+    }
+
+    /// Every operator's key, ordered by hash.
+    pub fn operator_keys(&self) -> impl Iterator<Item = (&KeyHash, Revision, &OperatorKey)> {
+        self.by_target
+            .iter()
+            .filter_map(|(target, stored)| match (target, &stored.item) {
+                (Target::OperatorKey(hash), Item::OperatorKey(key)) => {
+                    Some((hash, stored.revision, key))
+                }
+                _ => None,
+            })
+    }
+
+    /// One row and its revision.
+    #[must_use]
+    pub fn row(&self, key: &RowKey) -> Option<(&Row, Revision)> {
+        match self.get(&Target::Row(key.clone()))? {
+            (Item::Row(row), revision) => Some((row, revision)),
+            _ => None,
+        }
+    }
+
+    /// Every row, ordered by customer and kind.
+    pub fn rows(&self) -> impl Iterator<Item = (&RowKey, Revision, &Row)> {
+        self.by_target
+            .iter()
+            .filter_map(|(target, stored)| match (target, &stored.item) {
+                (Target::Row(key), Item::Row(row)) => Some((key, stored.revision, row)),
+                _ => None,
+            })
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Target, &Item, Revision)> {
+        self.by_target
+            .iter()
+            .map(|(target, stored)| (target, &stored.item, stored.revision))
+    }
+
+    pub(crate) fn revision(&self, target: &Target) -> Revision {
+        self.get(target)
+            .map_or(Revision::ABSENT, |(_, revision)| revision)
+    }
+
+    /// Sets or deletes an item; its revision may not fall.
+    pub(crate) fn set(&mut self, target: Target, revision: Revision, item: Option<Item>) {
+        assert!(
+            self.revision(&target) <= revision,
+            "an item returned to an older revision"
+        );
+        match item {
+            Some(item) => {
+                assert!(target.admits(&item), "item does not fit its target");
+                self.by_target.insert(target, Stored { item, revision });
+            }
+            None => {
+                self.by_target.remove(&target);
+            }
+        }
+    }
+
+    pub(crate) fn versioned(&self, target: &Target) -> Versioned {
+        let stored = self.get(target);
+        Versioned {
+            item: stored.map(|(item, _)| item.clone()),
+            revision: stored.map_or(Revision::ABSENT, |(_, revision)| revision),
+            target: target.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/table/src/publication.rs
@@ -0,0 +1,43 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{Item, Revision, Target, Versioned};
+
+/// Latest state of everything that changed between two revisions.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Delta {
+    /// Changed items, ordered by target.
+    pub changes: Vec<Versioned>,
+    /// Revision from which the delta starts.
+    pub from: Revision,
+    /// Revision to which it leads.
+    pub to: Revision,
+}
+
+/// What a subscriber is sent.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Publication {
+    /// Changes since the revision that the subscriber holds.
+    Delta(Delta),
+    /// Everything, where the changes since then are gone.
+    Snapshot(Snapshot),
+}
+
+/// One item of a snapshot.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PublishedItem {
+    /// Its content.
+    pub item: Item,
+    /// Revision of its last change.
+    pub revision: Revision,
+    /// Which item.
+    pub target: Target,
+}
+
+/// Everything that the table governs at one revision.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// Every item, ordered by target.
+    pub items: Vec<PublishedItem>,
+    /// Revision of the table.
+    pub revision: Revision,
+}
--- /dev/null
+++ b/crates/table/src/table.rs
@@ -0,0 +1,184 @@
+use names::LogIndex;
+use serde::{Deserialize, Serialize};
+
+use crate::answers::Answers;
+use crate::check::{edit_problems, time_zone_problems};
+use crate::history::History;
+use crate::{
+    Delta, Edit, EditOutcome, Error, Items, Problem, Publication, PublishedItem, Revised, Revision,
+    Snapshot, Target, Versioned,
+};
+
+const SNAPSHOT_FORMAT: u8 = 1;
+
+/// The replicated table.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Table {
+    answers: Answers,
+    applied: LogIndex,
+    history: History,
+    items: Items,
+    now_ms: u64,
+    revision: Revision,
+}
+
+impl Table {
+    /// Restores the state that [`Table::snapshot`] encoded.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown format and bytes that do not decode.
+    pub fn restore(snapshot: &[u8]) -> Result<Self, Error> {
+        let decode_error = |reason: String| Error::SnapshotDecode { reason };
+        let (&format, body) = snapshot
+            .split_first()
+            .ok_or_else(|| decode_error("it is empty".to_owned()))?;
+        if format != SNAPSHOT_FORMAT {
+            return Err(Error::SnapshotFormat {
+                format,
+                known: SNAPSHOT_FORMAT,
+            });
+        }
+        postcard::from_bytes(body).map_err(|error| decode_error(error.to_string()))
+    }
+
+    /// Applies an edit from the log.
+    ///
+    /// `at_ms` is the leader's time as carried in the log; where it is behind an earlier one, the
+    /// earlier one counts.
+    ///
+    /// # Panics
+    ///
+    /// Where `index` is not greater than that of the edit before.
+    pub fn apply(&mut self, index: LogIndex, at_ms: u64, edit: &Edit) -> EditOutcome {
+        assert!(index > self.applied, "log entries applied out of order");
+        self.applied = index;
+        self.now_ms = self.now_ms.max(at_ms);
+        self.answers.expire(self.now_ms);
+        if let Some(first) = self.answers.get(edit) {
+            return first;
+        }
+        if let Some(retry_after_ms) = self.answers.retry_after_ms(self.now_ms) {
+            return EditOutcome::Busy { retry_after_ms };
+        }
+        let outcome = self.decide(edit, index.into());
+        if let EditOutcome::Accepted { revision } = outcome {
+            self.accept(edit, revision);
+        }
+        self.answers.insert(self.now_ms, edit, &outcome);
+        outcome
+    }
+
+    /// Problems of an edit, including those that depend on this build's time zone database.
+    ///
+    /// To be asked before the edit is appended to the log.
+    #[must_use]
+    pub fn check(&self, edit: &Edit) -> Vec<Problem> {
+        let mut problems = edit_problems(&self.items, edit);
+        problems.extend(time_zone_problems(edit));
+        problems
+    }
+
+    /// What a subscriber at `revision` lacks: a delta, or a snapshot where deltas are gone.
+    #[must_use]
+    pub fn delta_since(&self, revision: Revision) -> Publication {
+        // A subscriber may be ahead of a voter that lags; it is sent nothing new.
+        let revision = revision.min(self.revision);
+        if !self.history.is_complete_after(revision) {
+            return Publication::Snapshot(self.publish());
+        }
+        let mut targets: Vec<&Target> = self
+            .history
+            .after(revision)
+            .flat_map(|edit| &edit.targets)
+            .collect();
+        targets.sort_unstable();
+        targets.dedup();
+        Publication::Delta(Delta {
+            changes: targets
+                .into_iter()
+                .map(|target| self.items.versioned(target))
+                .collect(),
+            from: revision,
+            to: self.revision,
+        })
+    }
+
+    /// Accepted edits that are still held, newest first.
+    pub fn history(&self) -> impl Iterator<Item = &Revised> {
+        self.history.after(Revision::ABSENT).rev()
+    }
+
+    /// Everything that the table governs.
+    #[must_use]
+    pub fn items(&self) -> &Items {
+        &self.items
+    }
+
+    /// Everything that the table governs, as sent to subscribers.
+    #[must_use]
+    pub fn publish(&self) -> Snapshot {
+        let items = self
+            .items
+            .iter()
+            .map(|(target, item, revision)| PublishedItem {
+                item: item.clone(),
+                revision,
+                target: target.clone(),
+            });
+        Snapshot {
+            items: items.collect(),
+            revision: self.revision,
+        }
+    }
+
+    /// Revision of the last accepted edit.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Encodes the whole state, answers and history included.
+    ///
+    /// # Panics
+    ///
+    /// Never: the state holds nothing that the encoding refuses.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        let bytes = vec![SNAPSHOT_FORMAT];
+        postcard::to_extend(self, bytes).expect("the table encodes without failure")
+    }
+
+    fn accept(&mut self, edit: &Edit, revision: Revision) {
+        assert!(
+            revision > self.revision,
+            "the table returned to an older revision"
+        );
+        for change in &edit.changes {
+            self.items
+                .set(change.target.clone(), revision, change.item.clone());
+        }
+        self.history.push(self.now_ms, edit, revision);
+        self.revision = revision;
+    }
+
+    fn conflicts(&self, edit: &Edit) -> Vec<Versioned> {
+        edit.changes
+            .iter()
+            .filter(|change| self.items.revision(&change.target) != change.expected_revision)
+            .map(|change| self.items.versioned(&change.target))
+            .collect()
+    }
+
+    fn decide(&self, edit: &Edit, revision: Revision) -> EditOutcome {
+        let problems = edit_problems(&self.items, edit);
+        if !problems.is_empty() {
+            return EditOutcome::Invalid { problems };
+        }
+        let current = self.conflicts(edit);
+        if !current.is_empty() {
+            return EditOutcome::Conflict { current };
+        }
+        EditOutcome::Accepted { revision }
+    }
+}
--- /dev/null
+++ b/crates/table/src/view.rs
@@ -0,0 +1,85 @@
+use crate::{Delta, Items, Publication, Revision, Snapshot};
+
+/// What became of a publication.
+#[derive(Debug, Clone, Copy, Eq, PartialEq)]
+pub enum ViewOutcome {
+    /// The view is now at the publication's revision.
+    Applied,
+    /// The delta starts after the view's revision; nothing changed.
+    Gap,
+    /// The publication leads no further than the view already is; nothing changed.
+    Stale,
+}
+
+/// Copy of the table that a subscriber keeps.
+///
+/// Publications may arrive late, twice or out of order; the view never returns to an older revision.
+#[derive(Debug, Default)]
+pub struct View {
+    items: Items,
+    revision: Revision,
+}
+
+impl View {
+    /// Takes a publication.
+    ///
+    /// # Panics
+    ///
+    /// Where a delta holds an item older than the view's.
+    pub fn apply(&mut self, publication: Publication) -> ViewOutcome {
+        let before = self.revision;
+        let outcome = match publication {
+            Publication::Delta(delta) => self.apply_delta(delta),
+            Publication::Snapshot(snapshot) => self.apply_snapshot(snapshot),
+        };
+        assert!(
+            self.revision >= before,
+            "the view returned to an older revision"
+        );
+        outcome
+    }
+
+    /// Everything that the view holds.
+    #[must_use]
+    pub fn items(&self) -> &Items {
+        &self.items
+    }
+
+    /// Revision of the table that the view holds.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    fn apply_delta(&mut self, delta: Delta) -> ViewOutcome {
+        if delta.to <= self.revision {
+            return ViewOutcome::Stale;
+        }
+        if delta.from > self.revision {
+            return ViewOutcome::Gap;
+        }
+        for change in delta.changes {
+            // A deleted item has no revision of its own; it is as new as the delta.
+            let revision = match change.item {
+                Some(_) => change.revision,
+                None => delta.to,
+            };
+            self.items.set(change.target, revision, change.item);
+        }
+        self.revision = delta.to;
+        ViewOutcome::Applied
+    }
+
+    fn apply_snapshot(&mut self, snapshot: Snapshot) -> ViewOutcome {
+        if snapshot.revision <= self.revision {
+            return ViewOutcome::Stale;
+        }
+        let mut items = Items::default();
+        for published in snapshot.items {
+            items.set(published.target, published.revision, Some(published.item));
+        }
+        self.items = items;
+        self.revision = snapshot.revision;
+        ViewOutcome::Applied
+    }
+}
--- /dev/null
+++ b/crates/table/tests/common/mod.rs
@@ -0,0 +1,96 @@
+//! Builders shared by the tests of the table.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use names::{CustomerName, KindName, LogIndex, ModelName};
+use table::{
+    Change, Edit, EditId, EditOutcome, Item, LocalTime, OperatorName, Revision, Row, RowKey, Table,
+    Target, Window,
+};
+
+pub const KINDS: [&str; 3] = ["syllabus", "advice", "съвет"];
+
+/// A table with an index and a clock of its own.
+pub struct Bench {
+    pub at_ms: u64,
+    pub index: u64,
+    pub table: Table,
+}
+
+impl Bench {
+    /// Declares every kind of `KINDS` at revision 1.
+    pub fn new() -> Self {
+        let mut bench = Self {
+            at_ms: 1_000,
+            index: 0,
+            table: Table::default(),
+        };
+        let kinds = KINDS.map(|kind| Change {
+            expected_revision: Revision::ABSENT,
+            item: Some(Item::Kind),
+            target: Target::Kind(KindName::new(kind).unwrap()),
+        });
+        let outcome = bench.apply(&edit("kinds", kinds.to_vec()));
+        assert_eq!(outcome, accepted(1));
+        bench
+    }
+
+    pub fn apply(&mut self, edit: &Edit) -> EditOutcome {
+        self.index += 1;
+        self.table.apply(LogIndex(self.index), self.at_ms, edit)
+    }
+
+    pub fn set(&mut self, customer: &str, kind: &str, expected: u64, row: Row) -> EditOutcome {
+        let id = format!("set-{}", self.index);
+        let change = Change::row(key(customer, kind), Revision(expected), Some(row));
+        self.apply(&edit(&id, vec![change]))
+    }
+}
+
+pub fn accepted(revision: u64) -> EditOutcome {
+    EditOutcome::Accepted {
+        revision: Revision(revision),
+    }
+}
+
+pub fn edit(id: &str, changes: Vec<Change>) -> Edit {
+    Edit {
+        author: OperatorName::new("мария").unwrap(),
+        changes,
+        edit_id: EditId::new(id).unwrap(),
+    }
+}
+
+pub fn key(customer: &str, kind: &str) -> RowKey {
+    RowKey {
+        customer: CustomerName::new(customer).unwrap(),
+        kind: KindName::new(kind).unwrap(),
+    }
+}
+
+pub fn row(weight: u32) -> Row {
+    Row {
+        models: vec![ModelName::new("forge-7b").unwrap()],
+        priority: 0,
+        queued_max: 10,
+        queueing_ms_max: 5_000,
+        running_max: 4,
+        tokens_per_second_max: None,
+        urgent_share_percent: 25,
+        weight,
+        window: None,
+    }
+}
+
+pub fn time(hour: u8, minute: u8) -> LocalTime {
+    LocalTime::new(hour, minute).unwrap()
+}
+
+pub fn window(start: LocalTime, end: LocalTime, time_zone: &str) -> Window {
+    Window {
+        end,
+        priority: 7,
+        start,
+        time_zone: time_zone.into(),
+        weight: 70,
+    }
+}
--- /dev/null
+++ b/crates/table/tests/publication.rs
@@ -0,0 +1,122 @@
+//! Deltas and snapshots to subscribers, lost, late and repeated.
+
+mod common;
+
+use common::{Bench, KINDS, edit, key, row};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use table::{Change, HISTORY_TARGETS_MAX, Publication, Revision, View, ViewOutcome};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Deliver(u8),
+    Edit(u8, u8, Option<u32>),
+    Publish,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 4 {
+            0 => Self::Deliver(u8::arbitrary(g)),
+            1 => Self::Publish,
+            _ => {
+                let weight = 1 + u32::from(u8::arbitrary(g) % 9);
+                let weight = bool::arbitrary(g).then_some(weight);
+                Self::Edit(u8::arbitrary(g) % 4, u8::arbitrary(g) % 3, weight)
+            }
+        }
+    }
+}
+
+fn change(bench: &mut Bench, customer: u8, kind: u8, weight: Option<u32>) {
+    let key = key(&format!("c{customer}"), KINDS[usize::from(kind)]);
+    let current = bench.table.items().row(&key);
+    let expected = current.map_or(Revision::ABSENT, |(_, revision)| revision);
+    let id = format!("e{}", bench.index);
+    bench.apply(&edit(
+        &id,
+        vec![Change::row(key, expected, weight.map(row))],
+    ));
+}
+
+#[test]
+fn a_view_never_goes_back_and_ends_equal_to_the_table() {
+    fn property(steps: Vec<Step>) -> bool {
+        let mut bench = Bench::new();
+        let mut view = View::default();
+        let mut under_way: Vec<Publication> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Deliver(n) if !under_way.is_empty() => {
+                    let before = view.revision();
+                    view.apply(under_way[usize::from(n) % under_way.len()].clone());
+                    assert!(view.revision() >= before);
+                }
+                Step::Deliver(_) => (),
+                Step::Edit(customer, kind, weight) => change(&mut bench, customer, kind, weight),
+                Step::Publish => under_way.push(bench.table.delta_since(view.revision())),
+            }
+        }
+        let last = bench.table.delta_since(view.revision());
+        view.apply(last);
+        let mut from_snapshot = View::default();
+        from_snapshot.apply(Publication::Snapshot(bench.table.publish()));
+        view.items() == bench.table.items() && from_snapshot.items() == view.items()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 11))
+        .tests(300)
+        .quickcheck(property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_delta_that_starts_too_late_is_a_gap() {
+    let mut bench = Bench::new();
+    bench.set("centre", "advice", 0, row(1));
+    bench.set("centre", "syllabus", 0, row(1));
+    let mut view = View::default();
+    assert_eq!(
+        view.apply(bench.table.delta_since(Revision(2))),
+        ViewOutcome::Gap
+    );
+    assert_eq!(
+        view.apply(bench.table.delta_since(Revision(0))),
+        ViewOutcome::Applied
+    );
+    assert_eq!(
+        view.apply(bench.table.delta_since(Revision(2))),
+        ViewOutcome::Stale
+    );
+}
+
+#[test]
+fn a_subscriber_ahead_of_a_lagging_voter_keeps_what_it_has() {
+    let mut bench = Bench::new();
+    let lagging = bench.table.clone();
+    bench.set("centre", "advice", 0, row(1));
+    let mut view = View::default();
+    view.apply(bench.table.delta_since(view.revision()));
+    assert_eq!(
+        view.apply(lagging.delta_since(view.revision())),
+        ViewOutcome::Stale
+    );
+    assert_eq!(view.revision(), Revision(2));
+}
+
+#[test]
+fn a_subscriber_far_behind_gets_a_snapshot() {
+    let mut bench = Bench::new();
+    let batch = 8_192;
+    let mut revisions = vec![Revision::ABSENT; batch];
+    for round in 0..=HISTORY_TARGETS_MAX / batch {
+        let change = |(n, revision): (usize, &Revision)| {
+            Change::row(key(&format!("c{n}"), "advice"), *revision, Some(row(1)))
+        };
+        let changes = revisions.iter().enumerate().map(change).collect();
+        bench.apply(&edit(&format!("round-{round}"), changes));
+        revisions.fill(bench.table.revision());
+    }
+    let behind = bench.table.delta_since(Revision(1));
+    assert!(matches!(behind, Publication::Snapshot(_)));
+    let near = bench.table.delta_since(Revision(bench.index - 1));
+    assert!(matches!(near, Publication::Delta(_)));
+}
