Merge the table state machine

Cause: subscribers need the table's publications in the inner protocol. Change: merge; SyncUpdate carries table::Publication. After: tests of table, dispatch, session and protocol pass. Conclusion: the placeholder type is gone.

--- a/crates/protocol/src/sync.rs
+++ b/crates/protocol/src/sync.rs
@@ -47,5 +47,5 @@
     /// Changed instances.
     pub roster: Option<RosterUpdate>,
     /// Changed rows and keys.
-    pub table: Option<table::Update>,
+    pub table: Option<table::Publication>,
 }
