--- /dev/null
+++ b/crates/journal/src/journal.rs
@@ -0,0 +1,407 @@
+use crate::frame::FRAME_PAYLOAD_BYTES_MAX;
+use crate::identity::IDENTITY_FILE;
+use crate::recovery::Recovery;
+use crate::segment::{Segment, segment_file};
+use crate::snapshot::{self, SnapshotName};
+use crate::{
+    CutTail, Error, FolderStorage, Identity, Record, RecoveredGroup, SnapshotRecord, Storage, frame,
+};
+
+/// What a journal is configured with.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Instance that the folder belongs to.
+    pub instance: String,
+    /// Length at which a new segment is started.
+    pub segment_bytes_max: u64,
+}
+
+impl Settings {
+    /// Settings with the default sizes.
+    #[must_use]
+    pub fn new(instance: &str) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            segment_bytes_max: 8 * 1024 * 1024,
+        }
+    }
+}
+
+/// A running journal and what it recovered.
+#[derive(Debug)]
+pub struct Opened {
+    /// Unfinished write that was cut off, if any.
+    pub cut_tail: Option<CutTail>,
+    /// Groups that have records, sorted by number.
+    pub groups: Vec<RecoveredGroup>,
+    /// The journal.
+    pub journal: Journal,
+}
+
+/// Latest state of a group, repeated at the start of each segment.
+#[derive(Debug)]
+struct GroupHead {
+    group: u32,
+    snapshot_index: u64,
+    state: Option<Record>,
+}
+
+/// Log files and snapshots of one data folder.
+#[derive(Debug)]
+pub struct Journal {
+    failure: Option<String>,
+    heads: Vec<GroupHead>,
+    identity: Identity,
+    pending: Vec<Record>,
+    segments: Vec<Segment>,
+    settings: Settings,
+    storage: Box<dyn Storage>,
+}
+
+impl Journal {
+    /// Opens the journal in a folder, which is made if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a folder in use, of another instance, or with damaged or missing files.
+    pub fn open(folder: &std::path::Path, settings: Settings) -> Result<Opened, Error> {
+        Self::open_on(Box::new(FolderStorage::open(folder)?), settings)
+    }
+
+    /// Opens the journal on any storage.
+    ///
+    /// # Errors
+    ///
+    /// Refuses files of another instance, and damaged or missing files.
+    pub fn open_on(mut storage: Box<dyn Storage>, settings: Settings) -> Result<Opened, Error> {
+        let files = storage
+            .list()
+            .map_err(|source| Error::io("list", "data folder", source))?;
+        let identity = open_identity(storage.as_mut(), &files, &settings)?;
+        let mut recovery = Recovery::default();
+        let (segments, cut_tail) =
+            recover_segments(storage.as_mut(), &files, &identity, &mut recovery)?;
+        recover_snapshots(storage.as_mut(), &files, &mut recovery)?;
+        let groups = recovery.finish()?;
+        let heads = groups.iter().map(GroupHead::new).collect();
+        let mut journal = Self {
+            failure: None,
+            heads,
+            identity,
+            pending: Vec::new(),
+            segments,
+            settings,
+            storage,
+        };
+        if journal.identity.newest_segment < journal.active().number {
+            journal.record_newest_segment()?;
+        }
+        Ok(Opened {
+            cut_tail,
+            groups,
+            journal,
+        })
+    }
+
+    /// Whom the folder belongs to.
+    #[must_use]
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Collects a record for the next sync.
+    pub fn append(&mut self, record: Record) {
+        self.pending.push(record);
+    }
+
+    /// Makes everything appended so far durable, with one sync.
+    ///
+    /// # Errors
+    ///
+    /// After any error the journal accepts nothing more.
+    pub fn sync(&mut self) -> Result<(), Error> {
+        self.check_works()?;
+        let result = self.write_pending();
+        self.remember_failure(result)
+    }
+
+    /// Makes everything appended so far and a snapshot durable, then removes what it replaces.
+    ///
+    /// # Errors
+    ///
+    /// After any error the journal accepts nothing more.
+    pub fn save_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), Error> {
+        self.sync()?;
+        let result = self.replace_snapshot(snapshot);
+        self.remember_failure(result)
+    }
+
+    fn check_works(&self) -> Result<(), Error> {
+        match &self.failure {
+            Some(cause) => Err(Error::Poisoned {
+                cause: cause.clone(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    fn remember_failure(&mut self, result: Result<(), Error>) -> Result<(), Error> {
+        if let Err(error) = &result {
+            self.failure = Some(error.to_string());
+        }
+        result
+    }
+
+    fn active(&mut self) -> &mut Segment {
+        self.segments.last_mut().expect("a segment is open")
+    }
+
+    fn write_pending(&mut self) -> Result<(), Error> {
+        let records = std::mem::take(&mut self.pending);
+        if records.is_empty() {
+            return Ok(());
+        }
+        self.write_frames(&records)?;
+        for record in records {
+            self.note(record);
+        }
+        if self.active().length_bytes >= self.settings.segment_bytes_max {
+            self.rotate()?;
+        }
+        Ok(())
+    }
+
+    /// Writes records as one frame, or as several, each synced, where one would be too large.
+    fn write_frames(&mut self, records: &[Record]) -> Result<(), Error> {
+        let payload = postcard::to_stdvec(records).expect("records can be encoded");
+        if payload.len() <= FRAME_PAYLOAD_BYTES_MAX {
+            return self.write_frame(&payload);
+        }
+        if records.len() == 1 {
+            let length_bytes = payload.len();
+            return Err(Error::TooLarge { length_bytes });
+        }
+        let (first, second) = records.split_at(records.len() / 2);
+        self.write_frames(first)?;
+        self.write_frames(second)
+    }
+
+    fn write_frame(&mut self, payload: &[u8]) -> Result<(), Error> {
+        let bytes = frame::encode(self.active().place(), payload);
+        let file = self.active().file();
+        self.storage
+            .append(&file, &bytes)
+            .map_err(|source| Error::io("append to", &file, source))?;
+        self.storage
+            .sync(&file)
+            .map_err(|source| Error::io("sync", &file, source))?;
+        self.active().length_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn note(&mut self, record: Record) {
+        self.active().note(&record);
+        if let Record::State(state) = record {
+            let group = state.group;
+            self.head(group).state = Some(Record::State(state));
+        }
+    }
+
+    fn head(&mut self, group: u32) -> &mut GroupHead {
+        let found = self.heads.binary_search_by_key(&group, |head| head.group);
+        let at = found.unwrap_or_else(|at| {
+            self.heads.insert(
+                at,
+                GroupHead {
+                    group,
+                    snapshot_index: 0,
+                    state: None,
+                },
+            );
+            at
+        });
+        &mut self.heads[at]
+    }
+
+    /// Starts a new segment, which repeats every group's state.
+    fn rotate(&mut self) -> Result<(), Error> {
+        let number = self.active().number + 1;
+        self.segments.push(Segment::new(number));
+        let states: Vec<Record> = self
+            .heads
+            .iter()
+            .filter_map(|head| head.state.clone())
+            .collect();
+        self.write_frames(&states)?;
+        self.record_newest_segment()?;
+        self.remove_replaced_segments()
+    }
+
+    fn record_newest_segment(&mut self) -> Result<(), Error> {
+        self.identity.newest_segment = self.active().number;
+        self.identity.write(self.storage.as_mut())
+    }
+
+    fn replace_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), Error> {
+        let replaced_index = self.head(snapshot.group).snapshot_index;
+        snapshot::write(self.storage.as_mut(), snapshot)?;
+        self.head(snapshot.group).snapshot_index = snapshot.index;
+        if replaced_index > 0 && replaced_index < snapshot.index {
+            let replaced = SnapshotName {
+                group: snapshot.group,
+                index: replaced_index,
+            };
+            self.remove(&replaced.file())?;
+        }
+        self.remove_replaced_segments()
+    }
+
+    fn remove_replaced_segments(&mut self) -> Result<(), Error> {
+        while self.segments.len() > 1 {
+            let heads = &self.heads;
+            let snapshot_index = |group: u32| {
+                let found = heads.binary_search_by_key(&group, |head| head.group);
+                found.map_or(0, |at| heads[at].snapshot_index)
+            };
+            if !self.segments[0].is_replaced(snapshot_index) {
+                return Ok(());
+            }
+            let file = self.segments[0].file();
+            self.remove(&file)?;
+            self.segments.remove(0);
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, file: &str) -> Result<(), Error> {
+        self.storage
+            .remove(file)
+            .map_err(|source| Error::io("remove", file, source))
+    }
+}
+
+impl GroupHead {
+    fn new(group: &RecoveredGroup) -> Self {
+        let snapshot = group.snapshot.as_ref();
+        Self {
+            group: group.group,
+            snapshot_index: snapshot.map_or(0, |snapshot| snapshot.index),
+            state: group.state_record(),
+        }
+    }
+}
+
+fn open_identity(
+    storage: &mut dyn Storage,
+    files: &[String],
+    settings: &Settings,
+) -> Result<Identity, Error> {
+    if !files.iter().any(|file| file == IDENTITY_FILE) {
+        return found_identity(storage, files, settings);
+    }
+    let identity = Identity::read(storage)?;
+    if identity.instance != settings.instance {
+        return Err(Error::WrongInstance {
+            expected: settings.instance.clone(),
+            found: identity.instance,
+        });
+    }
+    Ok(identity)
+}
+
+fn found_identity(
+    storage: &mut dyn Storage,
+    files: &[String],
+    settings: &Settings,
+) -> Result<Identity, Error> {
+    let first = segment_file(1);
+    if let Some(file) = files.iter().find(|file| **file != first) {
+        return Err(Error::IdentityMissing { file: file.clone() });
+    }
+    let has_records = files.contains(&first)
+        && !storage
+            .read(&first)
+            .map_err(|source| Error::io("read", &first, source))?
+            .is_empty();
+    if has_records {
+        return Err(Error::IdentityMissing { file: first });
+    }
+    storage
+        .append(&first, &[])
+        .and_then(|()| storage.sync(&first))
+        .map_err(|source| Error::io("make", &first, source))?;
+    let identity = Identity {
+        instance: settings.instance.clone(),
+        newest_segment: 1,
+        storage: storage
+            .random_id()
+            .map_err(|source| Error::io("draw", IDENTITY_FILE, source))?,
+    };
+    identity.write(storage)?;
+    Ok(identity)
+}
+
+fn recover_segments(
+    storage: &mut dyn Storage,
+    files: &[String],
+    identity: &Identity,
+    recovery: &mut Recovery,
+) -> Result<(Vec<Segment>, Option<CutTail>), Error> {
+    let mut numbers: Vec<u64> = files
+        .iter()
+        .filter_map(|file| Segment::number_of(file))
+        .collect();
+    numbers.sort_unstable();
+    if numbers.is_empty() && identity.newest_segment == 1 && files.is_empty() {
+        numbers.push(1);
+    }
+    let newest = numbers.last().copied().unwrap_or(0);
+    if newest < identity.newest_segment {
+        return Err(missing_segment(identity.newest_segment));
+    }
+    if let Some(gap) = numbers.windows(2).find(|pair| pair[0] + 1 != pair[1]) {
+        return Err(missing_segment(gap[0] + 1));
+    }
+    let mut segments = Vec::new();
+    let mut cut_tail = None;
+    for number in numbers {
+        let take = |record| recovery.take(record);
+        let (segment, cut) = Segment::recover(storage, number, number == newest, take)?;
+        segments.push(segment);
+        cut_tail = cut;
+    }
+    Ok((segments, cut_tail))
+}
+
+fn missing_segment(number: u64) -> Error {
+    Error::Missing {
+        file: segment_file(number),
+    }
+}
+
+/// Reads the newest snapshot of each group, and removes those that it replaced.
+fn recover_snapshots(
+    storage: &mut dyn Storage,
+    files: &[String],
+    recovery: &mut Recovery,
+) -> Result<(), Error> {
+    let mut names: Vec<SnapshotName> = files
+        .iter()
+        .filter_map(|file| SnapshotName::parse(file))
+        .collect();
+    names.sort_unstable();
+    for (at, name) in names.iter().enumerate() {
+        let is_replaced = names
+            .get(at + 1)
+            .is_some_and(|next| next.group == name.group);
+        if is_replaced {
+            let file = name.file();
+            storage
+                .remove(&file)
+                .map_err(|source| Error::io("remove", &file, source))?;
+        } else {
+            recovery.take_snapshot(snapshot::read(storage, *name)?);
+        }
+    }
+    Ok(())
+}
