--- a/crates/table/src/answers.rs
+++ b/crates/table/src/answers.rs
@@ -3,17 +3,20 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ANSWER_RETENTION_MS, ANSWERS_BYTES_MAX, ANSWERS_MAX, Edit, EditId, EditOutcome, KeyHash,
+    ACCEPTED_RETENTION_MS, ANSWERS_ACCEPTED_MAX, ANSWERS_REFUSED_BYTES_MAX, ANSWERS_REFUSED_MAX,
+    Edit, EditId, EditOutcome, KeyHash, REFUSED_RETENTION_MS,
 };
 
-/// Answers given to edit ids, kept for the retention period.
+/// Answers given to edit ids, kept for the retention period of their class.
 ///
-/// An answer is never dropped before its time: where the bounds are reached, new edits are refused.
+/// An answer is never dropped before its time: where a class is full, edits that would add to it
+/// are answered as busy. Refused edits fill only their own class, so that a sender whose edits are
+/// all refused cannot keep others from editing.
 #[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Answers {
+    accepted: Class,
     by_id: BTreeMap<EditId, Answer>,
-    expiries: VecDeque<Expiry>,
-    length_bytes: usize,
+    refused: Class,
 }
 
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
@@ -22,25 +25,40 @@
     outcome: Box<[u8]>,
 }
 
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Class {
+    expiries: VecDeque<Expiry>,
+    length_bytes: usize,
+}
+
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 struct Expiry {
     at_ms: u64,
     edit_id: EditId,
 }
 
-impl Answers {
-    /// Drops answers whose retention has ended.
-    pub(crate) fn expire(&mut self, now_ms: u64) {
-        while let Some(expiry) = self.expiries.pop_front_if(|expiry| expiry.at_ms <= now_ms) {
-            let answer = self.by_id.remove(&expiry.edit_id);
+impl Class {
+    fn expire(&mut self, now_ms: u64, by_id: &mut BTreeMap<EditId, Answer>) {
+        let is_over = |expiry: &mut Expiry| expiry.at_ms <= now_ms;
+        while let Some(expiry) = self.expiries.pop_front_if(is_over) {
+            let answer = by_id.remove(&expiry.edit_id);
             let answer = answer.expect("every expiry has an answer");
             self.length_bytes -= answer.outcome.len();
         }
-        assert_eq!(
-            self.by_id.len(),
-            self.expiries.len(),
-            "answers and expiries differ"
-        );
+    }
+
+    fn is_full(&self, answers_max: usize, bytes_max: usize) -> bool {
+        self.expiries.len() >= answers_max || self.length_bytes >= bytes_max
+    }
+}
+
+impl Answers {
+    /// Drops answers whose retention has ended.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        self.accepted.expire(now_ms, &mut self.by_id);
+        self.refused.expire(now_ms, &mut self.by_id);
+        let expiries = self.accepted.expiries.len() + self.refused.expiries.len();
+        assert_eq!(self.by_id.len(), expiries, "answers and expiries differ");
     }
 
     /// The first answer to the edit's id, if it is still kept.
@@ -54,24 +72,36 @@
     }
 
     pub(crate) fn insert(&mut self, now_ms: u64, edit: &Edit, outcome: &EditOutcome) {
-        let outcome = postcard::to_allocvec(outcome).expect("outcomes encode without failure");
-        self.length_bytes += outcome.len();
-        self.expiries.push_back(Expiry {
-            at_ms: now_ms + ANSWER_RETENTION_MS,
+        let encoded = postcard::to_allocvec(outcome).expect("outcomes encode without failure");
+        let (class, retention_ms) = match outcome {
+            EditOutcome::Accepted { .. } => (&mut self.accepted, ACCEPTED_RETENTION_MS),
+            _ => (&mut self.refused, REFUSED_RETENTION_MS),
+        };
+        class.length_bytes += encoded.len();
+        class.expiries.push_back(Expiry {
+            at_ms: now_ms + retention_ms,
             edit_id: edit.edit_id.clone(),
         });
         let answer = Answer {
             content: edit.digest(),
-            outcome: outcome.into(),
+            outcome: encoded.into(),
         };
         let earlier = self.by_id.insert(edit.edit_id.clone(), answer);
         assert!(earlier.is_none(), "an edit id was answered twice");
     }
 
-    /// Time until room is made, where no more answers fit.
-    pub(crate) fn retry_after_ms(&self, now_ms: u64) -> Option<u64> {
-        let is_full = self.by_id.len() >= ANSWERS_MAX || self.length_bytes >= ANSWERS_BYTES_MAX;
-        let oldest = self.expiries.front().filter(|_| is_full)?;
+    /// Time until there is room for `outcome`, where its class is full.
+    pub(crate) fn retry_after_ms(&self, now_ms: u64, outcome: &EditOutcome) -> Option<u64> {
+        let (class, answers_max, bytes_max) = match outcome {
+            EditOutcome::Accepted { .. } => (&self.accepted, ANSWERS_ACCEPTED_MAX, usize::MAX),
+            _ => (
+                &self.refused,
+                ANSWERS_REFUSED_MAX,
+                ANSWERS_REFUSED_BYTES_MAX,
+            ),
+        };
+        let is_full = class.is_full(answers_max, bytes_max);
+        let oldest = class.expiries.front().filter(|_| is_full)?;
         Some(oldest.at_ms - now_ms)
     }
 }
--- a/crates/table/src/check.rs
+++ b/crates/table/src/check.rs
@@ -9,8 +9,8 @@
 use names::KindName;
 
 use crate::{
-    CHANGES_PER_EDIT_MAX, Change, Column, Edit, ITEMS_MAX, Item, Items, Problem, Reason, Row,
-    Target, Window,
+    CHANGES_PER_EDIT_MAX, Change, Column, EDIT_BYTES_MAX, Edit, ITEMS_MAX, Item, Items,
+    PROBLEMS_LISTED_MAX, Problem, Reason, Row, Target, Window,
 };
 
 const MODELS_PER_ROW_MAX: usize = 64;
@@ -50,7 +50,11 @@
             reason,
             row: change.target.to_string(),
         }));
+        if problems.len() >= PROBLEMS_LISTED_MAX {
+            break;
+        }
     }
+    problems.truncate(PROBLEMS_LISTED_MAX);
     problems
 }
 
@@ -236,6 +240,13 @@
             max: CHANGES_PER_EDIT_MAX as u64,
         });
     }
+    let length_bytes = edit.length_bytes();
+    if length_bytes > EDIT_BYTES_MAX {
+        return problem(Reason::TooLong {
+            length_bytes: length_bytes as u64,
+            max_bytes: EDIT_BYTES_MAX as u64,
+        });
+    }
     let is_added = |change: &&Change| change.item.is_some() && items.get(&change.target).is_none();
     let added = edit.changes.iter().filter(is_added).count();
     if added > 0 && items.len() + added > ITEMS_MAX {
@@ -267,9 +278,9 @@
     if window.time_zone.len() > TIME_ZONE_BYTES_MAX {
         reasons.push((
             Column::WindowTimeZone,
-            Reason::TooMany {
-                count: window.time_zone.len() as u64,
-                max: TIME_ZONE_BYTES_MAX as u64,
+            Reason::TooLong {
+                length_bytes: window.time_zone.len() as u64,
+                max_bytes: TIME_ZONE_BYTES_MAX as u64,
             },
         ));
     }
--- a/crates/table/src/edit.rs
+++ b/crates/table/src/edit.rs
@@ -45,11 +45,16 @@
 }
 
 impl Edit {
+    /// SHA-256 of all but the id.
     pub(crate) fn digest(&self) -> KeyHash {
         let content = (&self.author, &self.changes);
         let bytes = postcard::to_allocvec(&content).expect("edits encode without failure");
         KeyHash(Sha256::digest(&bytes).into())
     }
+
+    pub(crate) fn length_bytes(&self) -> usize {
+        postcard::experimental::serialized_size(self).expect("edits encode without failure")
+    }
 }
 
 /// Name of an edit, chosen by its sender: 1 to 64 ASCII letters, digits, `.`, `_` or `-`.
@@ -123,14 +128,14 @@
     },
     /// Some items are not at the expected revision; nothing changed.
     Conflict {
-        /// Present state of each such item.
+        /// Present state of such items, at most [`CONFLICTS_LISTED_MAX`](crate::CONFLICTS_LISTED_MAX).
         current: Vec<Versioned>,
     },
     /// The edit id was used before for an edit with another content; nothing changed.
     IdReused,
     /// Some changes break a rule; nothing changed.
     Invalid {
-        /// Each broken rule.
+        /// Broken rules, at most [`PROBLEMS_LISTED_MAX`](crate::PROBLEMS_LISTED_MAX).
         problems: Vec<Problem>,
     },
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -55,20 +55,35 @@
 pub use view::{View, ViewOutcome};
 pub use window::{LocalTime, Window};
 
-/// Time for which the answer to an edit id is kept and given again.
-pub const ANSWER_RETENTION_MS: u64 = 6 * 60 * 60 * 1000;
+/// Time for which the answer to an accepted edit is kept and given again.
+pub const ACCEPTED_RETENTION_MS: u64 = 6 * 60 * 60 * 1000;
 
-/// Most answers kept at once; further edits are refused as busy until the oldest expires.
-pub const ANSWERS_MAX: usize = 131_072;
+/// Most answers to accepted edits kept at once.
+pub const ANSWERS_ACCEPTED_MAX: usize = 131_072;
 
-/// Most bytes of encoded answers kept at once.
-pub const ANSWERS_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// Most bytes of encoded answers to refused edits kept at once.
+pub const ANSWERS_REFUSED_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// Most answers to refused edits kept at once.
+pub const ANSWERS_REFUSED_MAX: usize = 16_384;
 
 /// Most changes in one edit.
 pub const CHANGES_PER_EDIT_MAX: usize = 10_000;
 
+/// Most conflicts that one answer lists.
+pub const CONFLICTS_LISTED_MAX: usize = 100;
+
+/// Most bytes of one edit, encoded.
+pub const EDIT_BYTES_MAX: usize = 2 * 1024 * 1024;
+
 /// Most changed targets kept in the history, over all its edits.
 pub const HISTORY_TARGETS_MAX: usize = 65_536;
 
 /// Most items (kinds, rows and keys) that the table holds.
 pub const ITEMS_MAX: usize = 400_000;
+
+/// Most problems that one answer lists.
+pub const PROBLEMS_LISTED_MAX: usize = 100;
+
+/// Time for which the answer to a refused edit is kept and given again.
+pub const REFUSED_RETENTION_MS: u64 = 10 * 60 * 1000;
--- a/crates/table/src/problem.rs
+++ b/crates/table/src/problem.rs
@@ -86,6 +86,14 @@
         /// The value.
         value: i64,
     },
+    /// Longer than a fixed maximum.
+    #[error("{length_bytes} bytes are too long, at most {max_bytes} are allowed")]
+    TooLong {
+        /// Length of what was sent.
+        length_bytes: u64,
+        /// Greatest allowed length.
+        max_bytes: u64,
+    },
     /// More than a fixed maximum.
     #[error("{count} are too many, at most {max} are allowed")]
     TooMany {
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -5,8 +5,8 @@
 use crate::check::{edit_problems, time_zone_problems};
 use crate::history::History;
 use crate::{
-    Delta, Edit, EditOutcome, Error, Items, Problem, Publication, PublishedItem, Revised, Revision,
-    Snapshot, Target, Versioned,
+    CONFLICTS_LISTED_MAX, Delta, Edit, EditOutcome, Error, Items, Problem, Publication,
+    PublishedItem, Revised, Revision, Snapshot, Target, Versioned,
 };
 
 const SNAPSHOT_FORMAT: u8 = 1;
@@ -58,10 +58,10 @@
         if let Some(first) = self.answers.get(edit) {
             return first;
         }
-        if let Some(retry_after_ms) = self.answers.retry_after_ms(self.now_ms) {
+        let outcome = self.decide(edit, index.into());
+        if let Some(retry_after_ms) = self.answers.retry_after_ms(self.now_ms, &outcome) {
             return EditOutcome::Busy { retry_after_ms };
         }
-        let outcome = self.decide(edit, index.into());
         if let EditOutcome::Accepted { revision } = outcome {
             self.accept(edit, revision);
         }
@@ -167,6 +167,7 @@
             .iter()
             .filter(|change| self.items.revision(&change.target) != change.expected_revision)
             .map(|change| self.items.versioned(&change.target))
+            .take(CONFLICTS_LISTED_MAX)
             .collect()
     }
 
--- a/crates/table/src/window.rs
+++ b/crates/table/src/window.rs
@@ -1,9 +1,10 @@
 //! Daily window in local civil time.
 //!
 //! A window opens each local day at the first moment at which clocks show its start or later, and
-//! closes at the last moment at which they show its end. Where clocks skip the start or end, the
-//! moment of the skip stands for it; where clocks show it twice, the window covers both. A window
-//! whose end is before its start closes on the following day.
+//! closes after the last moment at which they show a time before its end. Where clocks skip the
+//! start or end, the moment of the skip stands for it; a window that begins or ends within an hour
+//! that clocks show twice covers both. A window whose end is before its start closes on the
+//! following day.
 
 use std::fmt::{self, Display, Formatter};
 use std::str::FromStr;
@@ -200,10 +201,25 @@
     match zone.to_ambiguous_timestamp(time).offset() {
         AmbiguousOffset::Unambiguous { offset } => instant_ms(offset, time),
         AmbiguousOffset::Gap { after, .. } => skip_ms(zone, after, time),
-        AmbiguousOffset::Fold { after, .. } => instant_ms(after, time),
+        AmbiguousOffset::Fold { before, after } => {
+            let last_ms = instant_ms(after, time)?;
+            // At the very start of a repeated hour, no clock shows a time before it afterwards.
+            let is_start = offset_before(zone, last_ms)? == before;
+            if is_start {
+                instant_ms(before, time)
+            } else {
+                Some(last_ms)
+            }
+        }
     }
 }
 
+fn offset_before(zone: &TimeZone, at_ms: u64) -> Option<Offset> {
+    let before_ms = i64::try_from(at_ms).ok()? - 1;
+    let before = Timestamp::from_millisecond(before_ms).ok()?;
+    Some(zone.to_offset(before))
+}
+
 /// Moment at which clocks skip `time`; the offset after the skip places `time` before it.
 fn skip_ms(zone: &TimeZone, after: Offset, time: DateTime) -> Option<u64> {
     let before_skip = after.to_timestamp(time).ok()?;
--- a/crates/table/tests/edits.rs
+++ b/crates/table/tests/edits.rs
@@ -5,10 +5,11 @@
 use std::collections::HashMap;
 
 use common::{Bench, KINDS, accepted, edit, key, row};
-use names::KindName;
+use names::{KindName, ModelName};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use table::{
-    ANSWER_RETENTION_MS, Change, Column, Edit, EditOutcome, Item, Reason, Revision, Table, Target,
+    ACCEPTED_RETENTION_MS, ANSWERS_REFUSED_BYTES_MAX, CHANGES_PER_EDIT_MAX, Change, Column, Edit,
+    EditOutcome, Item, REFUSED_RETENTION_MS, Reason, Revision, Table, Target,
 };
 
 #[derive(Clone, Debug)]
@@ -51,7 +52,7 @@
 impl Naive {
     fn apply(&mut self, index: u64, at_ms: u64, edit: &Edit) -> Option<EditOutcome> {
         self.answers
-            .retain(|(then_ms, ..)| at_ms < then_ms + ANSWER_RETENTION_MS);
+            .retain(|(then_ms, _, outcome)| at_ms < then_ms + retention_ms(outcome));
         if let Some((_, first, outcome)) = self.answers.iter().find(|a| a.1.edit_id == edit.edit_id)
         {
             let is_same = first == edit;
@@ -86,6 +87,13 @@
     }
 }
 
+fn retention_ms(outcome: &EditOutcome) -> u64 {
+    match outcome {
+        EditOutcome::Accepted { .. } => ACCEPTED_RETENTION_MS,
+        _ => REFUSED_RETENTION_MS,
+    }
+}
+
 fn flat(change: &Change) -> ((String, String), Option<u32>) {
     let Target::Row(key) = &change.target else {
         panic!("only rows are edited here")
@@ -199,7 +207,7 @@
     let change = Change::row(key("centre", "advice"), Revision::ABSENT, Some(row(1)));
     let edit = edit("first", vec![change]);
     assert_eq!(bench.apply(&edit), accepted(2));
-    bench.at_ms += ANSWER_RETENTION_MS - 1;
+    bench.at_ms += ACCEPTED_RETENTION_MS - 1;
     bench.table = Table::restore(&bench.table.snapshot()).unwrap();
     assert_eq!(bench.apply(&edit), accepted(2));
     bench.at_ms += 1;
@@ -209,13 +217,13 @@
 #[test]
 fn a_clock_that_jumps_back_does_not_shorten_the_retention() {
     let mut bench = Bench::new();
-    bench.at_ms += ANSWER_RETENTION_MS;
+    bench.at_ms += ACCEPTED_RETENTION_MS;
     assert_eq!(bench.set("centre", "advice", 0, row(1)), accepted(2));
     bench.at_ms = 0;
     let change = Change::row(key("centre", "advice"), Revision(2), Some(row(2)));
     let edit = edit("after-jump", vec![change]);
     assert_eq!(bench.apply(&edit), accepted(3));
-    bench.at_ms = ANSWER_RETENTION_MS * 2 - 1;
+    bench.at_ms = ACCEPTED_RETENTION_MS * 2 - 1;
     assert_eq!(bench.apply(&edit), accepted(3));
 }
 
@@ -266,6 +274,57 @@
     );
 }
 
+#[test]
+fn refused_edits_that_fill_their_bound_do_not_keep_others_from_editing() {
+    let mut bench = Bench::new();
+    let mut long = row(1);
+    let model = |n| ModelName::new(&format!("{n:0128}")).unwrap();
+    long.models = (0..64).map(model).collect();
+    let change = |n: u32, expected| {
+        let key = key(&format!("c{n}"), "advice");
+        Change::row(key, Revision(expected), Some(long.clone()))
+    };
+    let batch = |id: &str, expected| edit(id, (0..100).map(|n| change(n, expected)).collect());
+    assert_eq!(bench.apply(&batch("first", 0)), accepted(2));
+    let mut refused = 0;
+    let retry_after_ms = loop {
+        match bench.apply(&batch(&format!("refused-{refused}"), 9)) {
+            EditOutcome::Busy { retry_after_ms } => break retry_after_ms,
+            EditOutcome::Conflict { current } => assert_eq!(current.len(), 100),
+            outcome => panic!("{outcome:?}"),
+        }
+        refused += 1;
+    };
+    assert!(
+        refused >= ANSWERS_REFUSED_BYTES_MAX / (100 * 65 * 130),
+        "{refused}"
+    );
+    assert_eq!(retry_after_ms, REFUSED_RETENTION_MS);
+    let index = bench.index + 1;
+    assert_eq!(bench.set("other", "advice", 0, row(1)), accepted(index));
+    bench.at_ms += retry_after_ms;
+    let outcome = bench.apply(&batch("later", 9));
+    assert!(matches!(outcome, EditOutcome::Conflict { .. }));
+}
+
+#[test]
+fn an_edit_beyond_the_size_bounds_is_refused() {
+    let mut bench = Bench::new();
+    let changes = (0..=CHANGES_PER_EDIT_MAX)
+        .map(|n| {
+            Change::row(
+                key(&format!("c{n}"), "advice"),
+                Revision::ABSENT,
+                Some(row(1)),
+            )
+        })
+        .collect();
+    let EditOutcome::Invalid { problems } = bench.apply(&edit("large", changes)) else {
+        panic!("the edit must be refused");
+    };
+    assert!(matches!(problems[0].reason, Reason::TooMany { .. }));
+}
+
 #[test]
 fn a_kind_with_rows_cannot_be_removed() {
     let mut bench = Bench::new();
