Add at-most-once claims with reserved room for outcomes

A claim names the attempt (run of an instance and its request), so that a claim sent again after a lost answer is granted again to the same attempt and to no other. A dead run is fenced: a claim of it that the log orders after its end would otherwise stay in progress for ever.

Ruled out: dropping the oldest claims at a bound (a forgotten key could run twice); refusing an outcome for want of room (the largest outcome's room is reserved with the claim instead); a release of an unknown claim. A late outcome from the claimant itself replaces unknown.

--- /dev/null
+++ b/crates/claims/src/bounds.rs
@@ -0,0 +1,25 @@
+use serde::{Deserialize, Serialize};
+
+/// Limits of one group of claims; they must be the same on every voter.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Bounds {
+    /// Most bytes of keys and outcomes, reserved room included.
+    pub bytes_max: usize,
+    /// Most claims in any state.
+    pub claims_max: usize,
+    /// Most bytes of one customer's keys and outcomes, reserved room included.
+    pub customer_bytes_max: usize,
+    /// Time for which a settled claim is kept.
+    pub retention_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            bytes_max: 64 * 1024 * 1024,
+            claims_max: 200_000,
+            customer_bytes_max: 16 * 1024 * 1024,
+            retention_ms: 24 * 60 * 60 * 1000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/claims/src/claims.rs
@@ -0,0 +1,269 @@
+use std::collections::BTreeMap;
+
+use names::{Incarnation, InstanceName, LogIndex};
+use serde::{Deserialize, Serialize};
+
+use crate::settled::{End, Settled, SettledClaim};
+use crate::usage::{Usage, reserved_bytes};
+use crate::{
+    Answer, Attempt, Bounds, ClaimAnswer, ClaimKey, Claimant, Command, Error, RequestDigest,
+    SettleAnswer, StoredOutcome,
+};
+
+const SNAPSHOT_FORMAT: u8 = 1;
+
+/// The replicated claims of one group.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claims {
+    applied: LogIndex,
+    bounds: Bounds,
+    /// Last run of each instance that is over.
+    fences: BTreeMap<InstanceName, Fence>,
+    in_progress: BTreeMap<ClaimKey, InProgress>,
+    now_ms: u64,
+    settled: Settled,
+    usage: Usage,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+struct Fence {
+    expires_ms: u64,
+    incarnation: Incarnation,
+}
+
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+struct InProgress {
+    attempt: Attempt,
+    digest: RequestDigest,
+}
+
+impl Claims {
+    /// No claims yet.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            applied: LogIndex::default(),
+            bounds,
+            fences: BTreeMap::new(),
+            in_progress: BTreeMap::new(),
+            now_ms: 0,
+            settled: Settled::default(),
+            usage: Usage::default(),
+        }
+    }
+
+    /// Restores the state that [`Claims::snapshot`] encoded.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown format and bytes that do not decode.
+    pub fn restore(snapshot: &[u8]) -> Result<Self, Error> {
+        let decode_error = |reason: String| Error::SnapshotDecode { reason };
+        let (&format, body) = snapshot
+            .split_first()
+            .ok_or_else(|| decode_error("it is empty".to_owned()))?;
+        if format != SNAPSHOT_FORMAT {
+            return Err(Error::SnapshotFormat {
+                format,
+                known: SNAPSHOT_FORMAT,
+            });
+        }
+        postcard::from_bytes(body).map_err(|error| decode_error(error.to_string()))
+    }
+
+    /// Applies a command from the log.
+    ///
+    /// `at_ms` is the leader's time as carried in the log; where it is behind an earlier one, the
+    /// earlier one counts.
+    ///
+    /// # Panics
+    ///
+    /// Where `index` is not greater than that of the command before.
+    pub fn apply(&mut self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
+        assert!(index > self.applied, "log entries applied out of order");
+        self.applied = index;
+        self.now_ms = self.now_ms.max(at_ms);
+        self.expire();
+        let answer = match command {
+            Command::Abandon { claimant } => self.abandon(claimant),
+            Command::Claim {
+                attempt,
+                digest,
+                key,
+            } => Answer::Claim(self.claim(key, *digest, attempt)),
+            Command::Finish {
+                attempt,
+                key,
+                outcome,
+            } => Answer::Settle(self.finish(key, attempt, outcome)),
+            Command::Release { attempt, key } => Answer::Settle(self.release(key, attempt)),
+        };
+        self.assert_bounds();
+        answer
+    }
+
+    /// Bytes of keys and outcomes, reserved room included.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.usage.bytes()
+    }
+
+    /// Number of claims in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.len()
+    }
+
+    /// Whether no claim is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Number of claims in any state.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.in_progress.len() + self.settled.len()
+    }
+
+    /// Encodes the whole state.
+    ///
+    /// # Panics
+    ///
+    /// Never: the state holds nothing that the encoding refuses.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        let bytes = vec![SNAPSHOT_FORMAT];
+        postcard::to_extend(self, bytes).expect("claims encode without failure")
+    }
+
+    fn abandon(&mut self, claimant: &Claimant) -> Answer {
+        let fence = Fence {
+            expires_ms: self.now_ms + self.bounds.retention_ms,
+            incarnation: claimant.incarnation,
+        };
+        let held = self
+            .fences
+            .entry(claimant.instance.clone())
+            .or_insert(fence);
+        held.expires_ms = fence.expires_ms;
+        held.incarnation = held.incarnation.max(fence.incarnation);
+        let is_over = |claim: &InProgress| {
+            let run = &claim.attempt.claimant;
+            run.instance == claimant.instance && run.incarnation <= claimant.incarnation
+        };
+        let abandoned: Vec<(ClaimKey, InProgress)> = self
+            .in_progress
+            .extract_if(.., |_, claim| is_over(claim))
+            .collect();
+        let claims = abandoned.len() as u64;
+        for (key, claim) in abandoned {
+            self.settle(key, claim.attempt, claim.digest, End::Unknown);
+        }
+        Answer::Abandon { claims }
+    }
+
+    fn assert_bounds(&self) {
+        let bounds = &self.bounds;
+        assert!(self.len() <= bounds.claims_max, "more claims than allowed");
+        assert!(
+            self.usage.bytes() <= bounds.bytes_max,
+            "more bytes than allowed"
+        );
+    }
+
+    fn claim(&mut self, key: &ClaimKey, digest: RequestDigest, attempt: &Attempt) -> ClaimAnswer {
+        if let Some(claim) = self.in_progress.get(key) {
+            return match claim {
+                claim if claim.digest != digest => ClaimAnswer::Mismatch,
+                claim if claim.attempt == *attempt => ClaimAnswer::Granted,
+                _ => ClaimAnswer::InProgress,
+            };
+        }
+        if let Some(claim) = self.settled.get(key) {
+            return match &claim.end {
+                _ if claim.digest != digest => ClaimAnswer::Mismatch,
+                End::Finished(outcome) => ClaimAnswer::Finished(outcome.clone()),
+                End::Unknown => ClaimAnswer::Unknown,
+            };
+        }
+        if self.is_fenced(&attempt.claimant) {
+            return ClaimAnswer::Fenced;
+        }
+        let is_full = self.len() >= self.bounds.claims_max;
+        if is_full || !self.usage.has_room(&self.bounds, key) {
+            let expiry_ms = self.settled.next_expiry_ms();
+            let retry_after_ms = expiry_ms.map(|at_ms| at_ms - self.now_ms);
+            return ClaimAnswer::Full { retry_after_ms };
+        }
+        let attempt = attempt.clone();
+        self.usage.take(key, reserved_bytes(key));
+        self.in_progress
+            .insert(key.clone(), InProgress { attempt, digest });
+        ClaimAnswer::Granted
+    }
+
+    fn expire(&mut self) {
+        let now_ms = self.now_ms;
+        self.settled.expire(now_ms, &mut self.usage);
+        self.fences.retain(|_, fence| fence.expires_ms > now_ms);
+    }
+
+    fn finish(
+        &mut self,
+        key: &ClaimKey,
+        attempt: &Attempt,
+        outcome: &StoredOutcome,
+    ) -> SettleAnswer {
+        let outcome = || End::Finished(outcome.clone().bounded());
+        if let Some(claim) = self.take_held(key, attempt) {
+            self.settle(key.clone(), claim.attempt, claim.digest, outcome());
+            return SettleAnswer::Recorded;
+        }
+        let held = self
+            .settled
+            .get(key)
+            .filter(|claim| claim.attempt == *attempt);
+        match held {
+            Some(SettledClaim {
+                digest,
+                end: End::Unknown,
+                ..
+            }) => {
+                // The claimant lives after all and knows how the call ended.
+                let digest = *digest;
+                self.settle(key.clone(), attempt.clone(), digest, outcome());
+                SettleAnswer::Recorded
+            }
+            Some(_) => SettleAnswer::Recorded,
+            None => SettleAnswer::NotHeld,
+        }
+    }
+
+    fn is_fenced(&self, claimant: &Claimant) -> bool {
+        let fence = self.fences.get(&claimant.instance);
+        fence.is_some_and(|fence| claimant.incarnation <= fence.incarnation)
+    }
+
+    fn release(&mut self, key: &ClaimKey, attempt: &Attempt) -> SettleAnswer {
+        if self.take_held(key, attempt).is_none() {
+            return SettleAnswer::NotHeld;
+        }
+        self.usage.release(key, reserved_bytes(key));
+        SettleAnswer::Recorded
+    }
+
+    fn settle(&mut self, key: ClaimKey, attempt: Attempt, digest: RequestDigest, end: End) {
+        let expires_ms = self.now_ms + self.bounds.retention_ms;
+        self.settled
+            .insert(key, attempt, digest, end, expires_ms, &mut self.usage);
+    }
+
+    fn take_held(&mut self, key: &ClaimKey, attempt: &Attempt) -> Option<InProgress> {
+        let is_held = self.in_progress.get(key)?.attempt == *attempt;
+        if !is_held {
+            return None;
+        }
+        self.in_progress.remove(key)
+    }
+}
--- /dev/null
+++ b/crates/claims/src/outcome.rs
@@ -0,0 +1,90 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{BODY_BYTES_MAX, HEADERS_BYTES_MAX};
+
+/// Headers that are stored with an outcome, in lower case.
+const STORED_HEADERS: [&str; 6] = [
+    "content-encoding",
+    "content-language",
+    "content-type",
+    "etag",
+    "last-modified",
+    "location",
+];
+
+/// Body of a stored outcome.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StoredBody {
+    /// The whole body.
+    Kept(Vec<u8>),
+    /// The body was longer than [`BODY_BYTES_MAX`] and is not stored.
+    TooLong {
+        /// Its length.
+        length_bytes: u64,
+    },
+}
+
+/// One header of a stored outcome.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredHeader {
+    /// Name in lower case.
+    pub name: String,
+    /// Value as sent.
+    pub value: Vec<u8>,
+}
+
+/// How a call ended, as repeats are told.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredOutcome {
+    /// The body.
+    pub body: StoredBody,
+    /// Headers that matter to the body.
+    pub headers: Vec<StoredHeader>,
+    /// HTTP status.
+    pub status: u16,
+}
+
+impl StoredOutcome {
+    /// Most bytes that an outcome takes.
+    pub(crate) const LENGTH_BYTES_MAX: usize = BODY_BYTES_MAX + HEADERS_BYTES_MAX;
+
+    /// Keeps what is stored: some headers, and the body where it is short enough.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        let body = match self.body {
+            StoredBody::Kept(body) if body.len() > BODY_BYTES_MAX => StoredBody::TooLong {
+                length_bytes: body.len() as u64,
+            },
+            body => body,
+        };
+        let mut room_bytes = HEADERS_BYTES_MAX;
+        let mut headers = self.headers;
+        headers.retain(|header| {
+            let is_stored = STORED_HEADERS.binary_search(&header.name.as_str()).is_ok();
+            let length_bytes = header.length_bytes();
+            let is_kept = is_stored && length_bytes <= room_bytes;
+            room_bytes -= if is_kept { length_bytes } else { 0 };
+            is_kept
+        });
+        Self {
+            body,
+            headers,
+            status: self.status,
+        }
+    }
+
+    pub(crate) fn length_bytes(&self) -> usize {
+        let body_bytes = match &self.body {
+            StoredBody::Kept(body) => body.len(),
+            StoredBody::TooLong { .. } => 0,
+        };
+        let header_bytes: usize = self.headers.iter().map(StoredHeader::length_bytes).sum();
+        body_bytes + header_bytes
+    }
+}
+
+impl StoredHeader {
+    fn length_bytes(&self) -> usize {
+        self.name.len() + self.value.len()
+    }
+}
