Count shared prompt blocks once in memory forecasts

Prompts of one template share blocks on an engine, so forecasts that add whole prompts leave memory empty. The placement memory counts which permits use a prefix; blocks in common are subtracted, at later horizons by the square of the part of generations that go on, since both users must go on.

A first version sampled depth 4 twice and so counted a prompt as shared with itself; the random events found it by an underflow.

--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -52,18 +52,24 @@
     }
 
     /// The best endpoint with room for a request.
-    pub(super) fn place(&mut self, now_us: u64, pool: usize, work: &Work) -> Option<Place> {
+    pub(super) fn place(
+        &self,
+        now_us: u64,
+        pool: usize,
+        first: usize,
+        work: &Work,
+    ) -> Option<Place> {
         let prediction = self.predict(work, 0);
         let forecast = Forecast::of(&prediction, u64::from(work.prompt_tokens));
         let matches = self.placement.matches(&work.prefix);
-        let first = self.rotation(pool);
         let members = &self.pools[pool].endpoints;
         let rotated = members[first..].iter().chain(&members[..first]);
         let best = rotated
             .filter_map(|&id| self.endpoint(id))
             .filter_map(|endpoint| {
-                let room = self.has_room(now_us, endpoint, work, &forecast);
-                room.then(|| self.placement_cost(endpoint, work, &forecast, &matches))
+                let added = Addition::new(endpoint, work, &forecast, &matches);
+                let room = self.has_room(now_us, endpoint, &added);
+                room.then(|| self.placement_cost(endpoint, work, &added))
             })
             .min_by_key(|cost| cost.total_us)?;
         Some(Place {
@@ -77,12 +83,16 @@
     fn grant_one(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) -> bool {
         let flows = self.settings.backfill_flows + 1;
         let order: Vec<RowIndex> = self.pools[pool].queue.order().take(flows).collect();
+        if order.is_empty() {
+            return false;
+        }
+        let rotation = self.rotation(pool);
         for (turn, &row) in order.iter().enumerate() {
             let urgent_first = self.row(row).urgent_first();
             let first = self.pools[pool].queue.first(row, urgent_first);
             let request = first.expect("an active flow has a request");
-            let work = self.queued[&request].work.clone();
-            if let Some(place) = self.place(now_us, pool, &work) {
+            let work = &self.queued[&request].work;
+            if let Some(place) = self.place(now_us, pool, rotation, work) {
                 self.pass_over(now_us, pool, &order[..turn]);
                 self.grant(now_us, pool, request, &place, actions);
                 return true;
@@ -144,11 +154,10 @@
         }
     }
 
-    fn has_room(&self, now_us: u64, endpoint: &Endpoint, work: &Work, added: &Forecast) -> bool {
+    fn has_room(&self, now_us: u64, endpoint: &Endpoint, added: &Addition<'_>) -> bool {
         let Some(profile) = &endpoint.profile else {
             return false;
         };
-        let prompt_tokens = u64::from(work.prompt_tokens);
         if !endpoint.ready
             || now_us < endpoint.paused_until_us
             || endpoint.running >= endpoint.running_max()
@@ -156,19 +165,23 @@
             return false;
         }
         if !endpoint.is_engine() || endpoint.running == 0 {
-            return endpoint.occupied_tokens(prompt_tokens) <= profile.memory_tokens;
+            return added.known_tokens <= profile.memory_tokens;
         }
-        let known_tokens = endpoint.known_tokens + endpoint.occupied_tokens(prompt_tokens);
+        let shared_tokens = endpoint.shared_tokens() + added.shared_tokens;
+        let known_tokens = endpoint.known_tokens + added.known_tokens - shared_tokens;
         let limit_tokens = real(profile.memory_tokens) * self.settings.memory_fraction_max;
         let deviations = self.settings.confidence_deviations;
         known_tokens <= profile.memory_tokens
-            && self.has_prefill_room(endpoint, prompt_tokens)
-            && endpoint.forecast.peak_tokens(added, deviations) <= limit_tokens
+            && self.has_prefill_room(endpoint, added.prefill_tokens)
+            && endpoint
+                .forecast
+                .peak_tokens(added.forecast, deviations, shared_tokens)
+                <= limit_tokens
     }
 
-    fn has_prefill_room(&self, endpoint: &Endpoint, prompt_tokens: u64) -> bool {
+    fn has_prefill_room(&self, endpoint: &Endpoint, added_tokens: u64) -> bool {
         endpoint.prefill_tokens == 0
-            || endpoint.prefill_tokens + prompt_tokens <= self.settings.prefill_tokens_max
+            || endpoint.prefill_tokens + added_tokens <= self.settings.prefill_tokens_max
     }
 
     fn must_not_be_passed(&self, now_us: u64, request: RequestId) -> bool {
@@ -191,18 +204,17 @@
         &self,
         endpoint: &Endpoint,
         work: &Work,
-        added: &Forecast,
-        matches: &[Match],
+        added: &Addition<'_>,
     ) -> PlacementCost {
         let profile = endpoint.profile.as_ref().expect("a place has a profile");
-        let cached = matches.iter().find(|found| found.endpoint == endpoint.id);
-        let cached_blocks = cached.map_or(0, |found| found.blocks) as u64;
-        let cached_tokens = cached_blocks * u64::from(profile.block_tokens);
-        let prefill_tokens = u64::from(work.prompt_tokens).saturating_sub(cached_tokens);
-        let prefill_us = real(prefill_tokens) * self.settings.prefill_us_per_token;
+        let prefill_us = real(added.prefill_tokens) * self.settings.prefill_us_per_token;
         let running = f64::from(endpoint.running) / f64::from(endpoint.running_max().max(1));
+        let shared_tokens = endpoint.shared_tokens() + added.shared_tokens;
         let memory = if endpoint.is_engine() {
-            endpoint.forecast.peak_tokens(added, 0.0) / real(profile.memory_tokens.max(1))
+            endpoint
+                .forecast
+                .peak_tokens(added.forecast, 0.0, shared_tokens)
+                / real(profile.memory_tokens.max(1))
         } else {
             0.0
         };
@@ -214,13 +226,13 @@
         };
         PlacementCost {
             endpoint: endpoint.id,
-            prefill_tokens,
+            prefill_tokens: added.prefill_tokens,
             total_us: whole(prefill_us + load_us) + region_us,
         }
     }
 
     /// Where to begin among the endpoints of a pool, so that equals take turns.
-    fn rotation(&mut self, pool: usize) -> usize {
+    pub(super) fn rotation(&mut self, pool: usize) -> usize {
         let members = self.pools[pool].endpoints.len() as u64;
         if members == 0 {
             return 0;
@@ -229,6 +241,33 @@
     }
 }
 
+/// What a request would add to one endpoint.
+#[derive(Debug)]
+struct Addition<'a> {
+    forecast: &'a Forecast,
+    known_tokens: u64,
+    prefill_tokens: u64,
+    shared_tokens: u64,
+}
+
+impl<'a> Addition<'a> {
+    fn new(endpoint: &Endpoint, work: &Work, forecast: &'a Forecast, matches: &[Match]) -> Self {
+        let mut here = matches.iter().filter(|found| found.endpoint == endpoint.id);
+        let cached_blocks = here.clone().next().map_or(0, |found| found.blocks);
+        let shared_blocks = here
+            .find(|found| found.live)
+            .map_or(0, |found| found.blocks);
+        let prompt_tokens = u64::from(work.prompt_tokens);
+        let cached_tokens = endpoint.block_tokens(cached_blocks);
+        Self {
+            forecast,
+            known_tokens: endpoint.occupied_tokens(prompt_tokens),
+            prefill_tokens: prompt_tokens.saturating_sub(cached_tokens).max(1),
+            shared_tokens: endpoint.block_tokens(shared_blocks),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct PlacementCost {
     endpoint: EndpointId,
--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -197,6 +197,8 @@
         endpoint.forecast.add(&permit.forecast);
         endpoint.prefill_tokens += permit.prefill_tokens;
         endpoint.unstarted.push(number);
+        let shared_blocks = self.placement.retain(permit.endpoint, &permit.work.prefix);
+        endpoint.shared_blocks += shared_blocks;
         let capacity_tokens = endpoint
             .profile
             .as_ref()
@@ -222,6 +224,8 @@
             endpoint.prefill_tokens -= permit.prefill_tokens;
             endpoint.unstarted.retain(|&unstarted| unstarted != number);
         }
+        let shared_blocks = self.placement.release(permit.endpoint, &permit.work.prefix);
+        endpoint.shared_blocks -= shared_blocks;
         endpoint.retention.clock_tokens += u64::from(permit.generated_tokens);
     }
 
--- a/crates/dispatch/src/dispatcher/relieving.rs
+++ b/crates/dispatch/src/dispatcher/relieving.rs
@@ -62,7 +62,8 @@
         })?;
         let work = self.permits[&number].work.clone();
         let pool = self.pool_index(work.model);
-        let place = self.place(now_us, pool, &work)?;
+        let first = self.rotation(pool);
+        let place = self.place(now_us, pool, first, &work)?;
         (place.endpoint != self.endpoints[index].id).then_some(number)
     }
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -25,6 +25,8 @@
     pub(crate) report: Report,
     pub(crate) retention: Retention,
     pub(crate) running: u32,
+    /// Blocks that the known sizes of permits count more than once.
+    pub(crate) shared_blocks: usize,
     sequences_limit: f64,
     token_interval_us: Option<f64>,
     /// Permits without a first token, in the order of their grant.
@@ -44,6 +46,7 @@
             report: Report::default(),
             retention: Retention::default(),
             running: 0,
+            shared_blocks: 0,
             sequences_limit: f64::from(settings.sequences_start),
             token_interval_us: None,
             unstarted: Vec::new(),
@@ -76,6 +79,15 @@
         Some(interval_us / f64::from(self.report.running.max(1)))
     }
 
+    /// Tokens in a number of blocks.
+    pub(crate) fn block_tokens(&self, blocks: usize) -> u64 {
+        let block_tokens = self
+            .profile
+            .as_ref()
+            .map_or(0, |profile| profile.block_tokens);
+        blocks as u64 * u64::from(block_tokens)
+    }
+
     /// Tokens that a sequence occupies in whole blocks.
     pub(crate) fn occupied_tokens(&self, tokens: u64) -> u64 {
         match &self.profile {
@@ -86,6 +98,11 @@
         }
     }
 
+    /// Tokens that the known sizes of permits count more than once.
+    pub(crate) fn shared_tokens(&self) -> u64 {
+        self.block_tokens(self.shared_blocks)
+    }
+
     /// Takes a load report and moves the limit of sequences towards the goal.
     pub(crate) fn observe(&mut self, report: &Report, goal_us: u64) {
         self.report = report.clone();
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -6,12 +6,16 @@
     0, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096, 8_192, 16_384, 32_768,
 ];
 
+const MILLI: f64 = 1_000.0;
+
 /// Most tokens by which a partly filled block exceeds its content.
 const BLOCK_SLACK_TOKENS: u64 = 16;
 
 /// Memory that generations are forecast to use at each horizon.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Forecast {
+    /// Generations expected to go on, in thousandths.
+    alive_milli: [u64; HORIZONS.len()],
     mean_tokens: [u64; HORIZONS.len()],
     variance: [u64; HORIZONS.len()],
 }
@@ -25,6 +29,7 @@
         for (index, alive) in survivals.into_iter().enumerate() {
             let grown = f64::from(HORIZONS[index]).min(remaining_max);
             let size = real(used_tokens + BLOCK_SLACK_TOKENS) + grown;
+            forecast.alive_milli[index] = whole(alive * MILLI);
             forecast.mean_tokens[index] = whole(size * alive);
             forecast.variance[index] = whole(size * size * alive * (1.0 - alive));
         }
@@ -34,6 +39,7 @@
     /// Adds another generation's forecast.
     pub(crate) fn add(&mut self, other: &Self) {
         for index in 0..HORIZONS.len() {
+            self.alive_milli[index] += other.alive_milli[index];
             self.mean_tokens[index] += other.mean_tokens[index];
             self.variance[index] += other.variance[index];
         }
@@ -42,18 +48,25 @@
     /// Takes away what was added before.
     pub(crate) fn subtract(&mut self, other: &Self) {
         for index in 0..HORIZONS.len() {
+            self.alive_milli[index] -= other.alive_milli[index];
             self.mean_tokens[index] -= other.mean_tokens[index];
             self.variance[index] -= other.variance[index];
         }
     }
 
     /// Greatest use over all horizons of both forecasts together, `deviations` above the mean.
-    pub(crate) fn peak_tokens(&self, other: &Self, deviations: f64) -> f64 {
+    ///
+    /// `shared_tokens` is what prompts have in common now and is counted more than once in the
+    /// forecasts. Both users of a block must go on for it to stay shared.
+    pub(crate) fn peak_tokens(&self, other: &Self, deviations: f64, shared_tokens: u64) -> f64 {
+        let now = real((self.alive_milli[0] + other.alive_milli[0]).max(1));
         (0..HORIZONS.len())
             .map(|index| {
+                let alive = real(self.alive_milli[index] + other.alive_milli[index]) / now;
                 let mean = real(self.mean_tokens[index] + other.mean_tokens[index]);
                 let variance = real(self.variance[index] + other.variance[index]);
-                mean + deviations * variance.sqrt()
+                let shared = real(shared_tokens) * alive * alive;
+                mean + deviations * variance.sqrt() - shared
             })
             .fold(0.0, f64::max)
     }
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -11,11 +11,11 @@
 
 /// Blocks covered by the sampled hash at a position.
 fn depth_blocks(position: usize) -> usize {
-    if position < 4 {
-        return position + 1;
+    let ordinal = position + 1;
+    if ordinal < 4 {
+        return ordinal;
     }
-    let octave = position / 4;
-    (4 + position % 4) << (octave - 1)
+    (4 + ordinal % 4) << (ordinal / 4 - 1)
 }
 
 /// The hashes at sampled depths.
@@ -29,8 +29,16 @@
 /// Which endpoints hold which prefixes, as far as known.
 #[derive(Debug, Default)]
 pub(crate) struct PlacementMemory {
-    /// For each hash and endpoint, the endpoint's clock when last placed.
-    holders: BTreeMap<(u64, EndpointId), u64>,
+    holders: BTreeMap<(u64, EndpointId), Holder>,
+}
+
+/// One endpoint's copy of one prefix.
+#[derive(Debug, Default)]
+struct Holder {
+    /// The endpoint's clock when the prefix was last placed.
+    clock_tokens: u64,
+    /// Permits that use the prefix now.
+    references: u32,
 }
 
 /// Forgetting of one endpoint's prefixes, least recently placed first.
@@ -52,6 +60,8 @@
 pub(crate) struct Match {
     pub(crate) blocks: usize,
     pub(crate) endpoint: EndpointId,
+    /// Whether a permit uses the blocks now, so that they take no further memory.
+    pub(crate) live: bool,
 }
 
 impl PlacementMemory {
@@ -63,7 +73,11 @@
         for position in nearest.rev() {
             let blocks = depth_blocks(position);
             let holders = self.holders(prefix[position]);
-            matches.extend(holders.map(|endpoint| Match { blocks, endpoint }));
+            matches.extend(holders.map(|(endpoint, holder)| Match {
+                blocks,
+                endpoint,
+                live: holder.references > 0,
+            }));
         }
         matches
     }
@@ -85,11 +99,9 @@
             if retention.clock_tokens - oldest.clock_tokens <= capacity_tokens {
                 break;
             }
-            let key = (oldest.hash, endpoint);
-            if self.holders.get(&key) == Some(&oldest.clock_tokens) {
-                self.holders.remove(&key);
-            }
+            let (hash, clock_tokens) = (oldest.hash, oldest.clock_tokens);
             retention.placed.pop_front();
+            self.expire(endpoint, retention, hash, clock_tokens);
         }
     }
 
@@ -103,7 +115,37 @@
 
     /// Takes news that an endpoint evicted a block.
     pub(crate) fn evicted(&mut self, endpoint: EndpointId, hash: u64) {
-        self.holders.remove(&(hash, endpoint));
+        let unused = |holder: &Holder| holder.references == 0;
+        if self.holders.get(&(hash, endpoint)).is_some_and(unused) {
+            self.holders.remove(&(hash, endpoint));
+        }
+    }
+
+    /// Counts that a permit uses a prompt; gives the blocks that others use too.
+    pub(crate) fn retain(&mut self, endpoint: EndpointId, prefix: &[u64]) -> usize {
+        let mut shared = 0;
+        for (position, &hash) in prefix.iter().enumerate() {
+            let holder = self.holders.entry((hash, endpoint)).or_default();
+            if holder.references > 0 {
+                shared = depth_blocks(position);
+            }
+            holder.references += 1;
+        }
+        shared
+    }
+
+    /// Takes back one `retain`; gives the blocks that others still use.
+    pub(crate) fn release(&mut self, endpoint: EndpointId, prefix: &[u64]) -> usize {
+        let mut shared = 0;
+        for (position, &hash) in prefix.iter().enumerate() {
+            let holder = self.holders.get_mut(&(hash, endpoint));
+            let holder = holder.expect("a used prefix is remembered");
+            holder.references -= 1;
+            if holder.references > 0 {
+                shared = depth_blocks(position);
+            }
+        }
+        shared
     }
 
     /// Forgets all that an endpoint held.
@@ -115,14 +157,36 @@
 
     fn add(&mut self, endpoint: EndpointId, retention: &mut Retention, hash: u64) {
         let clock_tokens = retention.clock_tokens;
-        if self.holders.insert((hash, endpoint), clock_tokens) != Some(clock_tokens) {
-            retention.placed.push_back(Placed { clock_tokens, hash });
+        let holder = self.holders.entry((hash, endpoint)).or_default();
+        holder.clock_tokens = clock_tokens;
+        retention.placed.push_back(Placed { clock_tokens, hash });
+    }
+
+    /// Forgets a prefix that was not placed again since, unless it is in use.
+    fn expire(
+        &mut self,
+        endpoint: EndpointId,
+        retention: &mut Retention,
+        hash: u64,
+        clock_tokens: u64,
+    ) {
+        let Some(holder) = self.holders.get(&(hash, endpoint)) else {
+            return;
+        };
+        if holder.clock_tokens > clock_tokens {
+            return;
+        }
+        if holder.references > 0 {
+            self.add(endpoint, retention, hash);
+        } else {
+            self.holders.remove(&(hash, endpoint));
         }
     }
 
-    fn holders(&self, hash: u64) -> impl Iterator<Item = EndpointId> {
+    fn holders(&self, hash: u64) -> impl Iterator<Item = (EndpointId, &Holder)> {
         let all = (hash, EndpointId(0))..=(hash, EndpointId(u64::MAX));
-        self.holders.range(all).map(|(&(_, endpoint), _)| endpoint)
+        let found = self.holders.range(all);
+        found.map(|(&(_, endpoint), holder)| (endpoint, holder))
     }
 }
 
--- a/crates/dispatch/tests/random_events.rs
+++ b/crates/dispatch/tests/random_events.rs
@@ -159,7 +159,8 @@
             let mut asked = demand(customer, prompt_tokens, 1_000);
             asked.urgent = urgent;
             asked.region = RegionIndex(customer % 2);
-            asked.prefix_hashes = (0..u64::from(prompt_tokens / 16)).collect();
+            let template = u64::from(customer % 3) << 32;
+            asked.prefix_hashes = (template..).take(prompt_tokens as usize / 16).collect();
             host.request(&asked);
         }
         Step::Withdraw { at } => {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses part of it")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dispatch::{
     Action, CustomerIndex, Demand, Dispatcher, End, Event, KindIndex, Limits, ModelIndex, Policy,
@@ -213,14 +213,16 @@
 
     pub fn known_tokens(&self, endpoint: EndpointId) -> u64 {
         let block = u64::from(self.profiles[&endpoint].block_tokens.max(1));
-        self.running
-            .values()
-            .filter(|running| running.endpoint == endpoint)
-            .map(|running| {
-                let tokens = running.demand.prompt_tokens + running.generated_tokens;
-                u64::from(tokens).next_multiple_of(block)
-            })
-            .sum()
+        let mut shared: BTreeSet<u64> = BTreeSet::new();
+        let mut private_tokens = 0;
+        for running in self.running.values().filter(|r| r.endpoint == endpoint) {
+            let tokens = running.demand.prompt_tokens + running.generated_tokens;
+            let hashes = &running.demand.prefix_hashes;
+            private_tokens += u64::from(tokens).next_multiple_of(block);
+            private_tokens -= hashes.len() as u64 * block;
+            shared.extend(hashes);
+        }
+        private_tokens + shared.len() as u64 * block
     }
 
     fn handle(&mut self, event: Event<'_>) {
