--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -124,6 +124,12 @@
             request,
         });
         self.start(now_us, number, permit);
+        let endpoint = self.endpoint(place.endpoint).expect("a place exists");
+        assert!(
+            endpoint.fits(),
+            "known sizes exceed the memory of endpoint {}",
+            place.endpoint
+        );
     }
 
     fn permit_for(
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Whether the known sizes of permits fit the memory.
+    pub(crate) fn fits(&self) -> bool {
+        let memory_tokens = self.profile.as_ref().map(|profile| profile.memory_tokens);
+        memory_tokens.is_some_and(|tokens| self.known_tokens - self.shared_tokens() <= tokens)
+    }
+
     /// Whether the endpoint decodes token by token; a plain service does not.
     pub(crate) fn is_engine(&self) -> bool {
         self.profile
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -2,8 +2,9 @@
 use crate::number::{real, whole};
 
 /// Steps of decoding at which future memory is forecast.
-pub(crate) const HORIZONS: [u32; 12] = [
-    0, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096, 8_192, 16_384, 32_768,
+pub(crate) const HORIZONS: [u32; 18] = [
+    0, 32, 64, 128, 192, 256, 384, 512, 768, 1_024, 1_448, 2_048, 2_896, 4_096, 5_792, 8_192,
+    12_288, 16_384,
 ];
 
 const MILLI: f64 = 1_000.0;
--- /dev/null
+++ b/crates/dispatch/tests/fairness.rs
@@ -0,0 +1,154 @@
+//! Shares of engine time.
+
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck hands values over"
+)]
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use dispatch::{Action, End};
+use quickcheck::{Gen, QuickCheck};
+
+use support::{Host, demand, limits, profile};
+
+fn backlogged(weights: &[f64], sequences_max: u32) -> Host {
+    let mut host = Host::new(3);
+    host.announce(0, &profile(1_000_000, sequences_max));
+    for (customer, &weight) in (0..).zip(weights) {
+        let mut row = limits(customer, 0);
+        row.weight = weight;
+        row.queueing_ms_max = u64::MAX / 1_000_000;
+        host.set_limits(row);
+    }
+    for _ in 0..100 {
+        for customer in 0..u32::try_from(weights.len()).unwrap() {
+            host.request(&demand(customer, 100, 4_000));
+        }
+    }
+    host
+}
+
+fn serve(host: &mut Host, tokens: u32) {
+    let permit = *host.running.keys().next().expect("something runs");
+    host.pass_us(1_000);
+    host.progress(permit, tokens);
+    host.finish(permit, End::Completed);
+}
+
+fn used_us(host: &mut Host, total_us: &mut BTreeMap<u32, u64>) {
+    for used in host.dispatcher.take_usage() {
+        *total_us.entry(used.customer.0).or_default() += used.engine_us;
+    }
+}
+
+#[test]
+fn backlogged_rows_share_engine_time_by_weight() {
+    fn property(weights: Vec<u8>, tokens: Vec<u16>) -> bool {
+        let weights: Vec<f64> = weights
+            .iter()
+            .take(3)
+            .map(|w| f64::from(w % 4 + 1))
+            .collect();
+        if weights.len() < 2 || tokens.is_empty() {
+            return true;
+        }
+        let mut host = backlogged(&weights, 1);
+        let mut total_us = BTreeMap::new();
+        for turn in 0..60 {
+            serve(
+                &mut host,
+                u32::from(tokens[turn % tokens.len()] % 3_000) + 1,
+            );
+            used_us(&mut host, &mut total_us);
+        }
+        let level = |(&customer, &used): (&u32, &u64)| {
+            let used = f64::from(u32::try_from(used / 1_000).unwrap());
+            used / weights[customer as usize]
+        };
+        let levels: Vec<f64> = total_us.iter().map(level).collect();
+        let most = levels.iter().copied().fold(0.0, f64::max);
+        let least = levels.iter().copied().fold(f64::MAX, f64::min);
+        // Two of the largest requests, 3,006 ms of engine time each, at a weight of one.
+        levels.len() == weights.len() && most - least <= 2.0 * 3_006.0
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 5))
+        .tests(40)
+        .quickcheck(property as fn(Vec<u8>, Vec<u16>) -> bool);
+}
+
+#[test]
+fn a_flood_does_not_hold_up_another_customer() {
+    let mut host = backlogged(&[1.0], 4);
+    host.set_limits(limits(1, 0));
+    let request = host.request(&demand(1, 100, 4_000));
+    serve(&mut host, 500);
+    let granted =
+        |action: &Action| matches!(action, Action::Grant { request: r, .. } if *r == request);
+    assert!(host.actions.last().is_some_and(granted));
+}
+
+#[test]
+fn usage_in_other_shards_counts() {
+    let mut host = backlogged(&[1.0, 1.0], 1);
+    host.dispatcher.merge_usage(&[dispatch::Usage {
+        customer: dispatch::CustomerIndex(0),
+        engine_us: 30_000_000,
+        kind: dispatch::KindIndex(0),
+    }]);
+    let mut total_us = BTreeMap::new();
+    for _ in 0..20 {
+        serve(&mut host, 500);
+    }
+    used_us(&mut host, &mut total_us);
+    assert!(
+        total_us[&1] > 8 * total_us.get(&0).copied().unwrap_or(0),
+        "{total_us:?}"
+    );
+}
+
+#[test]
+fn urgent_requests_take_their_part_of_the_row_first() {
+    let mut host = Host::new(1);
+    host.announce(0, &profile(1_000_000, 1));
+    let mut row = limits(0, 0);
+    row.urgent_share = 0.25;
+    row.queueing_ms_max = u64::MAX / 1_000_000;
+    host.set_limits(row);
+    for turn in 0..80 {
+        let mut asked = demand(0, 100, 500);
+        asked.urgent = turn >= 40;
+        host.request(&asked);
+    }
+    let mut urgent = 0;
+    for _ in 0..40 {
+        serve(&mut host, 500);
+        urgent += host.running.values().filter(|r| r.demand.urgent).count();
+    }
+    assert!((9..=12).contains(&urgent), "{urgent}");
+}
+
+#[test]
+fn a_large_request_is_not_passed_over_for_ever() {
+    let mut host = Host::new(1);
+    host.announce(0, &profile(4_000, 16));
+    host.set_limits(limits(0, 0));
+    host.set_limits(limits(1, 0));
+    for _ in 0..30 {
+        host.request(&demand(0, 400, 300));
+    }
+    host.request(&demand(1, 3_500, 300));
+    let mut turns = 0;
+    while host.running_of(1) == 0 {
+        host.pass_us(200_000);
+        host.request(&demand(0, 400, 300));
+        let permit = *host.running.keys().next().expect("something runs");
+        host.progress(permit, 100);
+        host.finish(permit, End::Completed);
+        turns += 1;
+        assert!(turns < 30, "the large request starves");
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/placement.rs
@@ -0,0 +1,103 @@
+//! Which endpoint a request runs on.
+
+mod support;
+
+use dispatch::{HeldPermit, RegionIndex};
+use names::{EndpointId, PermitId, RequestId};
+use support::{Fate, Host, demand, limits, profile};
+
+fn host(endpoints: u64) -> Host {
+    let mut host = Host::new(9);
+    host.set_limits(limits(0, 0));
+    for endpoint in 0..endpoints {
+        host.announce(endpoint, &profile(100_000, 64));
+    }
+    host
+}
+
+fn place(host: &mut Host, demand: &dispatch::Demand) -> EndpointId {
+    let request = host.request(demand);
+    let Fate::Granted(permit) = host.fates[&request] else {
+        panic!("no room");
+    };
+    host.running[&permit].endpoint
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_is_cached() {
+    let mut host = host(4);
+    let mut asked = demand(0, 2_000, 100);
+    asked.prefix_hashes = (0..125).collect();
+    let first = place(&mut host, &asked);
+    asked.prefix_hashes.truncate(100);
+    asked.prefix_hashes.extend(1_000..1_025);
+    assert_eq!(place(&mut host, &asked), first);
+}
+
+#[test]
+fn plain_services_are_balanced_by_running_calls() {
+    let mut host = host(0);
+    for endpoint in 0..3 {
+        let mut service = profile(u64::MAX, 8);
+        service.block_tokens = 0;
+        host.announce(endpoint, &service);
+    }
+    for _ in 0..24 {
+        place(&mut host, &demand(0, 0, 0));
+    }
+    for endpoint in 0..3 {
+        let here = host.running.values().filter(|r| r.endpoint.0 == endpoint);
+        assert_eq!(here.count(), 8);
+    }
+}
+
+#[test]
+fn the_callers_region_is_preferred() {
+    let mut host = host(1);
+    let mut far = profile(100_000, 64);
+    far.region = RegionIndex(1);
+    host.announce(1, &far);
+    let mut asked = demand(0, 100, 100);
+    asked.region = RegionIndex(1);
+    assert_eq!(place(&mut host, &asked), EndpointId(1));
+    asked.region = RegionIndex(0);
+    assert_eq!(place(&mut host, &asked), EndpointId(0));
+}
+
+#[test]
+fn a_leaving_endpoint_receives_nothing_new() {
+    let mut host = host(2);
+    host.leave(1);
+    for _ in 0..10 {
+        assert_eq!(place(&mut host, &demand(0, 100, 100)), EndpointId(0));
+    }
+}
+
+#[test]
+fn a_new_owner_counts_what_the_old_one_granted() {
+    let mut host = host(0);
+    let held: Vec<HeldPermit> = (0..4)
+        .map(|number| HeldPermit {
+            demand: demand(0, 400, 1_000),
+            endpoint: EndpointId(0),
+            generated_tokens: 50,
+            permit: PermitId(number),
+            request: RequestId(100 + number),
+        })
+        .collect();
+    host.dispatcher.adopt(0, &held);
+    host.dispatcher.adopt(0, &held[..2]);
+    host.dispatcher.hold_until(3_000_000);
+    host.announce(0, &profile(2_100, 8));
+    assert_eq!(host.dispatcher.permits().count(), 4);
+    let request = host.request(&demand(0, 300, 100));
+    host.pass_us(2_000_000);
+    assert_eq!(host.fates[&request], Fate::Waiting);
+    host.pass_us(2_000_000);
+    assert_eq!(host.fates[&request], Fate::Waiting, "the memory is taken");
+    for (number, held) in (0..).map(PermitId).zip(held) {
+        host.adopted(number, held.demand);
+        host.finish(number, dispatch::End::Completed);
+    }
+    assert_eq!(host.fates[&request], Fate::Granted(PermitId(4)));
+}
--- a/crates/dispatch/tests/random_events.rs
+++ b/crates/dispatch/tests/random_events.rs
@@ -192,6 +192,7 @@
         assert_eq!(host.dispatcher.queued_requests(), host.waiting());
         let listed = host.dispatcher.permits().map(|view| view.permit);
         assert!(listed.eq(host.running.keys().copied()));
+        assert!(!host.idles(), "an endpoint idles while requests wait");
     }
     host
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -40,6 +40,7 @@
     pub next_request: u64,
     pub now_us: u64,
     pub profiles: BTreeMap<EndpointId, Profile>,
+    pub refused_us: BTreeMap<EndpointId, u64>,
     pub running: BTreeMap<PermitId, Running>,
 }
 
@@ -96,10 +97,24 @@
             next_request: 0,
             now_us: 0,
             profiles: BTreeMap::new(),
+            refused_us: BTreeMap::new(),
             running: BTreeMap::new(),
         }
     }
 
+    /// Lets the host know a permit that the dispatcher adopted.
+    pub fn adopted(&mut self, permit: PermitId, demand: Demand) {
+        let running = Running {
+            cancelling: false,
+            demand,
+            endpoint: EndpointId(0),
+            generated_tokens: 60,
+            priority: 0,
+            request: RequestId(100 + permit.0),
+        };
+        self.running.insert(permit, running);
+    }
+
     pub fn announce(&mut self, endpoint: u64, profile: &Profile) {
         let endpoint = EndpointId(endpoint);
         self.profiles.insert(endpoint, profile.clone());
@@ -116,6 +131,9 @@
             Fate::Ended
         };
         self.fates.insert(running.request, fate);
+        if end == End::Refused {
+            self.refused_us.insert(running.endpoint, self.now_us);
+        }
         self.handle(Event::Finished {
             end,
             generated_tokens: running.generated_tokens,
@@ -139,6 +157,7 @@
     }
 
     pub fn leave(&mut self, endpoint: u64) {
+        self.profiles.remove(&EndpointId(endpoint));
         self.handle(Event::Leaving {
             endpoint: EndpointId(endpoint),
         });
@@ -225,6 +244,31 @@
         private_tokens + shared.len() as u64 * block
     }
 
+    /// Whether an endpoint stands idle although it could serve all that waits.
+    pub fn idles(&self) -> bool {
+        let waiting: Vec<&Demand> = self
+            .fates
+            .iter()
+            .filter(|&(_, &fate)| fate == Fate::Waiting)
+            .map(|(request, _)| &self.demands[request])
+            .collect();
+        let open = |demand: &&&Demand| {
+            let row = &self.limits[&(demand.customer.0, demand.kind.0)];
+            self.running_of(demand.customer.0) < row.running_max as usize
+        };
+        let serves_all = |profile: &Profile| {
+            let fits = |d: &&Demand| u64::from(d.prompt_tokens) + 16 <= profile.memory_tokens;
+            waiting.iter().all(fits)
+        };
+        let idle = self.profiles.iter().any(|(endpoint, profile)| {
+            let busy = self.running.values().any(|r| r.endpoint == *endpoint);
+            let refused_us = self.refused_us.get(endpoint);
+            let paused = refused_us.is_some_and(|&at| self.now_us < at + 1_000_000);
+            !busy && !paused && serves_all(profile)
+        });
+        idle && waiting.iter().any(|demand| open(&demand))
+    }
+
     fn handle(&mut self, event: Event<'_>) {
         let mut actions = Vec::new();
         self.dispatcher.handle(self.now_us, event, &mut actions);
