Name the entry's neighbours as traits

Cause: the entry, the owner of endpoints, the claims and the metrics are built side by side and need fixed borders.

Not run: nothing implements the traits yet.

--- /dev/null
+++ b/crates/entry/src/border/directory.rs
@@ -0,0 +1,37 @@
+use names::{CustomerName, KindName, ModelName, ServiceName};
+
+/// Knows customers, rows, models and the configuration lease; answers from memory.
+pub trait Directory: Send + Sync {
+    /// The customer that a bearer key belongs to.
+    fn authenticate(&self, key: &str) -> Option<CustomerName>;
+
+    /// Kind of work of a request that names none.
+    fn default_kind(&self, work: Work<'_>) -> KindName;
+
+    /// Whether the instance holds a live configuration lease and may admit new work.
+    fn lease_live(&self) -> bool;
+
+    /// Models served now.
+    fn models(&self) -> Vec<ModelName>;
+
+    /// The row of a customer and kind of work, if the table has one.
+    fn row(&self, customer: &CustomerName, kind: &KindName) -> Option<Row>;
+}
+
+/// What a row of the table allows to the entry's knowledge.
+#[derive(Debug, Clone, Copy, Default, Eq, PartialEq)]
+pub struct Row {
+    /// Longest time that a request may take; none for the entry's own limit.
+    pub timeout_ms: Option<u64>,
+    /// Most tokens of one answer; none for the entry's own limit.
+    pub tokens_max: Option<u32>,
+}
+
+/// What a request is for.
+#[derive(Debug, Clone, Copy, Eq, PartialEq)]
+pub enum Work<'a> {
+    /// A generation by a model.
+    Model(&'a ModelName),
+    /// A call of a plain service.
+    Service(&'a ServiceName),
+}
--- /dev/null
+++ b/crates/entry/src/border/observer.rs
@@ -0,0 +1,50 @@
+use std::sync::Arc;
+
+use names::{CustomerName, KindName, RegionName};
+
+use super::RefusalReason;
+
+/// Hands out observers, one a request.
+pub trait Observer: Send + Sync {
+    /// The observer of a customer and kind of work.
+    fn class(&self, customer: &CustomerName, kind: &KindName) -> Arc<dyn ClassObserver>;
+
+    /// A request was refused before its class was known.
+    fn rejected(&self, status: u16);
+}
+
+/// Takes the measurements of one customer and kind of work.
+pub trait ClassObserver: Send + Sync {
+    /// An answer of an endpoint was malformed, crossed or truncated, and its connection dropped.
+    fn connection_dropped(&self) {}
+
+    /// Time from the arrival of the request to its first token.
+    fn first_token(&self, _time_us: u64) {}
+
+    /// Bytes came from an endpoint's region; none where the region is unknown.
+    fn received(&self, _region: Option<&RegionName>, _bytes: u64) {}
+
+    /// The engine reported a preemption.
+    fn preempted(&self) {}
+
+    /// Time from asking for a permit to its grant.
+    fn queued(&self, _time_us: u64) {}
+
+    /// The request was refused.
+    fn refused(&self, _reason: RefusalReason) {}
+
+    /// The generation was started again elsewhere.
+    fn restarted(&self) {}
+
+    /// The generation was resumed at its endpoint.
+    fn resumed(&self) {}
+
+    /// A gap between tokens was long enough to count as a stall.
+    fn stalled(&self, _time_us: u64) {}
+
+    /// Times between tokens since the last call, in order.
+    fn token_intervals(&self, _intervals_us: &[u64]) {}
+
+    /// Tokens that went to the caller since the last call.
+    fn tokens(&self, _count: u64) {}
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,12 @@
 //! Serves callers: HTTP, streams, retries, outcomes.
+//!
+//! The decisions are in `core`, which is pure: events and the current time go in, actions come
+//! out. The other modules drive it with sockets and timers, one task for each request. What the
+//! entry needs from the rest of the system stands as traits in [`border`].
+
+pub mod border;
+mod error;
+mod settings;
+
+pub use error::Error;
+pub use settings::{Limits, Settings};
