--- a/crates/claims/src/claims.rs
+++ b/crates/claims/src/claims.rs
@@ -96,6 +96,7 @@
                 key,
                 outcome,
             } => Answer::Settle(self.finish(key, attempt, outcome)),
+            Command::Lose { attempt, key } => Answer::Settle(self.lose(key, attempt)),
             Command::Release { attempt, key } => Answer::Settle(self.release(key, attempt)),
         };
         self.assert_bounds();
@@ -108,6 +109,17 @@
         self.usage.bytes()
     }
 
+    /// Runs of instances that hold claims in progress, sorted, each once.
+    #[must_use]
+    pub fn claimants(&self) -> Vec<Claimant> {
+        let held = self.in_progress.values();
+        let mut claimants: Vec<Claimant> =
+            held.map(|claim| claim.attempt.claimant.clone()).collect();
+        claimants.sort_unstable();
+        claimants.dedup();
+        claimants
+    }
+
     /// Number of claims in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -245,6 +257,14 @@
         fence.is_some_and(|fence| claimant.incarnation <= fence.incarnation)
     }
 
+    fn lose(&mut self, key: &ClaimKey, attempt: &Attempt) -> SettleAnswer {
+        let Some(claim) = self.take_held(key, attempt) else {
+            return SettleAnswer::NotHeld;
+        };
+        self.settle(key.clone(), claim.attempt, claim.digest, End::Unknown);
+        SettleAnswer::Recorded
+    }
+
     fn release(&mut self, key: &ClaimKey, attempt: &Attempt) -> SettleAnswer {
         if self.take_held(key, attempt).is_none() {
             return SettleAnswer::NotHeld;
--- a/crates/claims/src/command.rs
+++ b/crates/claims/src/command.rs
@@ -28,6 +28,13 @@
         /// How it ended.
         outcome: StoredOutcome,
     },
+    /// The call may have run, and its outcome is lost.
+    Lose {
+        /// Who ran it.
+        attempt: Attempt,
+        /// Under which key.
+        key: ClaimKey,
+    },
     /// Nothing was sent, and nothing will be.
     Release {
         /// Who held the claim.
--- a/crates/claims/tests/at_most_once.rs
+++ b/crates/claims/tests/at_most_once.rs
@@ -45,6 +45,7 @@
                     outcome,
                 })
             }
+            12 => Self::Command(Command::Lose { attempt, key }),
             _ => Self::Command(Command::Claim {
                 attempt,
                 digest,
@@ -88,6 +89,18 @@
                 key,
                 outcome,
             } => Answer::Settle(self.finish(at_ms, attempt, key, outcome)),
+            Command::Lose { attempt, key } => {
+                let held = self.claims.get_mut(&name(key));
+                match held {
+                    Some((holder, _, state))
+                        if holder == attempt && *state == State::InProgress =>
+                    {
+                        *state = State::Unknown(at_ms);
+                        Answer::Settle(SettleAnswer::Recorded)
+                    }
+                    _ => Answer::Settle(SettleAnswer::NotHeld),
+                }
+            }
             Command::Release { attempt, key } => {
                 let name = name(key);
                 let is_held = self.claims.get(&name).is_some_and(|(holder, _, state)| {
@@ -217,7 +230,10 @@
             (Command::Release { key, .. }, Answer::Settle(SettleAnswer::Recorded)) => {
                 self.holders.remove(&name(key));
             }
-            (Command::Finish { key, .. }, Answer::Settle(SettleAnswer::Recorded)) => {
+            (
+                Command::Finish { key, .. } | Command::Lose { key, .. },
+                Answer::Settle(SettleAnswer::Recorded),
+            ) => {
                 let (_, settled_ms) = self.holders.get_mut(&name(key)).unwrap();
                 settled_ms.get_or_insert(at_ms);
             }
--- a/crates/claims/tests/claims.rs
+++ b/crates/claims/tests/claims.rs
@@ -195,3 +195,25 @@
     other_format[0] = 9;
     assert!(Claims::restore(&other_format).is_err());
 }
+
+#[test]
+fn a_lost_outcome_is_unknown_and_never_runs_again() {
+    let mut bench = Bench::new(Bounds::default());
+    let key = key("център", "seat-8");
+    assert_eq!(
+        bench.claim(&key, "a", &attempt(1, 1, 1)),
+        ClaimAnswer::Granted
+    );
+    assert_eq!(bench.claims.claimants(), [claimant(1, 1)]);
+    assert_eq!(
+        bench.lose(&key, &attempt(2, 1, 1)),
+        SettleAnswer::NotHeld,
+        "only the holder may lose a claim"
+    );
+    assert_eq!(bench.lose(&key, &attempt(1, 1, 1)), SettleAnswer::Recorded);
+    assert_eq!(
+        bench.claim(&key, "a", &attempt(1, 1, 2)),
+        ClaimAnswer::Unknown
+    );
+    assert!(bench.claims.claimants().is_empty());
+}
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -55,6 +55,13 @@
         })
     }
 
+    pub fn lose(&mut self, key: &ClaimKey, attempt: &Attempt) -> SettleAnswer {
+        self.settle(&Command::Lose {
+            attempt: attempt.clone(),
+            key: key.clone(),
+        })
+    }
+
     pub fn release(&mut self, key: &ClaimKey, attempt: &Attempt) -> SettleAnswer {
         self.settle(&Command::Release {
             attempt: attempt.clone(),
--- a/crates/gentiancleat/src/lib.rs
+++ b/crates/gentiancleat/src/lib.rs
@@ -1,4 +1,9 @@
-//! Command line, settings and wiring of the one binary.
+//! Command line and settings of the one binary.
+
+mod options;
+mod problem;
+mod serve_settings;
+mod source;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/gentiancleat/src/options.rs
@@ -0,0 +1,176 @@
+//! Flags of the command line.
+
+use gumdrop::Options;
+
+/// Flags and command of one call.
+#[derive(Debug, Options)]
+pub(crate) struct TopOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "print the version", short = "V")]
+    pub(crate) version: bool,
+    #[options(command)]
+    pub(crate) command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "check settings and a table file without serving")]
+    Check(CheckOptions),
+    #[options(help = "stop an instance gracefully")]
+    Drain(ClientOptions),
+    #[options(help = "list endpoints")]
+    Endpoints(ClientOptions),
+    #[options(help = "list instances and voters")]
+    Instances(ClientOptions),
+    #[options(help = "run an instance")]
+    Serve(ServeOptions),
+    #[options(help = "show the state of an instance")]
+    Status(ClientOptions),
+    #[options(help = "show and change the table")]
+    Table(TableOptions),
+}
+
+/// Flags of `check`.
+#[derive(Debug, Options)]
+pub(crate) struct CheckOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "also check this table file", meta = "FILE", no_short)]
+    pub(crate) table: Option<String>,
+    #[options(free, help = "flags of serve to be checked, after --")]
+    pub(crate) serve: Vec<String>,
+}
+
+/// Flags of commands that talk to a running instance.
+#[derive(Debug, Default, Options)]
+pub(crate) struct ClientOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "admin address of an instance", meta = "IP:PORT", no_short)]
+    pub(crate) admin_address: Option<String>,
+    #[options(help = "print JSON instead of aligned text", no_short)]
+    pub(crate) json: bool,
+    #[options(help = "operator's key", meta = "KEY", no_short)]
+    pub(crate) operator_key: Option<String>,
+}
+
+/// Flags of `serve`.
+#[derive(Debug, Default, Options)]
+pub(crate) struct ServeOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "where operators connect", meta = "IP:PORT", no_short)]
+    pub(crate) admin_address: Option<String>,
+    #[options(help = "where callers connect", meta = "IP:PORT", no_short)]
+    pub(crate) caller_address: Option<String>,
+    #[options(help = "folder of the replicated state", meta = "PATH", no_short)]
+    pub(crate) data: Option<String>,
+    #[options(help = "data centre of the instance", meta = "NAME", no_short)]
+    pub(crate) data_centre: Option<String>,
+    #[options(
+        help = "time for the balancer to notice a drain",
+        meta = "MS",
+        no_short
+    )]
+    pub(crate) drain_wait_ms: Option<String>,
+    #[options(
+        help = "where endpoints announce themselves",
+        meta = "IP:PORT",
+        no_short
+    )]
+    pub(crate) endpoint_address: Option<String>,
+    #[options(help = "secret shared by all instances", meta = "SECRET", no_short)]
+    pub(crate) fleet_key: Option<String>,
+    #[options(help = "where other instances connect", meta = "IP:PORT", no_short)]
+    pub(crate) inner_address: Option<String>,
+    #[options(help = "serve without any keys: yes or no", meta = "YES", no_short)]
+    pub(crate) insecure: Option<String>,
+    #[options(
+        help = "error, warning, info, debug or trace",
+        meta = "LEVEL",
+        no_short
+    )]
+    pub(crate) log_level: Option<String>,
+    #[options(help = "name of the instance", meta = "NAME", no_short)]
+    pub(crate) name: Option<String>,
+    #[options(
+        help = "key of an operator who may do everything",
+        meta = "KEY",
+        no_short
+    )]
+    pub(crate) operator_key: Option<String>,
+    #[options(
+        help = "other instances, comma separated",
+        meta = "NAME=IP:PORT",
+        no_short
+    )]
+    pub(crate) peers: Option<String>,
+    #[options(help = "region of the instance", meta = "NAME", no_short)]
+    pub(crate) region: Option<String>,
+    #[options(
+        help = "control, dispatch, entry, comma separated",
+        meta = "ROLES",
+        no_short
+    )]
+    pub(crate) roles: Option<String>,
+    #[options(help = "shards per region and model", meta = "N", no_short)]
+    pub(crate) shards: Option<String>,
+    #[options(help = "first voters, comma separated", meta = "NAMES", no_short)]
+    pub(crate) voters: Option<String>,
+}
+
+/// Flags of `table`.
+#[derive(Debug, Options)]
+pub(crate) struct TableOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<TableCommand>,
+}
+
+/// What to do with the table.
+#[derive(Debug, Options)]
+pub(crate) enum TableCommand {
+    #[options(help = "make the table equal to a CSV file, after showing the difference")]
+    Apply(FileOptions),
+    #[options(help = "show how a CSV file differs from the table")]
+    Diff(FileOptions),
+    #[options(help = "show who changed what and when")]
+    History(ClientOptions),
+    #[options(help = "change columns of one row: CUSTOMER KIND COLUMN=VALUE...")]
+    Set(SetOptions),
+    #[options(help = "show all rows")]
+    Show(ClientOptions),
+}
+
+/// Flags of table commands that read a file.
+#[derive(Debug, Default, Options)]
+pub(crate) struct FileOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "admin address of an instance", meta = "IP:PORT", no_short)]
+    pub(crate) admin_address: Option<String>,
+    #[options(free, help = "CSV file")]
+    pub(crate) file: Option<String>,
+    #[options(help = "print JSON instead of aligned text", no_short)]
+    pub(crate) json: bool,
+    #[options(help = "operator's key", meta = "KEY", no_short)]
+    pub(crate) operator_key: Option<String>,
+}
+
+/// Flags of `table set`.
+#[derive(Debug, Default, Options)]
+pub(crate) struct SetOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "admin address of an instance", meta = "IP:PORT", no_short)]
+    pub(crate) admin_address: Option<String>,
+    #[options(free, help = "CUSTOMER KIND COLUMN=VALUE...")]
+    pub(crate) arguments: Vec<String>,
+    #[options(help = "print JSON instead of aligned text", no_short)]
+    pub(crate) json: bool,
+    #[options(help = "operator's key", meta = "KEY", no_short)]
+    pub(crate) operator_key: Option<String>,
+}
--- /dev/null
+++ b/crates/node/src/announcements.rs
@@ -0,0 +1,228 @@
+//! Takes endpoints' announcements by HTTP and hands them to the owners of their shards.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use names::EndpointName;
+use protocol::{AnnounceAnswer, AnnounceRequest};
+use serde::Serialize;
+use session::{Announcement, Shard};
+use slog::{Logger, debug};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::error::Error;
+use crate::holdings::Holdings;
+use crate::router::Router;
+
+const BODY_BYTES_MAX: usize = 1024 * 1024;
+const CONNECTIONS_MAX: usize = 20_000;
+const HEADER_TIMEOUT_MS: u64 = 5_000;
+const PATH_PREFIX: &str = "/v1/endpoints/";
+const PATH_SUFFIX: &str = "/announcements";
+const REQUEST_TIMEOUT_MS: u64 = 5_000;
+
+/// Takes announcements on one address.
+#[derive(Debug)]
+pub(crate) struct AnnouncementServer {
+    pub(crate) holdings: Arc<Holdings>,
+    pub(crate) log: Logger,
+    pub(crate) router: Arc<Router>,
+    pub(crate) shards: u16,
+}
+
+#[derive(Serialize)]
+struct Held {
+    lease_ms: u64,
+}
+
+#[derive(Serialize)]
+struct Problem {
+    detail: String,
+    status: u16,
+    title: &'static str,
+    #[serde(rename = "type")]
+    type_uri: &'static str,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+/// Listens on `address`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })
+}
+
+impl AnnouncementServer {
+    /// Serves connections until the task is dropped.
+    pub(crate) async fn run(self, listener: TcpListener) {
+        let server = Arc::new(self);
+        let mut connections = JoinSet::new();
+        loop {
+            while connections.try_join_next().is_some() {}
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            if connections.len() < CONNECTIONS_MAX {
+                connections.spawn(serve_connection(Arc::clone(&server), stream));
+            }
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let time = Duration::from_millis(REQUEST_TIMEOUT_MS);
+        match timeout(time, self.take(request)).await {
+            Ok(answer) => answer,
+            Err(_) => problem(
+                StatusCode::REQUEST_TIMEOUT,
+                "request took too long",
+                format!("the request was not complete within {REQUEST_TIMEOUT_MS} ms"),
+            ),
+        }
+    }
+
+    async fn take(&self, request: Request<Incoming>) -> Answer {
+        let endpoint = match endpoint(request.uri().path()) {
+            Ok(endpoint) => endpoint,
+            Err(answer) => return *answer,
+        };
+        if request.method() != Method::POST {
+            return problem(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method not allowed",
+                "announcements are sent by POST".to_owned(),
+            );
+        }
+        let body = Limited::new(request.into_body(), BODY_BYTES_MAX);
+        let Ok(body) = body.collect().await else {
+            return problem(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body cannot be read",
+                format!("the body is cut off or longer than {BODY_BYTES_MAX} bytes"),
+            );
+        };
+        match serde_json::from_slice(&body.to_bytes()) {
+            Ok(announcement) => self.forward(endpoint, announcement).await,
+            Err(error) => problem(
+                StatusCode::BAD_REQUEST,
+                "announcement is malformed",
+                error.to_string(),
+            ),
+        }
+    }
+
+    async fn forward(&self, endpoint: EndpointName, announcement: Announcement) -> Answer {
+        let shard = Shard::of(
+            &endpoint,
+            &announcement.offer.name(),
+            &announcement.region,
+            self.shards,
+        );
+        let Some(assignment) = self.holdings.assignment(&shard) else {
+            self.holdings.want(&[shard]);
+            return not_held();
+        };
+        let request = AnnounceRequest {
+            announcement,
+            endpoint,
+            epoch: assignment.epoch,
+            shard,
+        };
+        match self.router.announce(&assignment.owner, request).await {
+            Some(AnnounceAnswer::Held { lease_ms }) => held(lease_ms),
+            Some(AnnounceAnswer::Outdated) => problem(
+                StatusCode::CONFLICT,
+                "announcement is outdated",
+                "a newer announcement of the endpoint has been taken".to_owned(),
+            ),
+            Some(AnnounceAnswer::NotOwner) | None => not_held(),
+        }
+    }
+}
+
+async fn serve_connection(server: Arc<AnnouncementServer>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let server = Arc::clone(&server);
+        async move { Ok::<_, Infallible>(server.answer(request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        debug!(server.log, "endpoint connection ended"; "error" => %error);
+    }
+}
+
+fn endpoint(path: &str) -> Result<EndpointName, Box<Answer>> {
+    let name = path
+        .strip_prefix(PATH_PREFIX)
+        .and_then(|rest| rest.strip_suffix(PATH_SUFFIX));
+    let Some(name) = name else {
+        return Err(Box::new(problem(
+            StatusCode::NOT_FOUND,
+            "path not found",
+            format!("announcements go to {PATH_PREFIX}NAME{PATH_SUFFIX}"),
+        )));
+    };
+    EndpointName::new(name).map_err(|error| {
+        Box::new(problem(
+            StatusCode::BAD_REQUEST,
+            "endpoint's name is malformed",
+            error.to_string(),
+        ))
+    })
+}
+
+fn held(lease_ms: u64) -> Answer {
+    json(StatusCode::OK, "application/json", &Held { lease_ms })
+}
+
+fn json(status: StatusCode, content_type: &'static str, body: &impl Serialize) -> Answer {
+    let body = serde_json::to_vec(body).expect("answers encode without failure");
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
+
+fn not_held() -> Answer {
+    let mut answer = problem(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "announcement is not held",
+        "the owner of the endpoint does not hold the announcement; repeat it".to_owned(),
+    );
+    answer
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
+
+fn problem(status: StatusCode, title: &'static str, detail: String) -> Answer {
+    let body = Problem {
+        detail,
+        status: status.as_u16(),
+        title,
+        type_uri: "about:blank",
+    };
+    json(status, "application/problem+json", &body)
+}
--- /dev/null
+++ b/crates/node/src/claiming.rs
@@ -0,0 +1,196 @@
+//! At-most-once claims for the entry, kept in the replicated log.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use claims::{
+    Attempt, ClaimAnswer, ClaimKey, Claimant, IdempotencyKey, RequestDigest, SettleAnswer,
+    StoredBody, StoredOutcome,
+};
+use entry::{ClaimError, ClaimRequest, Claimed, Claims, StoredAnswer, StoredHeader};
+use names::RequestId;
+
+use crate::proposer::{Committed, Failure, Proposer};
+use crate::state::{Answer, Command};
+
+/// Time after which a claim that could not be committed may be repeated.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Claims of this run of the instance.
+pub(crate) struct LoggedClaims {
+    claimant: Claimant,
+    held: Mutex<Vec<(ClaimKey, RequestId)>>,
+    last_request: AtomicU64,
+    proposer: Arc<Proposer>,
+}
+
+impl LoggedClaims {
+    pub(crate) fn new(claimant: Claimant, proposer: &Arc<Proposer>) -> Self {
+        Self {
+            claimant,
+            held: Mutex::new(Vec::new()),
+            last_request: AtomicU64::new(0),
+            proposer: Arc::clone(proposer),
+        }
+    }
+
+    fn attempt(&self, request: RequestId) -> Attempt {
+        Attempt {
+            claimant: self.claimant.clone(),
+            request,
+        }
+    }
+
+    fn hold(&self, key: &ClaimKey, request: RequestId) {
+        let mut held = self.lock();
+        match held.binary_search_by(|(known, _)| known.cmp(key)) {
+            Ok(position) => held[position].1 = request,
+            Err(position) => held.insert(position, (key.clone(), request)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(ClaimKey, RequestId)>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The attempt that holds a claim; afterwards the claim is no longer held.
+    fn take(&self, key: &ClaimKey) -> Option<Attempt> {
+        let mut held = self.lock();
+        let position = held.binary_search_by(|(known, _)| known.cmp(key)).ok()?;
+        let (_, request) = held.remove(position);
+        Some(self.attempt(request))
+    }
+
+    async fn settle(&self, command: claims::Command) -> Result<SettleAnswer, ClaimError> {
+        match self.proposer.propose(&Command::Claim(command)).await {
+            Ok(Committed {
+                answer: Answer::Claim(claims::Answer::Settle(answer)),
+                ..
+            }) => Ok(answer),
+            Ok(_) | Err(_) => Err(ClaimError::NoQuorum),
+        }
+    }
+}
+
+#[async_trait]
+impl Claims for LoggedClaims {
+    async fn claim(&self, request: &ClaimRequest) -> Claimed {
+        let Some(key) = key_of(request) else {
+            return Claimed::Unavailable {
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+        };
+        let number = RequestId(self.last_request.fetch_add(1, Ordering::Relaxed) + 1);
+        let command = claims::Command::Claim {
+            attempt: self.attempt(number),
+            digest: RequestDigest(request.digest),
+            key: key.clone(),
+        };
+        match self.proposer.propose(&Command::Claim(command)).await {
+            Ok(Committed {
+                answer: Answer::Claim(claims::Answer::Claim(answer)),
+                ..
+            }) => {
+                if answer == ClaimAnswer::Granted {
+                    self.hold(&key, number);
+                }
+                claimed(answer)
+            }
+            Ok(_) | Err(Failure::Unknown) => Claimed::Unknown,
+            Err(Failure::NotCommitted) => Claimed::Unavailable {
+                retry_after_ms: RETRY_AFTER_MS,
+            },
+        }
+    }
+
+    async fn finish(&self, request: &ClaimRequest, answer: StoredAnswer) -> Result<(), ClaimError> {
+        let key = key_of(request).ok_or(ClaimError::NotHeld)?;
+        let attempt = self.take(&key).ok_or(ClaimError::NotHeld)?;
+        let outcome = outcome_of(answer);
+        let settled = self.settle(claims::Command::Finish {
+            attempt,
+            key,
+            outcome,
+        });
+        match settled.await? {
+            SettleAnswer::Recorded => Ok(()),
+            SettleAnswer::NotHeld => Err(ClaimError::NotHeld),
+        }
+    }
+
+    async fn lose(&self, request: &ClaimRequest) {
+        let Some(key) = key_of(request) else {
+            return;
+        };
+        if let Some(attempt) = self.take(&key) {
+            // An instance that cannot commit this keeps the claim in progress until it ends.
+            let _ = self.settle(claims::Command::Lose { attempt, key }).await;
+        }
+    }
+
+    async fn release(&self, request: &ClaimRequest) {
+        let Some(key) = key_of(request) else {
+            return;
+        };
+        if let Some(attempt) = self.take(&key) {
+            // An instance that cannot commit this keeps the claim in progress until it ends.
+            let _ = self.settle(claims::Command::Release { attempt, key }).await;
+        }
+    }
+}
+
+fn claimed(answer: ClaimAnswer) -> Claimed {
+    match answer {
+        ClaimAnswer::Finished(outcome) => Claimed::Finished(answer_of(outcome)),
+        ClaimAnswer::Granted => Claimed::Granted,
+        ClaimAnswer::InProgress => Claimed::InProgress,
+        ClaimAnswer::Mismatch => Claimed::Mismatch,
+        ClaimAnswer::Fenced | ClaimAnswer::Unknown => Claimed::Unknown,
+        ClaimAnswer::Full { retry_after_ms } => Claimed::Unavailable {
+            retry_after_ms: retry_after_ms.unwrap_or(RETRY_AFTER_MS),
+        },
+    }
+}
+
+fn answer_of(outcome: StoredOutcome) -> StoredAnswer {
+    let headers = outcome.headers.into_iter().map(|header| StoredHeader {
+        name: header.name,
+        value: Bytes::from(header.value),
+    });
+    StoredAnswer {
+        body: match outcome.body {
+            StoredBody::Kept(body) => Some(Bytes::from(body)),
+            StoredBody::TooLong { .. } => None,
+        },
+        headers: headers.collect(),
+        status: outcome.status,
+    }
+}
+
+fn key_of(request: &ClaimRequest) -> Option<ClaimKey> {
+    Some(ClaimKey {
+        customer: request.customer.clone(),
+        idempotency_key: IdempotencyKey::new(&request.key).ok()?,
+    })
+}
+
+fn outcome_of(answer: StoredAnswer) -> StoredOutcome {
+    let headers = answer
+        .headers
+        .into_iter()
+        .map(|header| claims::StoredHeader {
+            name: header.name,
+            value: header.value.to_vec(),
+        });
+    StoredOutcome {
+        body: match answer.body {
+            Some(body) => StoredBody::Kept(body.to_vec()),
+            None => StoredBody::TooLong { length_bytes: 0 },
+        },
+        headers: headers.collect(),
+        status: answer.status,
+    }
+    .bounded()
+}
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,61 @@
+use std::sync::Arc;
+
+use entry::{Directory, Row, Work};
+use names::{CustomerName, KindName, ModelName};
+use session::OfferName;
+use table::RowKey;
+
+use crate::holdings::Holdings;
+use crate::settings::Access;
+
+/// Answers the entry from what the instance holds.
+pub(crate) struct HeldDirectory {
+    pub(crate) access: Access,
+    pub(crate) holdings: Arc<Holdings>,
+}
+
+impl Directory for HeldDirectory {
+    fn authenticate(&self, key: &str) -> Option<CustomerName> {
+        let known = self.holdings.table(|items| items.customer(key).cloned());
+        known.or_else(|| match self.access {
+            Access::Insecure => CustomerName::new(key).ok(),
+            Access::Keys { .. } => None,
+        })
+    }
+
+    fn default_kind(&self, work: Work<'_>) -> KindName {
+        let name = match work {
+            Work::Model(model) => model.as_str(),
+            Work::Service(service) => service.as_str(),
+        };
+        KindName::new(name).expect("names of all types follow the same rules")
+    }
+
+    fn lease_live(&self) -> bool {
+        self.holdings.lease_live()
+    }
+
+    fn models(&self) -> Vec<ModelName> {
+        let held = self.holdings.lock();
+        let mut models: Vec<ModelName> = held
+            .assignments
+            .iter()
+            .filter_map(|assignment| match &assignment.shard.offer {
+                OfferName::Model(model) => Some(model.clone()),
+                OfferName::Service(_) => None,
+            })
+            .collect();
+        models.sort_unstable();
+        models.dedup();
+        models
+    }
+
+    fn row(&self, customer: &CustomerName, kind: &KindName) -> Option<Row> {
+        let key = RowKey {
+            customer: customer.clone(),
+            kind: kind.clone(),
+        };
+        self.holdings
+            .table(|items| items.row(&key).map(|_| Row::default()))
+    }
+}
--- /dev/null
+++ b/crates/node/src/feed.rs
@@ -0,0 +1,85 @@
+//! The table as an instance holds it, with what it needs to pass changes on.
+//!
+//! A relay has no change log of its own, so it keeps the deltas that it received for a bounded
+//! number of revisions; a subscriber further behind gets a snapshot.
+
+use std::collections::VecDeque;
+
+use table::{Delta, Items, Publication, Revision, View, ViewOutcome};
+
+/// Deltas kept for subscribers that are behind.
+const DELTAS_MAX: usize = 4_096;
+
+/// The held table and its latest changes.
+#[derive(Debug, Default)]
+pub(crate) struct Feed {
+    deltas: VecDeque<Delta>,
+    view: View,
+}
+
+impl Feed {
+    /// Takes a publication; one that is older than the view changes nothing.
+    pub(crate) fn apply(&mut self, publication: Publication) -> ViewOutcome {
+        let delta = match &publication {
+            Publication::Delta(delta) => Some(delta.clone()),
+            Publication::Snapshot(_) => None,
+        };
+        let outcome = self.view.apply(publication);
+        if outcome == ViewOutcome::Applied {
+            self.keep(delta);
+        }
+        outcome
+    }
+
+    pub(crate) fn items(&self) -> &Items {
+        self.view.items()
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.view.revision()
+    }
+
+    /// What a subscriber at `revision` needs; none where it is up to date.
+    pub(crate) fn since(&self, revision: Revision) -> Option<Publication> {
+        if revision >= self.revision() {
+            return None;
+        }
+        Some(
+            self.delta_since(revision)
+                .map_or_else(|| Publication::Snapshot(self.view.publish()), Publication::Delta),
+        )
+    }
+
+    fn delta_since(&self, revision: Revision) -> Option<Delta> {
+        let first = self.deltas.partition_point(|delta| delta.to <= revision);
+        if self.deltas.get(first)?.from > revision {
+            return None;
+        }
+        let mut changes: Vec<_> = self
+            .deltas
+            .range(first..)
+            .flat_map(|delta| delta.changes.iter().cloned())
+            .collect();
+        // The latest change of each item stands last; the sort keeps that order.
+        changes.sort_by(|a, b| a.target.cmp(&b.target));
+        changes.reverse();
+        changes.dedup_by(|a, b| a.target == b.target);
+        changes.reverse();
+        Some(Delta {
+            changes,
+            from: revision,
+            to: self.revision(),
+        })
+    }
+
+    fn keep(&mut self, delta: Option<Delta>) {
+        let Some(delta) = delta else {
+            self.deltas.clear();
+            return;
+        };
+        self.deltas.push_back(delta);
+        if self.deltas.len() > DELTAS_MAX {
+            self.deltas.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/inner_server.rs
@@ -0,0 +1,90 @@
+//! Serves the calls of other instances.
+
+use std::sync::Arc;
+
+use control::Control;
+use futures::StreamExt;
+use names::InstanceName;
+use protocol::{
+    AcquireAnswer, AcquireRequest, AnnounceAnswer, AnnounceRequest, Inner, Listener, Pending,
+    ProgressAnswer, ProgressReport, ProposeError, Proposed, SyncAnswer, SyncRequest,
+};
+use slog::{Logger, warn};
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::task::JoinSet;
+
+use crate::proposer::Proposer;
+use crate::publication::Publication;
+use crate::router::Router;
+
+/// Largest command that is taken for the replicated log.
+const COMMAND_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// What the calls of other instances reach.
+#[derive(Debug, Clone)]
+pub(crate) struct InnerServer {
+    pub(crate) control: Option<Control>,
+    pub(crate) log: Logger,
+    pub(crate) proposer: Arc<Proposer>,
+    pub(crate) publication: Arc<Publication>,
+    pub(crate) router: Arc<Router>,
+}
+
+impl InnerServer {
+    /// Serves connections until the task is dropped.
+    pub(crate) async fn run(self, listener: Listener) {
+        let mut connections = JoinSet::new();
+        while let Some(pending) = listener.accept().await {
+            while connections.try_join_next().is_some() {}
+            connections.spawn(self.clone().serve_connection(pending));
+        }
+    }
+
+    async fn serve_connection(self, pending: Pending) {
+        let transport = match pending.open().await {
+            Ok(transport) => transport,
+            Err(error) => {
+                warn!(self.log, "inner connection refused"; "error" => %error);
+                return;
+            }
+        };
+        let mut calls = JoinSet::new();
+        let mut requests = Box::pin(BaseChannel::with_defaults(transport).execute(self.serve()));
+        while let Some(call) = requests.next().await {
+            while calls.try_join_next().is_some() {}
+            calls.spawn(call);
+        }
+    }
+}
+
+impl Inner for InnerServer {
+    async fn acquire(self, _: Context, request: AcquireRequest) -> AcquireAnswer {
+        self.router.acquire_here(request).await
+    }
+
+    async fn agree(self, _: Context, from: InstanceName, message: Vec<u8>) {
+        if let Some(control) = &self.control {
+            control.deliver(&from, &message);
+        }
+    }
+
+    async fn announce(self, _: Context, request: AnnounceRequest) -> AnnounceAnswer {
+        self.router.announce_here(request).await
+    }
+
+    async fn progress(self, _: Context, report: ProgressReport) -> ProgressAnswer {
+        self.router.progress_here(report).await
+    }
+
+    async fn propose(self, _: Context, command: Vec<u8>) -> Result<Proposed, ProposeError> {
+        if command.len() > COMMAND_BYTES_MAX {
+            return Err(ProposeError::Unavailable);
+        }
+        self.proposer.propose_here(command).await
+    }
+
+    async fn sync(self, _: Context, request: SyncRequest) -> SyncAnswer {
+        self.publication.sync(&request).await
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,15 @@
+//! Hosts the dispatch core of one shard.
+//!
+//! The actor owns the shard under one epoch. It answers only while the instance holds a live
+//! configuration lease and the shard is still assigned to it, so two owners never grant at once.
+//! Permits of an earlier owner are taken over from the reports of the instances that use them.
+
+mod actor;
+mod holders;
+mod limits;
+mod messages;
+mod waiting;
+
+pub(crate) use actor::{Identity, ShardOwner, spawn};
+pub(crate) use messages::{Acquire, Announce, Overview, Progress, Published, Withdraw};
+pub(crate) use waiting::Answer;
--- /dev/null
+++ b/crates/node/src/owner/limits.rs
@@ -0,0 +1,93 @@
+//! Turns rows of the table into limits for the dispatch core.
+
+use dispatch::{CustomerIndex, KindIndex, Limits};
+use names::{CustomerName, KindName};
+use table::{Items, Publication, Revision, Row, RowKey, Target};
+
+use crate::interner::Interner;
+
+const PERCENT: f64 = 100.0;
+
+/// Numbers of the names that rows use.
+#[derive(Debug)]
+pub(super) struct Rows {
+    customers: Interner<CustomerName>,
+    kinds: Interner<KindName>,
+    pub(super) revision: Revision,
+    /// Rows whose weight changes with the time of day, and when each changes next.
+    windowed: Vec<(RowKey, u64)>,
+}
+
+impl Rows {
+    pub(super) fn new() -> Self {
+        Self {
+            customers: Interner::new(),
+            kinds: Interner::new(),
+            revision: Revision::ABSENT,
+            windowed: Vec::new(),
+        }
+    }
+
+    pub(super) fn customer(&mut self, name: &CustomerName) -> CustomerIndex {
+        CustomerIndex(self.customers.number(name))
+    }
+
+    pub(super) fn kind(&mut self, name: &KindName) -> KindIndex {
+        KindIndex(self.kinds.number(name))
+    }
+
+    /// Limits of the rows that a publication changes.
+    pub(super) fn changed(
+        &mut self,
+        unix_ms: u64,
+        items: &Items,
+        publication: &Publication,
+    ) -> Vec<Limits> {
+        let targets: Vec<&Target> = match publication {
+            Publication::Delta(delta) => delta.changes.iter().map(|c| &c.target).collect(),
+            Publication::Snapshot(snapshot) => snapshot.items.iter().map(|i| &i.target).collect(),
+        };
+        let keys: Vec<&RowKey> = targets
+            .into_iter()
+            .filter_map(|target| match target {
+                Target::Row(key) => Some(key),
+                _ => None,
+            })
+            .collect();
+        keys.into_iter()
+            .filter_map(|key| Some(self.limits(unix_ms, key, items.row(key)?.0)))
+            .collect()
+    }
+
+    /// Limits of the rows whose window began or ended.
+    pub(super) fn turned(&mut self, unix_ms: u64, items: &Items) -> Vec<Limits> {
+        let due: Vec<RowKey> = self
+            .windowed
+            .iter()
+            .filter(|(_, change_ms)| *change_ms <= unix_ms)
+            .map(|(key, _)| key.clone())
+            .collect();
+        due.iter()
+            .filter_map(|key| Some(self.limits(unix_ms, key, items.row(key)?.0)))
+            .collect()
+    }
+
+    fn limits(&mut self, unix_ms: u64, key: &RowKey, row: &Row) -> Limits {
+        self.windowed.retain(|(known, _)| known != key);
+        if let Some(change_ms) = row.next_change_ms(unix_ms) {
+            self.windowed.push((key.clone(), change_ms));
+        }
+        let share = row.share_at(unix_ms);
+        Limits {
+            customer: self.customer(&key.customer),
+            kind: self.kind(&key.kind),
+            priority: share.priority,
+            queued_max: row.queued_max,
+            queueing_ms_max: u64::from(row.queueing_ms_max),
+            running_max: row.running_max,
+            tokens_per_second_max: row.tokens_per_second_max.map(f64::from),
+            urgent_share: f64::from(row.urgent_share_percent) / PERCENT,
+            weight: f64::from(share.weight),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/permit_book.rs
@@ -0,0 +1,151 @@
+//! Permits that this instance uses, and their reports to the owners of the shards.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use entry::CancellationToken;
+use protocol::{EndedPermit, PermitKey, ProgressReport, RunningPermit};
+use session::Shard;
+use tokio::sync::Notify;
+
+/// Most ended permits kept for an owner that cannot be reached.
+const ENDED_MAX: usize = 65_536;
+
+/// Permits in use and ended ones that no owner has heard of yet.
+#[derive(Debug, Default)]
+pub(crate) struct PermitBook {
+    book: Mutex<Vec<ShardPermits>>,
+    ended: Notify,
+}
+
+#[derive(Debug)]
+struct ShardPermits {
+    ended: Vec<EndedPermit>,
+    running: Vec<Running>,
+    shard: Shard,
+}
+
+#[derive(Debug)]
+struct Running {
+    permit: RunningPermit,
+    progress: Arc<AtomicU32>,
+    revoked: CancellationToken,
+}
+
+/// News of one shard's permits.
+#[derive(Debug)]
+pub(crate) struct ShardReport {
+    pub(crate) ended: Vec<EndedPermit>,
+    pub(crate) running: Vec<RunningPermit>,
+    pub(crate) shard: Shard,
+}
+
+impl PermitBook {
+    /// Adds a permit; tokens are counted through `progress`.
+    pub(crate) fn add(
+        &self,
+        shard: &Shard,
+        permit: RunningPermit,
+        progress: &Arc<AtomicU32>,
+        revoked: &CancellationToken,
+    ) {
+        let mut book = self.lock();
+        let position = match book.binary_search_by(|permits| permits.shard.cmp(shard)) {
+            Ok(position) => position,
+            Err(position) => {
+                book.insert(position, ShardPermits::new(shard));
+                position
+            }
+        };
+        book[position].running.push(Running {
+            permit,
+            progress: Arc::clone(progress),
+            revoked: revoked.clone(),
+        });
+    }
+
+    /// Waits until a permit ends.
+    pub(crate) async fn any_ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// Notes that a permit ended.
+    pub(crate) fn end(&self, shard: &Shard, ended: EndedPermit) {
+        let mut book = self.lock();
+        if let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(shard)) {
+            let permits = &mut book[position];
+            permits
+                .running
+                .retain(|running| running.permit.permit != ended.permit);
+            permits.ended.push(ended);
+            let surplus = permits.ended.len().saturating_sub(ENDED_MAX);
+            permits.ended.drain(..surplus);
+        }
+        drop(book);
+        self.ended.notify_one();
+    }
+
+    /// What the owners of the shards should hear now.
+    pub(crate) fn reports(&self) -> Vec<ShardReport> {
+        self.lock()
+            .iter()
+            .filter(|permits| !permits.ended.is_empty() || !permits.running.is_empty())
+            .map(ShardPermits::report)
+            .collect()
+    }
+
+    /// Takes back permits that their owner revoked.
+    pub(crate) fn revoke(&self, shard: &Shard, revoked: &[PermitKey]) {
+        let book = self.lock();
+        let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(shard)) else {
+            return;
+        };
+        book[position]
+            .running
+            .iter()
+            .filter(|running| revoked.contains(&running.permit.permit))
+            .for_each(|running| running.revoked.cancel());
+    }
+
+    /// Forgets ended permits that the owner has heard of.
+    pub(crate) fn taken(&self, report: &ProgressReport) {
+        let mut book = self.lock();
+        if let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(&report.shard)) {
+            let is_taken = |ended: &EndedPermit| {
+                report.ended.iter().any(|taken| taken.permit == ended.permit)
+            };
+            book[position].ended.retain(|ended| !is_taken(ended));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<ShardPermits>> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ShardPermits {
+    fn new(shard: &Shard) -> Self {
+        Self {
+            ended: Vec::new(),
+            running: Vec::new(),
+            shard: shard.clone(),
+        }
+    }
+
+    fn report(&self) -> ShardReport {
+        ShardReport {
+            ended: self.ended.clone(),
+            running: self.running.iter().map(Running::report).collect(),
+            shard: self.shard.clone(),
+        }
+    }
+}
+
+impl Running {
+    fn report(&self) -> RunningPermit {
+        RunningPermit {
+            generated_tokens: self.progress.load(Ordering::Relaxed),
+            ..self.permit.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/permits.rs
@@ -0,0 +1,302 @@
+//! Permits for the entry: finds the shards that serve a request and asks their owners.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use entry::{
+    CancellationToken, End, Permit, PermitRequest, Permits, Refusal, RefusalReason, Target,
+};
+use names::{CustomerName, EndpointName, InstanceName, KindName, RegionName};
+use protocol::{AcquireAnswer, AcquireRequest, EndedPermit, PermitKey, RunningPermit};
+use session::{Assignment, OfferName};
+use table::RowKey;
+use tokio::time::{Instant, sleep};
+
+use crate::holdings::Holdings;
+use crate::permit_book::PermitBook;
+use crate::router::Router;
+
+/// Longest time without an owner before a request is refused.
+const OWNER_WAIT_MS: u64 = 3_000;
+
+/// Time between two tries to reach an owner.
+const OWNER_RETRY_MS: u64 = 100;
+
+/// Time after which a refused caller may find an owner.
+const OWNER_RETRY_AFTER_MS: u64 = 2_000;
+
+/// Asks the owners of shards.
+pub(crate) struct ShardPermits {
+    pub(crate) book: Arc<PermitBook>,
+    pub(crate) holdings: Arc<Holdings>,
+    pub(crate) instance: InstanceName,
+    pub(crate) region: RegionName,
+    pub(crate) router: Arc<Router>,
+}
+
+/// A permit in use.
+struct HeldPermit {
+    address: SocketAddr,
+    book: Arc<PermitBook>,
+    endpoint: EndpointName,
+    finished: bool,
+    key: PermitKey,
+    priority: i32,
+    progress: Arc<AtomicU32>,
+    region: RegionName,
+    revoked: CancellationToken,
+    shard: session::Shard,
+}
+
+/// What the shards said in one round.
+enum Round {
+    /// A permit.
+    Granted(Box<dyn Permit>),
+    /// No owner answered.
+    NoOwner,
+    /// Every owner refused.
+    Refused(Refusal),
+}
+
+#[async_trait]
+impl Permits for ShardPermits {
+    async fn acquire(&self, request: &PermitRequest) -> Result<Box<dyn Permit>, Refusal> {
+        if !self.serves(&request.customer, &request.kind, &request.target) {
+            return Err(refusal(RefusalReason::UnknownRow, 0));
+        }
+        let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
+        let give_up = deadline.min(Instant::now() + Duration::from_millis(OWNER_WAIT_MS));
+        loop {
+            let shards = self.shards(&request.target);
+            if shards.is_empty() {
+                return Err(refusal(RefusalReason::NoEndpoint, OWNER_RETRY_AFTER_MS));
+            }
+            match self.round(&shards, request, deadline).await {
+                Round::Granted(permit) => return Ok(permit),
+                Round::NoOwner if Instant::now() >= give_up => {
+                    return Err(refusal(RefusalReason::NoOwner, OWNER_RETRY_AFTER_MS));
+                }
+                Round::NoOwner => sleep(Duration::from_millis(OWNER_RETRY_MS)).await,
+                Round::Refused(refusal) => return Err(refusal),
+            }
+        }
+    }
+}
+
+impl ShardPermits {
+    /// Asks the shards in turn until one grants.
+    async fn round(
+        &self,
+        shards: &[Assignment],
+        request: &PermitRequest,
+        deadline: Instant,
+    ) -> Round {
+        let mut soonest: Option<Refusal> = None;
+        for assignment in shards {
+            let asked = self.asked(assignment, request, deadline);
+            match self.router.acquire(&assignment.owner, asked).await {
+                Some(answer @ AcquireAnswer::Granted { .. }) => {
+                    return self.granted(assignment, request, answer);
+                }
+                Some(AcquireAnswer::Refused {
+                    reason,
+                    retry_after_ms,
+                }) => {
+                    let refused = refusal(reason_of(reason), retry_after_ms);
+                    soonest = Some(sooner(soonest, refused));
+                }
+                Some(AcquireAnswer::NotOwner) | None => {}
+            }
+        }
+        soonest.map_or(Round::NoOwner, Round::Refused)
+    }
+
+    fn asked(
+        &self,
+        assignment: &Assignment,
+        request: &PermitRequest,
+        deadline: Instant,
+    ) -> AcquireRequest {
+        let left = deadline.saturating_duration_since(Instant::now());
+        AcquireRequest {
+            customer: request.customer.clone(),
+            epoch: assignment.epoch,
+            instance: self.instance.clone(),
+            kind: request.kind.clone(),
+            max_tokens: request.max_tokens,
+            prefix_hashes: request.prefix_hashes.clone(),
+            prompt_tokens: request.prompt_tokens,
+            region: self.region.clone(),
+            shard: assignment.shard.clone(),
+            urgent: request.urgent,
+            wait_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn granted(
+        &self,
+        assignment: &Assignment,
+        request: &PermitRequest,
+        answer: AcquireAnswer,
+    ) -> Round {
+        let AcquireAnswer::Granted {
+            address,
+            endpoint,
+            permit,
+            priority,
+            region,
+        } = answer
+        else {
+            return Round::NoOwner;
+        };
+        let key = PermitKey {
+            epoch: assignment.epoch,
+            permit,
+        };
+        let held = HeldPermit {
+            address,
+            book: Arc::clone(&self.book),
+            endpoint: endpoint.clone(),
+            finished: false,
+            key,
+            priority,
+            progress: Arc::new(AtomicU32::new(0)),
+            region,
+            revoked: CancellationToken::new(),
+            shard: assignment.shard.clone(),
+        };
+        let running = RunningPermit {
+            customer: request.customer.clone(),
+            endpoint,
+            generated_tokens: 0,
+            kind: request.kind.clone(),
+            max_tokens: request.max_tokens,
+            permit: key,
+            prompt_tokens: request.prompt_tokens,
+        };
+        self.book
+            .add(&assignment.shard, running, &held.progress, &held.revoked);
+        Round::Granted(Box::new(held))
+    }
+
+    /// Whether the row lets the customer use the target.
+    fn serves(&self, customer: &CustomerName, kind: &KindName, target: &Target) -> bool {
+        let key = RowKey {
+            customer: customer.clone(),
+            kind: kind.clone(),
+        };
+        self.holdings.table(|items| {
+            items.row(&key).is_some_and(|(row, _)| match target {
+                Target::Model(model) => row.models.is_empty() || row.models.contains(model),
+                Target::Service(_) => true,
+            })
+        })
+    }
+
+    /// Shards that serve the target, those of the own region first.
+    fn shards(&self, target: &Target) -> Vec<Assignment> {
+        let offer = match target {
+            Target::Model(model) => OfferName::Model(model.clone()),
+            Target::Service(service) => OfferName::Service(service.clone()),
+        };
+        let mut shards: Vec<Assignment> = self
+            .holdings
+            .lock()
+            .assignments
+            .iter()
+            .filter(|assignment| assignment.shard.offer == offer)
+            .cloned()
+            .collect();
+        shards.sort_by_key(|assignment| assignment.shard.region != self.region);
+        shards
+    }
+}
+
+impl Permit for HeldPermit {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+
+    fn finish(mut self: Box<Self>, end: End, tokens: u32) {
+        self.end(end, tokens);
+    }
+
+    fn priority(&self) -> i32 {
+        self.priority
+    }
+
+    fn progressed(&mut self, tokens: u32) {
+        self.progress.store(tokens, Ordering::Relaxed);
+    }
+
+    fn region(&self) -> Option<&RegionName> {
+        Some(&self.region)
+    }
+
+    fn revoked(&self) -> Option<CancellationToken> {
+        Some(self.revoked.clone())
+    }
+}
+
+impl HeldPermit {
+    fn end(&mut self, end: End, generated_tokens: u32) {
+        self.finished = true;
+        let ended = EndedPermit {
+            end: end_of(end),
+            generated_tokens,
+            permit: self.key,
+        };
+        self.book.end(&self.shard, ended);
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        if !self.finished {
+            let tokens = self.progress.load(Ordering::Relaxed);
+            self.end(End::Cancelled, tokens);
+        }
+    }
+}
+
+fn end_of(end: End) -> dispatch::End {
+    match end {
+        End::Cancelled => dispatch::End::Cancelled,
+        End::Completed => dispatch::End::Completed,
+        End::Failed => dispatch::End::Failed,
+        End::Refused => dispatch::End::Refused,
+    }
+}
+
+fn reason_of(reason: dispatch::RefusalReason) -> RefusalReason {
+    match reason {
+        dispatch::RefusalReason::NoEndpoint => RefusalReason::NoEndpoint,
+        dispatch::RefusalReason::Overload => RefusalReason::Overload,
+        dispatch::RefusalReason::QueueFull => RefusalReason::QueueFull,
+        dispatch::RefusalReason::TooLarge => RefusalReason::TooLarge,
+        dispatch::RefusalReason::UnknownRow => RefusalReason::UnknownRow,
+        dispatch::RefusalReason::WaitedTooLong => RefusalReason::WaitedTooLong,
+    }
+}
+
+fn refusal(reason: RefusalReason, retry_after_ms: u64) -> Refusal {
+    Refusal {
+        reason,
+        retry_after_ms,
+    }
+}
+
+/// The refusal after which a repeat may succeed first.
+fn sooner(known: Option<Refusal>, other: Refusal) -> Refusal {
+    match known {
+        Some(known) if known.retry_after_ms <= other.retry_after_ms => known,
+        _ => other,
+    }
+}
--- /dev/null
+++ b/crates/node/src/planning.rs
@@ -0,0 +1,58 @@
+//! Gives shards to owners while this instance leads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use session::{AssignCommand, plan_missing, plan_moves};
+use slog::{Logger, info, warn};
+use tokio::time::sleep;
+
+use crate::holdings::Holdings;
+use crate::proposer::Proposer;
+use crate::publication::Publication;
+use crate::state::Command;
+
+/// Time between two plans.
+const PLAN_INTERVAL_MS: u64 = 100;
+
+/// What the planning task works on.
+#[derive(Debug)]
+pub(crate) struct Planning {
+    pub(crate) holdings: Arc<Holdings>,
+    pub(crate) log: Logger,
+    pub(crate) proposer: Arc<Proposer>,
+    pub(crate) publication: Arc<Publication>,
+}
+
+impl Planning {
+    /// Plans until the task is dropped.
+    pub(crate) async fn run(self) {
+        loop {
+            sleep(Duration::from_millis(PLAN_INTERVAL_MS)).await;
+            if self.proposer.leads() {
+                self.plan().await;
+            }
+        }
+    }
+
+    async fn plan(&self) {
+        for command in self.commands() {
+            info!(self.log, "assigning shard"; "shard" => %command.shard, "owner" => %command.owner);
+            if let Err(error) = self.proposer.propose(&Command::Assign(command)).await {
+                warn!(self.log, "shard not assigned"; "error" => %error);
+                return;
+            }
+        }
+    }
+
+    fn commands(&self) -> Vec<AssignCommand> {
+        let wanted = self.publication.wanted();
+        let settled = self.publication.is_settled();
+        let held = self.holdings.lock();
+        let mut commands = plan_missing(&held.roster, &held.assignments, &wanted);
+        if settled {
+            commands.extend(plan_moves(&held.roster, &held.assignments));
+        }
+        commands
+    }
+}
--- /dev/null
+++ b/crates/node/src/publication.rs
@@ -0,0 +1,282 @@
+//! Serves subscriptions: at the leader from the replicated state, at a relay from what it holds.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use control::Control;
+use names::{InstanceName, LogIndex};
+use protocol::{SyncAnswer, SyncRequest, SyncUpdate};
+use session::{
+    CONFIGURATION_LEASE_MS, HEARTBEAT_INTERVAL_MS, Heard, Heartbeat, LeaseState, Publisher, Shard,
+};
+use slog::{Logger, info, warn};
+use table::Revision;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::Clock;
+use crate::holdings::{Held, Holdings};
+use crate::state::SharedState;
+
+/// Time for which changes are collected into one answer.
+const COLLECT_MS: u64 = 10;
+
+/// Publisher of one instance.
+#[derive(Debug)]
+pub(crate) struct Publication {
+    clock: Clock,
+    control: Option<Control>,
+    holdings: Arc<Holdings>,
+    instance: InstanceName,
+    log: Logger,
+    progress: Mutex<Progress>,
+    state: SharedState,
+}
+
+/// What subscribers have reached.
+#[derive(Debug)]
+struct Progress {
+    /// Accepted revisions that are not known to be in force, with the time of acceptance.
+    pending: Vec<Accepted>,
+    publisher: Publisher,
+    /// Term in which this instance leads, if it does.
+    term: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Accepted {
+    at_ms: u64,
+    revision: LogIndex,
+}
+
+impl Publication {
+    pub(crate) fn new(
+        instance: &InstanceName,
+        control: Option<Control>,
+        state: &SharedState,
+        holdings: &Arc<Holdings>,
+        clock: Clock,
+        log: &Logger,
+    ) -> Self {
+        Self {
+            clock,
+            control,
+            holdings: Arc::clone(holdings),
+            instance: instance.clone(),
+            log: log.clone(),
+            progress: Mutex::new(Progress {
+                pending: Vec::new(),
+                publisher: Publisher::new(clock.now_ms(), 0),
+                term: None,
+            }),
+            state: state.clone(),
+        }
+    }
+
+    /// Heartbeats of the instances that subscribe here.
+    pub(crate) fn heartbeats(&self) -> Vec<Heartbeat> {
+        let now_ms = self.clock.now_ms();
+        let mut progress = self.lock();
+        progress.publisher.expire(now_ms);
+        progress.publisher.heartbeats(now_ms)
+    }
+
+    /// Whether the roster holds every live instance.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.lock().publisher.settled(self.clock.now_ms())
+    }
+
+    /// Takes the leader's part if this instance leads; says whether it does.
+    ///
+    /// Copies the replicated state into what the instance holds, counts the instance itself as a
+    /// subscriber, and renews its lease.
+    pub(crate) fn lead(&self, own: &Heartbeat) -> bool {
+        let now_ms = self.clock.now_ms();
+        let Some(confirmed) = self.confirmed_term() else {
+            self.step_down();
+            return false;
+        };
+        self.begin_term(now_ms, confirmed);
+        self.pull();
+        let mut progress = self.lock();
+        progress.publisher.heard(now_ms, own);
+        for instance in progress.publisher.expire(now_ms) {
+            warn!(self.log, "instance lost"; "instance" => %instance);
+        }
+        let in_force = progress.in_force(now_ms);
+        let mut held = self.holdings.lock();
+        let news = Self::publish_roster(&mut held, &progress) || held.in_force < in_force;
+        held.in_force = held.in_force.max(in_force);
+        held.leader = Some(self.instance.clone());
+        held.lease.renew(now_ms, CONFIGURATION_LEASE_MS);
+        drop(held);
+        drop(progress);
+        if news {
+            self.holdings.notify();
+        }
+        true
+    }
+
+    /// Answers a subscriber when there is news for it, or after a heartbeat interval.
+    pub(crate) async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
+        if self.hear(request) == Heard::Superseded {
+            return SyncAnswer::Superseded;
+        }
+        self.holdings.want(&request.wanted);
+        let mut changes = self.holdings.changes();
+        let interval = Duration::from_millis(HEARTBEAT_INTERVAL_MS);
+        let waiting = async {
+            while !self.has_news(request) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+            sleep(Duration::from_millis(COLLECT_MS)).await;
+        };
+        // Without news the answer is a heartbeat.
+        let _ = timeout(interval, waiting).await;
+        self.answer(request)
+    }
+
+    /// Shards that have no owner yet.
+    pub(crate) fn wanted(&self) -> Vec<Shard> {
+        self.holdings.lock().wanted.clone()
+    }
+
+    fn answer(&self, request: &SyncRequest) -> SyncAnswer {
+        let leads = self.confirmed_term().is_some();
+        if leads {
+            self.pull();
+        }
+        let held = self.holdings.lock();
+        let (Some(leader), Some(lease_ms)) = (held.leader.clone(), self.lease_ms(&held, leads))
+        else {
+            return SyncAnswer::NotPublisher {
+                leader: held.leader.clone(),
+            };
+        };
+        SyncAnswer::Update(SyncUpdate {
+            assignments: held.assignments.since(request.assignments),
+            in_force: held.in_force,
+            leader,
+            lease_ms,
+            roster: held.roster.since(request.roster_epoch, request.roster_version),
+            table: held.feed.since(Revision(request.table.0)),
+        })
+    }
+
+    fn begin_term(&self, now_ms: u64, term: u64) {
+        let mut progress = self.lock();
+        if progress.term == Some(term) {
+            return;
+        }
+        info!(self.log, "leading"; "term" => term);
+        progress.term = Some(term);
+        progress.publisher = Publisher::new(now_ms, term);
+        progress.pending = vec![Accepted {
+            at_ms: now_ms,
+            revision: LogIndex(self.state.lock().table.revision().0),
+        }];
+    }
+
+    /// Term in which a quorum confirms this instance as leader now.
+    fn confirmed_term(&self) -> Option<u64> {
+        self.control.as_ref()?.confirmed_term()
+    }
+
+    fn has_news(&self, request: &SyncRequest) -> bool {
+        let held = self.holdings.lock();
+        held.feed.revision().0 > request.table.0
+            || held.assignments.applied() > request.assignments
+            || held.roster.epoch() != request.roster_epoch
+            || held.roster.version() != request.roster_version
+    }
+
+    fn hear(&self, request: &SyncRequest) -> Heard {
+        let now_ms = self.clock.now_ms();
+        let mut progress = self.lock();
+        let heard: Vec<Heard> = request
+            .heartbeats
+            .iter()
+            .map(|heartbeat| progress.publisher.heard(now_ms, heartbeat))
+            .collect();
+        heard.first().copied().unwrap_or(Heard::Accepted)
+    }
+
+    fn lease_ms(&self, held: &Held, leads: bool) -> Option<u64> {
+        if leads {
+            return Some(CONFIGURATION_LEASE_MS);
+        }
+        match held.lease.state(self.clock.now_ms()) {
+            LeaseState::Lapsed => None,
+            LeaseState::Live { left_ms } => Some(left_ms),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn publish_roster(held: &mut Held, progress: &Progress) -> bool {
+        let roster = progress.publisher.roster();
+        match roster.since(held.roster.epoch(), held.roster.version()) {
+            Some(update) => {
+                held.roster.apply(&update);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Copies what is new in the replicated state.
+    fn pull(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut progress = self.lock();
+        let state = self.state.lock();
+        let mut held = self.holdings.lock();
+        let mut news = false;
+        if state.table.revision() > held.feed.revision() {
+            let publication = state.table.delta_since(held.feed.revision());
+            held.feed.apply(publication);
+            progress.pending.push(Accepted {
+                at_ms: now_ms,
+                revision: LogIndex(held.feed.revision().0),
+            });
+            news = true;
+        }
+        if let Some(update) = state.assignments.since(held.assignments.applied()) {
+            held.assignments.merge(&update);
+            news = true;
+        }
+        drop(held);
+        drop(state);
+        drop(progress);
+        if news {
+            self.holdings.notify();
+        }
+    }
+
+    fn step_down(&self) {
+        let mut progress = self.lock();
+        if progress.term.take().is_some() {
+            info!(self.log, "no longer leading");
+            progress.publisher = Publisher::new(self.clock.now_ms(), 0);
+            progress.pending.clear();
+        }
+    }
+}
+
+impl Progress {
+    /// Greatest revision in force; forgets the ones up to it.
+    fn in_force(&mut self, now_ms: u64) -> LogIndex {
+        let publisher = &self.publisher;
+        let reached = self
+            .pending
+            .iter()
+            .filter(|accepted| publisher.in_force(now_ms, accepted.revision, accepted.at_ms))
+            .map(|accepted| accepted.revision)
+            .max()
+            .unwrap_or_default();
+        self.pending.retain(|accepted| accepted.revision > reached);
+        reached
+    }
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,98 @@
+//! The replicated state: table, shard assignments and claims, changed by one log.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use control::StateMachine;
+use names::LogIndex;
+use serde::{Deserialize, Serialize};
+use session::{AssignCommand, Assignments};
+use table::{Edit, EditOutcome, Table};
+
+/// A command of the log.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum Command {
+    /// Gives a shard to an owner.
+    Assign(AssignCommand),
+    /// Changes a claim.
+    Claim(claims::Command),
+    /// Changes the table.
+    Edit(Edit),
+}
+
+/// Answer to a command.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum Answer {
+    /// Whether the assignment took effect.
+    Assign(bool),
+    /// Answer to a claim's command.
+    Claim(claims::Answer),
+    /// Answer to an edit.
+    Edit(EditOutcome),
+}
+
+/// State that all voters share.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) assignments: Assignments,
+    pub(crate) claims: claims::Claims,
+    pub(crate) table: Table,
+}
+
+/// The state of one voter, read by the publisher and changed by the log.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedState(Arc<Mutex<State>>);
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Encoded {
+    assignments: Assignments,
+    claims: Vec<u8>,
+    table: Vec<u8>,
+}
+
+impl SharedState {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn apply(&mut self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
+        match command {
+            Command::Assign(assign) => Answer::Assign(self.assignments.apply(index, assign)),
+            Command::Claim(claim) => Answer::Claim(self.claims.apply(index, at_ms, claim)),
+            Command::Edit(edit) => Answer::Edit(self.table.apply(index, at_ms, edit)),
+        }
+    }
+}
+
+impl StateMachine for SharedState {
+    fn apply(&mut self, index: LogIndex, at_ms: u64, command: &[u8]) -> Vec<u8> {
+        let command: Command =
+            postcard::from_bytes(command).expect("only decodable commands are proposed");
+        let answer = self.lock().apply(index, at_ms, &command);
+        encode(&answer)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        let encoded: Encoded = postcard::from_bytes(snapshot).expect("snapshots decode");
+        *self.lock() = State {
+            assignments: encoded.assignments,
+            claims: claims::Claims::restore(&encoded.claims).expect("snapshots of claims decode"),
+            table: Table::restore(&encoded.table).expect("snapshots of the table decode"),
+        };
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let state = self.lock();
+        encode(&Encoded {
+            assignments: state.assignments.clone(),
+            claims: state.claims.snapshot(),
+            table: state.table.snapshot(),
+        })
+    }
+}
+
+/// Encodes a value of the replicated log.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_allocvec(value).expect("values of the log encode without failure")
+}
--- a/crates/protocol/src/acquire.rs
+++ b/crates/protocol/src/acquire.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use dispatch::RefusalReason;
-use names::{CustomerName, EndpointName, Epoch, InstanceName, KindName, PermitId, RequestId};
+use names::{CustomerName, EndpointName, Epoch, InstanceName, KindName, PermitId, RegionName};
 use serde::{Deserialize, Serialize};
 use session::Shard;
 
@@ -22,8 +22,8 @@
     pub prefix_hashes: Vec<u64>,
     /// Length of the prompt.
     pub prompt_tokens: u32,
-    /// Number of the request within the instance.
-    pub request: RequestId,
+    /// Region of the asking instance.
+    pub region: RegionName,
     /// Shard that is asked.
     pub shard: Shard,
     /// Goes first inside its row's share.
@@ -45,6 +45,8 @@
         permit: PermitId,
         /// Priority towards the engine; greater goes first.
         priority: i32,
+        /// Region of the endpoint.
+        region: RegionName,
     },
     /// The asked instance does not own the shard under that epoch, or may not grant yet.
     NotOwner,
--- a/crates/protocol/src/progress.rs
+++ b/crates/protocol/src/progress.rs
@@ -48,12 +48,15 @@
 }
 
 /// What the owner did with a report.
-#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ProgressAnswer {
     /// The asked instance does not own the shard under that epoch.
     NotOwner,
     /// The report counts.
-    Taken,
+    Taken {
+        /// Permits that the owner takes back.
+        revoked: Vec<PermitKey>,
+    },
 }
 
 /// Names a permit across owners of a shard.
--- a/crates/session/src/announcement.rs
+++ b/crates/session/src/announcement.rs
@@ -3,6 +3,8 @@
 use names::{DataCentreName, Incarnation, ModelName, RegionName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::OfferName;
+
 /// What an endpoint says of itself, again and again.
 #[derive(Debug, Clone, Deserialize, PartialEq, Serialize)]
 pub struct Announcement {
@@ -125,10 +127,10 @@
 impl Offer {
     /// Name of the model or service.
     #[must_use]
-    pub fn name(&self) -> &str {
+    pub fn name(&self) -> OfferName {
         match self {
-            Self::Engine(engine) => engine.model.as_str(),
-            Self::Service(service) => service.name.as_str(),
+            Self::Engine(engine) => OfferName::Model(engine.model.clone()),
+            Self::Service(service) => OfferName::Service(service.name.clone()),
         }
     }
 }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -31,11 +31,11 @@
 pub use error::Error;
 pub use lease::{ConfigurationLease, LeaseState};
 pub use member::{Member, MemberState, Role};
-pub use planner::plan;
+pub use planner::{plan_missing, plan_moves};
 pub use publisher::{Heard, Heartbeat, Publisher};
 pub use rendezvous::rendezvous_order;
 pub use roster::{Roster, RosterUpdate};
-pub use shard::Shard;
+pub use shard::{OfferName, Shard};
 pub use upstream::Upstream;
 
 /// Longest time an instance may act on a configuration after it asked for it.
--- a/crates/session/src/planner.rs
+++ b/crates/session/src/planner.rs
@@ -9,21 +9,31 @@
     AssignCommand, Assignment, Assignments, Member, Predecessor, Roster, Shard, rendezvous_order,
 };
 
-/// Commands that give every shard in `wanted` or already assigned a live owner.
-///
-/// An owner that is missing from the roster holds no configuration lease any more, because the
-/// roster keeps an instance longer than its lease lasts.
+/// Commands that give every wanted shard without an owner a live one.
 #[must_use]
-pub fn plan(roster: &Roster, assignments: &Assignments, wanted: &[Shard]) -> Vec<AssignCommand> {
-    let unassigned = wanted
+pub fn plan_missing(
+    roster: &Roster,
+    assignments: &Assignments,
+    wanted: &[Shard],
+) -> Vec<AssignCommand> {
+    wanted
         .iter()
         .filter(|shard| assignments.get(shard).is_none())
-        .filter_map(|shard| assign(roster, shard, None));
-    let moved = assignments
+        .filter_map(|shard| assign(roster, shard, None))
+        .collect()
+}
+
+/// Commands that move every shard whose owner is gone, restarted or draining.
+///
+/// The roster must be complete. An owner that is missing from it holds no configuration lease any
+/// more, because the roster keeps an instance longer than its lease lasts.
+#[must_use]
+pub fn plan_moves(roster: &Roster, assignments: &Assignments) -> Vec<AssignCommand> {
+    assignments
         .iter()
         .filter(|assignment| !owner_serves(roster, assignment))
-        .filter_map(|assignment| assign(roster, &assignment.shard, Some(assignment)));
-    unassigned.chain(moved).collect()
+        .filter_map(|assignment| assign(roster, &assignment.shard, Some(assignment)))
+        .collect()
 }
 
 fn assign(roster: &Roster, shard: &Shard, current: Option<&Assignment>) -> Option<AssignCommand> {
--- a/crates/session/src/shard.rs
+++ b/crates/session/src/shard.rs
@@ -1,17 +1,26 @@
 use std::fmt::{self, Display, Formatter};
 
-use names::{EndpointName, RegionName};
+use names::{EndpointName, ModelName, RegionName, ServiceName};
 use serde::{Deserialize, Serialize};
 
 use crate::rendezvous::score;
 
+/// Name of what an endpoint offers.
+#[derive(Debug, Clone, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum OfferName {
+    /// A model.
+    Model(ModelName),
+    /// A plain service.
+    Service(ServiceName),
+}
+
 /// A group of endpoints of one region and offer that have one owner.
 #[derive(Debug, Clone, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Shard {
     /// Number within the region and offer.
     pub number: u16,
-    /// Model or service that its endpoints offer.
-    pub offer: String,
+    /// What its endpoints offer.
+    pub offer: OfferName,
     /// Region of its endpoints.
     pub region: RegionName,
 }
@@ -23,19 +32,33 @@
     ///
     /// Panics if `shards` is zero.
     #[must_use]
-    pub fn of(endpoint: &EndpointName, offer: &str, region: &RegionName, shards: u16) -> Self {
+    pub fn of(
+        endpoint: &EndpointName,
+        offer: &OfferName,
+        region: &RegionName,
+        shards: u16,
+    ) -> Self {
         assert!(shards > 0, "an offer has at least one shard");
         let number = (0..shards)
             .max_by_key(|number| score(endpoint.as_str(), &number.to_le_bytes()))
             .unwrap_or(0);
         Self {
             number,
-            offer: offer.to_owned(),
+            offer: offer.clone(),
             region: region.clone(),
         }
     }
 }
 
+impl Display for OfferName {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Model(model) => write!(f, "model/{model}"),
+            Self::Service(service) => write!(f, "service/{service}"),
+        }
+    }
+}
+
 impl Display for Shard {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}/{}", self.region, self.offer, self.number)
--- a/crates/table/src/items.rs
+++ b/crates/table/src/items.rs
@@ -3,7 +3,10 @@
 use names::{CustomerName, KindName};
 use serde::{Deserialize, Serialize};
 
-use crate::{CustomerKey, Item, KeyHash, OperatorKey, Revision, Row, RowKey, Target, Versioned};
+use crate::{
+    CustomerKey, Item, KeyHash, OperatorKey, PublishedItem, Revision, Row, RowKey, Snapshot,
+    Target, Versioned,
+};
 
 /// Everything that the table governs, by target.
 #[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -120,6 +123,18 @@
             .map(|(target, stored)| (target, &stored.item, stored.revision))
     }
 
+    pub(crate) fn publish(&self, revision: Revision) -> Snapshot {
+        let items = self.iter().map(|(target, item, revision)| PublishedItem {
+            item: item.clone(),
+            revision,
+            target: target.clone(),
+        });
+        Snapshot {
+            items: items.collect(),
+            revision,
+        }
+    }
+
     pub(crate) fn revision(&self, target: &Target) -> Revision {
         self.get(target)
             .map_or(Revision::ABSENT, |(_, revision)| revision)
--- a/crates/table/src/view.rs
+++ b/crates/table/src/view.rs
@@ -51,6 +51,12 @@
         self.revision
     }
 
+    /// Everything that the view holds, for a subscriber whose revision is too old for deltas.
+    #[must_use]
+    pub fn publish(&self) -> Snapshot {
+        self.items.publish(self.revision)
+    }
+
     fn apply_delta(&mut self, delta: Delta) -> ViewOutcome {
         if delta.to <= self.revision {
             return ViewOutcome::Stale;
