Let an edit name the file it was worked out from

A table file that is sent again after a lost answer is compared with a table that already holds its changes, so that the edit worked out from it is another one and its id was refused. The digest of the file now stands for the content of such an edit, and the table can be asked for the first answer before the comparison.

A test for the content of deltas: a delta that repeated the item at its first revision passed all tests before.

--- a/crates/table/src/answers.rs
+++ b/crates/table/src/answers.rs
@@ -2,9 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::edit::ContentDigest;
 use crate::{
     ACCEPTED_RETENTION_MS, ANSWERS_ACCEPTED_MAX, ANSWERS_REFUSED_BYTES_MAX, ANSWERS_REFUSED_MAX,
-    Edit, EditId, EditOutcome, KeyHash, REFUSED_RETENTION_MS,
+    Edit, EditId, EditOutcome, REFUSED_RETENTION_MS,
 };
 
 /// Answers given to edit ids, kept for the retention period of their class.
@@ -21,7 +22,7 @@
 
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 struct Answer {
-    content: KeyHash,
+    content: ContentDigest,
     outcome: Box<[u8]>,
 }
 
@@ -64,7 +65,7 @@
     /// The first answer to the edit's id, if it is still kept.
     pub(crate) fn get(&self, edit: &Edit) -> Option<EditOutcome> {
         let answer = self.by_id.get(&edit.edit_id)?;
-        if answer.content != edit.digest() {
+        if answer.content != edit.content() {
             return Some(EditOutcome::IdReused);
         }
         let outcome = postcard::from_bytes(&answer.outcome);
@@ -83,7 +84,7 @@
             edit_id: edit.edit_id.clone(),
         });
         let answer = Answer {
-            content: edit.digest(),
+            content: edit.content(),
             outcome: encoded.into(),
         };
         let earlier = self.by_id.insert(edit.edit_id.clone(), answer);
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -13,7 +13,8 @@
 //!
 //! Whether a time zone exists depends on the time zone database of the build, so [`Table::apply`]
 //! does not ask: builds that differ would otherwise part during a rolling upgrade. The proposer
-//! calls [`Table::check`], which does, before it appends an edit to the log.
+//! first asks [`Table::answer`] whether the edit was answered before, then [`Table::check`], which
+//! does ask the database, and only then appends the edit to the log.
 
 mod answers;
 mod cells;
@@ -40,7 +41,7 @@
 pub use column::Column;
 pub use csv_file::{ProposedRow, read_csv, write_csv};
 pub use diff::{Diff, DiffConflict, RowChange};
-pub use edit::{Change, Edit, EditId, EditOutcome};
+pub use edit::{Change, Edit, EditId, EditOutcome, SourceDigest};
 pub use error::Error;
 pub use history::Revised;
 pub use item::{Item, Target, Versioned};
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -69,6 +69,14 @@
         outcome
     }
 
+    /// The first answer to the edit's id, where it is still kept.
+    ///
+    /// Where the edit has a source, its changes do not matter.
+    #[must_use]
+    pub fn answer(&self, edit: &Edit) -> Option<EditOutcome> {
+        self.answers.get(edit)
+    }
+
     /// Problems of an edit, including those that depend on this build's time zone database.
     ///
     /// To be asked before the edit is appended to the log.
--- a/crates/table/tests/common/mod.rs
+++ b/crates/table/tests/common/mod.rs
@@ -57,6 +57,7 @@
         author: OperatorName::new("мария").unwrap(),
         changes,
         edit_id: EditId::new(id).unwrap(),
+        source: None,
     }
 }
 
--- a/crates/table/tests/publication.rs
+++ b/crates/table/tests/publication.rs
@@ -4,7 +4,7 @@
 
 use common::{Bench, KINDS, edit, key, row};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use table::{Change, HISTORY_TARGETS_MAX, Publication, Revision, View, ViewOutcome};
+use table::{Change, HISTORY_TARGETS_MAX, Publication, Revision, Target, View, ViewOutcome};
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -102,6 +102,18 @@
     assert_eq!(view.revision(), Revision(2));
 }
 
+#[test]
+fn a_delta_holds_only_what_changed_since() {
+    let mut bench = Bench::new();
+    bench.set("centre", "advice", 0, row(1));
+    bench.set("centre", "syllabus", 0, row(1));
+    let Publication::Delta(delta) = bench.table.delta_since(Revision(2)) else {
+        panic!("the history is complete");
+    };
+    let changed: Vec<_> = delta.changes.iter().map(|change| &change.target).collect();
+    assert_eq!(changed, [&Target::Row(key("centre", "syllabus"))]);
+}
+
 #[test]
 fn a_subscriber_far_behind_gets_a_snapshot() {
     let mut bench = Bench::new();
