Add the operators' HTTP interface and its client

Rows under entity tags, batches, the table as a file with its difference shown first, history, kinds, keys by role, the fleet, drain, health and metrics, over a Backend trait.

A new key is made by the client, and only its hash is sent: a key made by the server would differ when the call is sent again after a lost answer, and would cross the network.

Ruled out: edits without a precondition or edit id (a lost answer could then double or revert a change); a whole table in one JSON answer (pages instead).

--- /dev/null
+++ b/crates/admin/src/route.rs
@@ -0,0 +1,168 @@
+use hyper::Method;
+use names::{CustomerName, KindName};
+use table::{KeyHash, Role, RowKey, Target};
+
+use crate::percent::decode;
+use crate::problem_document::ProblemDocument;
+
+/// What a request asks for.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub(crate) enum Route {
+    DeleteKey(Target),
+    DeleteKind(KindName),
+    DeleteRow(RowKey),
+    Drain,
+    GetCsv,
+    GetEndpoints,
+    GetHistory,
+    GetInstances,
+    GetKeys,
+    GetKinds,
+    GetRow(RowKey),
+    GetStatus,
+    GetTable,
+    Health,
+    Metrics,
+    PostEdits,
+    PostKey,
+    PutCsv,
+    PutKind(KindName),
+    PutRow(RowKey),
+    Ready,
+}
+
+impl Route {
+    /// Finds the route of a request.
+    pub(crate) fn find(method: &Method, path: &str) -> Result<Self, ProblemDocument> {
+        let segments: Option<Vec<String>> = path
+            .trim_start_matches('/')
+            .split('/')
+            .map(decode)
+            .collect();
+        let segments = segments
+            .ok_or_else(|| ProblemDocument::bad_request("the path is not percent-encoded UTF-8"))?;
+        let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match segments.as_slice() {
+            ["healthz"] => get(method, Self::Health),
+            ["metrics"] => get(method, Self::Metrics),
+            ["readyz"] => get(method, Self::Ready),
+            ["v1", rest @ ..] => Self::find_v1(method, rest),
+            _ => Err(no_such_path()),
+        }
+    }
+
+    /// Role that the call needs; none where it needs no key.
+    pub(crate) fn needed_role(&self) -> Option<Role> {
+        match self {
+            Self::Health | Self::Metrics | Self::Ready => None,
+            Self::GetCsv
+            | Self::GetEndpoints
+            | Self::GetHistory
+            | Self::GetInstances
+            | Self::GetKinds
+            | Self::GetRow(_)
+            | Self::GetStatus
+            | Self::GetTable => Some(Role::Read),
+            Self::DeleteRow(_) | Self::PostEdits | Self::PutCsv | Self::PutRow(_) => {
+                Some(Role::Edit)
+            }
+            Self::DeleteKey(_)
+            | Self::DeleteKind(_)
+            | Self::Drain
+            | Self::GetKeys
+            | Self::PostKey
+            | Self::PutKind(_) => Some(Role::Operate),
+        }
+    }
+
+    fn find_v1(method: &Method, segments: &[&str]) -> Result<Self, ProblemDocument> {
+        match segments {
+            ["drain"] => post(method, Self::Drain),
+            ["endpoints"] => get(method, Self::GetEndpoints),
+            ["instances"] => get(method, Self::GetInstances),
+            ["keys"] => match *method {
+                Method::GET => Ok(Self::GetKeys),
+                Method::POST => Ok(Self::PostKey),
+                _ => Err(ProblemDocument::method("GET, POST")),
+            },
+            ["keys", holder @ ("customers" | "operators"), hash] => match *method {
+                Method::DELETE => Ok(Self::DeleteKey(key_target(holder, hash)?)),
+                _ => Err(ProblemDocument::method("DELETE")),
+            },
+            ["kinds"] => get(method, Self::GetKinds),
+            ["kinds", kind] => match *method {
+                Method::DELETE => Ok(Self::DeleteKind(kind_name(kind)?)),
+                Method::PUT => Ok(Self::PutKind(kind_name(kind)?)),
+                _ => Err(ProblemDocument::method("PUT, DELETE")),
+            },
+            ["status"] => get(method, Self::GetStatus),
+            ["table"] => get(method, Self::GetTable),
+            ["table", "edits"] => post(method, Self::PostEdits),
+            ["table", "history"] => get(method, Self::GetHistory),
+            ["table", "rows", customer, kind] => Self::find_row(method, customer, kind),
+            ["table.csv"] => match *method {
+                Method::GET => Ok(Self::GetCsv),
+                Method::PUT => Ok(Self::PutCsv),
+                _ => Err(ProblemDocument::method("GET, PUT")),
+            },
+            _ => Err(no_such_path()),
+        }
+    }
+
+    fn find_row(method: &Method, customer: &str, kind: &str) -> Result<Self, ProblemDocument> {
+        let customer = CustomerName::new(customer)
+            .map_err(|error| ProblemDocument::bad_request(format!("customer: {error}")))?;
+        let kind = kind_name(kind)?;
+        let key = RowKey { customer, kind };
+        match *method {
+            Method::DELETE => Ok(Self::DeleteRow(key)),
+            Method::GET => Ok(Self::GetRow(key)),
+            Method::PUT => Ok(Self::PutRow(key)),
+            _ => Err(ProblemDocument::method("GET, PUT, DELETE")),
+        }
+    }
+}
+
+/// Value of a query parameter, decoded; the first where it stands twice.
+pub(crate) fn query_value(query: &str, name: &str) -> Option<String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut values = pairs.filter(|(held, _)| *held == name);
+    decode(values.next()?.1)
+}
+
+/// Reads a SHA-256 in hexadecimal digits.
+pub(crate) fn key_hash(text: &str) -> Result<KeyHash, ProblemDocument> {
+    text.parse()
+        .map_err(|_| ProblemDocument::bad_request("a key's hash is 64 hexadecimal digits"))
+}
+
+/// Reads the name of a kind of work.
+pub(crate) fn kind_name(text: &str) -> Result<KindName, ProblemDocument> {
+    KindName::new(text).map_err(|error| ProblemDocument::bad_request(format!("kind: {error}")))
+}
+
+fn key_target(holder: &str, hash: &str) -> Result<Target, ProblemDocument> {
+    let hash = key_hash(hash)?;
+    Ok(match holder {
+        "customers" => Target::CustomerKey(hash),
+        _ => Target::OperatorKey(hash),
+    })
+}
+
+fn get(method: &Method, route: Route) -> Result<Route, ProblemDocument> {
+    match *method {
+        Method::GET => Ok(route),
+        _ => Err(ProblemDocument::method("GET")),
+    }
+}
+
+fn no_such_path() -> ProblemDocument {
+    ProblemDocument::not_found("no such path")
+}
+
+fn post(method: &Method, route: Route) -> Result<Route, ProblemDocument> {
+    match *method {
+        Method::POST => Ok(route),
+        _ => Err(ProblemDocument::method("POST")),
+    }
+}
--- /dev/null
+++ b/crates/admin/src/row_document.rs
@@ -0,0 +1,145 @@
+//! Rows as JSON, both ways.
+//!
+//! Reading goes through the same cells as a table file, so that both name the same problems.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+use table::{Cells, Column, Item, Problem, Reason, Revision, Row, RowKey, Target, Versioned};
+
+const SHOWN_CHARS_MAX: usize = 40;
+
+/// A row with its name and revision.
+#[derive(Debug, Serialize)]
+pub(crate) struct RowDocument {
+    customer: String,
+    kind: String,
+    revision: u64,
+    #[serde(flatten)]
+    row: Row,
+}
+
+impl RowDocument {
+    pub(crate) fn new(key: &RowKey, revision: Revision, row: &Row) -> Self {
+        Self {
+            customer: key.customer.to_string(),
+            kind: key.kind.to_string(),
+            revision: revision.0,
+            row: row.clone(),
+        }
+    }
+}
+
+/// Present state of an item that an edit expected otherwise.
+#[derive(Debug, Serialize)]
+pub(crate) struct CurrentDocument {
+    revision: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    row: Option<Row>,
+    target: String,
+}
+
+impl CurrentDocument {
+    pub(crate) fn new(current: Versioned) -> Self {
+        let row = match current.item {
+            Some(Item::Row(row)) => Some(row),
+            _ => None,
+        };
+        Self {
+            revision: current.revision.0,
+            row,
+            target: current.target.to_string(),
+        }
+    }
+}
+
+/// Kind and name of an item in the history.
+#[derive(Debug, Serialize)]
+pub(crate) struct TargetDocument {
+    name: String,
+    r#type: &'static str,
+}
+
+impl TargetDocument {
+    pub(crate) fn new(target: &Target) -> Self {
+        let (r#type, name) = match target {
+            Target::CustomerKey(hash) => ("customer-key", hash.to_string()),
+            Target::Kind(kind) => ("kind", kind.to_string()),
+            Target::OperatorKey(hash) => ("operator-key", hash.to_string()),
+            Target::Row(key) => ("row", key.to_string()),
+        };
+        Self { name, r#type }
+    }
+}
+
+/// Reads the fields of a row; `label` names it in problems.
+pub(crate) fn read_row(label: &str, fields: &Map<String, Value>) -> Result<Row, Vec<Problem>> {
+    let mut cells = Cells::new(label);
+    let mut problems = Vec::new();
+    for (name, value) in fields {
+        match name.as_str() {
+            // A row is sent back as it was read; its name and revision stand elsewhere.
+            "customer" | "kind" | "revision" => (),
+            "window" => read_window(label, value, &mut cells, &mut problems),
+            _ => read_field(label, name, value, &mut cells, &mut problems),
+        }
+    }
+    match cells.parse_row() {
+        Ok(row) if problems.is_empty() => Ok(row),
+        row => {
+            problems.extend(row.err().unwrap_or_default());
+            Err(problems)
+        }
+    }
+}
+
+fn cell_text(value: &Value) -> Option<String> {
+    match value {
+        Value::Array(items) => {
+            let names: Option<Vec<&str>> = items.iter().map(Value::as_str).collect();
+            names.map(|names| names.join("|"))
+        }
+        Value::Null => Some(String::new()),
+        Value::Number(number) => Some(number.to_string()),
+        Value::String(text) => Some(text.clone()),
+        Value::Bool(_) | Value::Object(_) => None,
+    }
+}
+
+fn read_field(
+    label: &str,
+    name: &str,
+    value: &Value,
+    cells: &mut Cells,
+    problems: &mut Vec<Problem>,
+) {
+    let column = Column::CSV.into_iter().find(|column| column.name() == name);
+    let is_list = value.is_array();
+    let fits = |column: &Column| !is_list || *column == Column::Models;
+    match (column.filter(fits), cell_text(value)) {
+        (Some(column), Some(text)) => cells.set(column, &text),
+        _ => problems.push(Problem {
+            column: column.unwrap_or(Column::Changes),
+            reason: Reason::UnknownField {
+                field: name.chars().take(SHOWN_CHARS_MAX).collect(),
+            },
+            row: label.to_owned(),
+        }),
+    }
+}
+
+fn read_window(label: &str, value: &Value, cells: &mut Cells, problems: &mut Vec<Problem>) {
+    match value {
+        Value::Null => (),
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                let name = format!("window_{name}");
+                read_field(label, &name, value, cells, problems);
+            }
+        }
+        _ => problems.push(Problem {
+            column: Column::WindowStart,
+            reason: Reason::Mismatch,
+            row: label.to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/admin/tests/common/mod.rs
@@ -0,0 +1,276 @@
+//! An interface over a table in memory, for tests.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use admin::{
+    Admin, Backend, BackendError, EndpointStatus, InstanceStatus, MetricsSource, Operator,
+    Readiness, Status, TableVisitor,
+};
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request};
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use names::LogIndex;
+use serde_json::Value;
+use slog::{Discard, Logger, o};
+use table::{
+    Change, Edit, EditId, EditOutcome, Item, KeyHash, OperatorKey, OperatorName, Revised, Revision,
+    Role, Table, Target,
+};
+
+/// Backend over a table in memory, with faults to switch on.
+#[derive(Default)]
+pub struct MemoryBackend {
+    pub draining: AtomicBool,
+    /// Number of edits whose answer is lost after they took effect.
+    pub lost_answers: AtomicU64,
+    pub never_in_force: AtomicBool,
+    pub table: Mutex<(Table, u64)>,
+}
+
+impl MemoryBackend {
+    pub fn apply(&self, edit: &Edit) -> EditOutcome {
+        let mut guard = self.table.lock().unwrap();
+        let (table, index) = &mut *guard;
+        *index += 1;
+        table.apply(LogIndex(*index), *index, edit)
+    }
+}
+
+#[async_trait]
+impl Backend for MemoryBackend {
+    async fn answer(&self, edit: &Edit) -> Result<Option<EditOutcome>, BackendError> {
+        Ok(self.table.lock().unwrap().0.answer(edit))
+    }
+
+    async fn authorise(&self, key: Option<&str>) -> Option<Operator> {
+        let guard = self.table.lock().unwrap();
+        let key = guard.0.items().operator(key?)?;
+        Some(Operator {
+            name: key.operator.clone(),
+            role: key.role,
+        })
+    }
+
+    async fn drain(&self) -> Result<(), BackendError> {
+        self.draining.store(true, Ordering::SeqCst);
+        Ok(())
+    }
+
+    async fn edit(&self, edit: Edit) -> Result<EditOutcome, BackendError> {
+        let (answer, problems) = {
+            let guard = self.table.lock().unwrap();
+            (guard.0.answer(&edit), guard.0.check(&edit))
+        };
+        if let Some(first) = answer {
+            return Ok(first);
+        }
+        if !problems.is_empty() {
+            return Ok(EditOutcome::Invalid { problems });
+        }
+        let outcome = self.apply(&edit);
+        let lose = |left: u64| left.checked_sub(1);
+        let is_lost = self
+            .lost_answers
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, lose)
+            .is_ok();
+        if is_lost {
+            let reason = "the leader changed".to_owned();
+            return Err(BackendError::Unknown { reason });
+        }
+        Ok(outcome)
+    }
+
+    async fn endpoints(&self) -> Result<Vec<EndpointStatus>, BackendError> {
+        Ok(vec![EndpointStatus {
+            address: "192.0.2.7:9000".to_owned(),
+            data_centre: "пловдив".to_owned(),
+            heard_ms_ago: 40,
+            memory_tokens: 90_000,
+            memory_used_tokens: 1_200,
+            name: "engine-7".to_owned(),
+            offer: "forge-7b 3".to_owned(),
+            owner: "entry-1".to_owned(),
+            region: "bg".to_owned(),
+            running: 3,
+            state: "ready".to_owned(),
+            waiting: 0,
+        }])
+    }
+
+    async fn history(&self, before: Revision, limit: usize) -> Result<Vec<Revised>, BackendError> {
+        let guard = self.table.lock().unwrap();
+        let edits = guard.0.history().filter(|edit| edit.revision < before);
+        Ok(edits.take(limit).cloned().collect())
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceStatus>, BackendError> {
+        let reason = "no quorum".to_owned();
+        Err(BackendError::Unavailable {
+            reason,
+            retry_after_ms: 1_200,
+        })
+    }
+
+    fn readiness(&self) -> Readiness {
+        if self.draining.load(Ordering::SeqCst) {
+            let reason = "draining".to_owned();
+            return Readiness::NotReady { reason };
+        }
+        Readiness::Ready
+    }
+
+    async fn status(&self) -> Result<Status, BackendError> {
+        Ok(Status {
+            draining: self.draining.load(Ordering::SeqCst),
+            in_force_revision: 1,
+            instance: "entry-1".to_owned(),
+            leader: None,
+            queued_requests: 0,
+            ready: true,
+            ready_reason: None,
+            revision: 1,
+            running_requests: 2,
+            term: 4,
+            version: "0.1.0".to_owned(),
+        })
+    }
+
+    async fn visit_table(&self, visitor: &mut dyn TableVisitor) -> Result<(), BackendError> {
+        let guard = self.table.lock().unwrap();
+        visitor.visit(guard.0.items(), guard.0.revision());
+        Ok(())
+    }
+
+    async fn wait_in_force(&self, _: Revision) -> Result<(), BackendError> {
+        if self.never_in_force.load(Ordering::SeqCst) {
+            let reason = "an instance is silent".to_owned();
+            return Err(BackendError::Unknown { reason });
+        }
+        Ok(())
+    }
+}
+
+pub struct NoMetrics;
+
+impl MetricsSource for NoMetrics {
+    fn text(&self) -> String {
+        "requests_total 3\n".to_owned()
+    }
+}
+
+/// An interface with a client and one key for each role.
+pub struct Bench {
+    pub admin: Admin,
+    pub backend: Arc<MemoryBackend>,
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+}
+
+pub struct Answer {
+    pub body: String,
+    pub headers: HeaderMap,
+    pub status: u16,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers[name].to_str().unwrap()
+    }
+}
+
+impl Bench {
+    /// Revision 1 holds the kinds `advice` and `съвет`, and the keys `read`, `edit` and `operate`.
+    pub async fn new() -> Self {
+        let backend = Arc::new(MemoryBackend::default());
+        let keys = [Role::Read, Role::Edit, Role::Operate].map(|role| {
+            let name = format!("{role:?}").to_lowercase();
+            let operator = OperatorName::new(&name).unwrap();
+            let item = Item::OperatorKey(OperatorKey { operator, role });
+            (Target::OperatorKey(KeyHash::of(&name)), item)
+        });
+        let kinds =
+            ["advice", "съвет"].map(|kind| (Target::Kind(kind.parse().unwrap()), Item::Kind));
+        let changes = keys.into_iter().chain(kinds).map(|(target, item)| Change {
+            expected_revision: Revision::ABSENT,
+            item: Some(item),
+            target,
+        });
+        let outcome = backend.apply(&Edit {
+            author: OperatorName::new("setup").unwrap(),
+            changes: changes.collect(),
+            edit_id: EditId::new("setup").unwrap(),
+            source: None,
+        });
+        assert!(matches!(outcome, EditOutcome::Accepted { .. }));
+        let log = Logger::root(Discard, o!());
+        let admin = Admin::bind(
+            "127.0.0.1:0".parse().unwrap(),
+            Arc::clone(&backend) as Arc<dyn Backend>,
+            Arc::new(NoMetrics),
+            &log,
+        );
+        Self {
+            admin: admin.await.unwrap(),
+            backend,
+            http: HttpClient::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Calls with a key and headers given as `name: value`.
+    pub async fn call(
+        &self,
+        call: &str,
+        key: &str,
+        headers: &[&str],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let (method, path) = call.split_once(' ').unwrap();
+        let uri = format!("http://{}{path}", self.admin.address());
+        let mut request = Request::builder().method(method).uri(uri);
+        if !key.is_empty() {
+            request = request.header("authorization", format!("Bearer {key}"));
+        }
+        for header in headers {
+            let (name, value) = header.split_once(": ").unwrap();
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(body.into())).unwrap();
+        let (parts, body) = self.http.request(request).await.unwrap().into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        Answer {
+            body: String::from_utf8(body.to_vec()).unwrap(),
+            headers: parts.headers,
+            status: parts.status.as_u16(),
+        }
+    }
+
+    pub async fn get(&self, path: &str) -> Answer {
+        self.call(&format!("GET {path}"), "read", &[], "").await
+    }
+
+    pub async fn put_row(&self, path: &str, id: &str, condition: &str, weight: i64) -> Answer {
+        let id = format!("gentiancleat-edit-id: {id}");
+        let call = format!("PUT /v1/table/rows/{path}");
+        self.call(&call, "edit", &[&id, condition], row(weight))
+            .await
+    }
+}
+
+pub const NEW: &str = "if-none-match: *";
+
+pub fn row(weight: i64) -> String {
+    format!(
+        r#"{{"weight":{weight},"priority":0,"running_max":4,"tokens_per_second_max":null,
+        "queued_max":10,"queueing_ms_max":5000,"urgent_share_percent":25,"models":["forge-7b"],
+        "window":{{"start":"08:00","end":"11:30","time_zone":"Europe/Sofia","weight":9,"priority":1}}}}"#
+    )
+}
--- a/crates/table/src/error.rs
+++ b/crates/table/src/error.rs
@@ -17,6 +17,9 @@
         /// The refused id, shortened.
         id: String,
     },
+    /// The hash of a key is not SHA-256 in hexadecimal digits.
+    #[error("the hash of a key is 64 hexadecimal digits")]
+    KeyHash,
     /// A time of day is not `HH:MM`.
     #[error("time `{text}` must be HH:MM, from 00:00 to 23:59", text = text.escape_debug())]
     LocalTime {
--- a/crates/table/src/key.rs
+++ b/crates/table/src/key.rs
@@ -1,11 +1,12 @@
 use std::fmt::{self, Debug, Display, Formatter};
+use std::str::FromStr;
 
 use names::CustomerName;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
-use crate::OperatorName;
+use crate::{Error, OperatorName};
 
 /// Key of a customer, stored as its hash.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
@@ -42,6 +43,22 @@
     }
 }
 
+impl FromStr for KeyHash {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let digits = text.as_bytes();
+        let mut hash = [0; 32];
+        if digits.len() != 2 * hash.len() {
+            return Err(Error::KeyHash);
+        }
+        for (byte, pair) in hash.iter_mut().zip(digits.chunks_exact(2)) {
+            *byte = hex_digit(pair[0])? * 16 + hex_digit(pair[1])?;
+        }
+        Ok(Self(hash))
+    }
+}
+
 /// Key of an operator, stored as its hash.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OperatorKey {
@@ -62,3 +79,8 @@
     /// Change kinds and keys, drain instances.
     Operate,
 }
+
+fn hex_digit(byte: u8) -> Result<u8, Error> {
+    let digit = char::from(byte).to_digit(16).ok_or(Error::KeyHash)?;
+    Ok(u8::try_from(digit).expect("a hexadecimal digit is below 16"))
+}
