Measure dispatch policies side by side on one load

The experiment drives the real decision core and the engine models from one event queue, with the same requests for every policy.

--- a/crates/fakes/src/bin/fake-engine.rs
+++ b/crates/fakes/src/bin/fake-engine.rs
@@ -36,9 +36,9 @@
     median_tokens: u32,
     #[options(no_short, help = "length of all generations")]
     fixed_tokens: Option<u32>,
-    #[options(no_short, help = "memory for keys and values", default = "65536")]
+    #[options(no_short, help = "memory for keys and values", default = "131072")]
     memory_tokens: u64,
-    #[options(no_short, help = "most sequences at once", default = "96")]
+    #[options(no_short, help = "most sequences at once", default = "128")]
     sequences_max: u32,
     #[options(no_short, help = "divides all times of the engine", default = "1")]
     speed: f64,
--- a/crates/fakes/src/engine/settings.rs
+++ b/crates/fakes/src/engine/settings.rs
@@ -1,5 +1,6 @@
 /// Size and speed of an engine.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
     /// Time that each step takes before any work.
     pub base_step_us: f64,
@@ -26,11 +27,11 @@
         Self {
             base_step_us: 12_000.0,
             block_tokens: 16,
-            memory_tokens: 65_536,
+            memory_tokens: 131_072,
             prefill_token_us: 20.0,
             resident_token_us: 0.06,
             sequence_us: 200.0,
-            sequences_max: 96,
+            sequences_max: 128,
             step_tokens_max: 512,
             waiting_max: 100_000,
         }
--- /dev/null
+++ b/crates/fakes/src/experiment/mod.rs
@@ -0,0 +1,24 @@
+//! Measures dispatch policies side by side on the same load.
+//!
+//! One event queue drives the real decision core, models of the engines, and callers drawn from a
+//! load file. Nothing depends on the clock of the machine: a load, a scenario and a seed give the
+//! same figures each time. Definitions of the figures are in `docs/EXPERIMENTS.md`.
+
+mod capacity;
+mod draw;
+mod engines;
+mod load_file;
+mod metrics;
+mod queue;
+mod report;
+mod scenario;
+mod simulation;
+mod summary;
+mod workload;
+
+pub use capacity::Capacity;
+pub use load_file::LoadFile;
+pub use report::Report;
+pub use scenario::{Fault, Scenario};
+pub use simulation::run;
+pub use summary::Summary;
