--- a/crates/entry/src/core/call.rs
+++ b/crates/entry/src/core/call.rs
@@ -49,6 +49,8 @@
 /// State machine of one generation call.
 #[derive(Debug)]
 pub struct Call {
+    /// Why the last attempt failed.
+    cause: Cause,
     deadline_us: u64,
     /// Tokens that reached the caller.
     delivered: u32,
@@ -63,7 +65,7 @@
 #[derive(Debug)]
 enum State {
     /// Waits for the budgets' answer.
-    Asking(Cause),
+    Asking,
     Over,
     /// Waits before it asks for another permit.
     Pausing {
@@ -102,7 +104,7 @@
             | Event::Opened { generation }
             | Event::Rejected { generation, .. }
             | Event::Status { generation, .. } => {
-                if self.runs(generation) {
+                if self.has_link(generation) {
                     self.link_event(now_us, event, actions);
                 }
             }
@@ -123,6 +125,7 @@
         random.jump();
         actions.push(Action::Acquire);
         Self {
+            cause: Cause::LinkFailed,
             deadline_us,
             delivered: 0,
             mode,
@@ -137,7 +140,7 @@
     #[must_use]
     pub fn wake_us(&self) -> u64 {
         let wake_us = match &self.state {
-            State::Asking(_) | State::Queued => self.deadline_us,
+            State::Asking | State::Queued => self.deadline_us,
             State::Over => u64::MAX,
             State::Pausing { until_us } => *until_us,
             State::Running(run) => run.wake_us(),
@@ -154,20 +157,20 @@
     }
 
     fn budget_denied(&mut self, retry_after_ms: u64, actions: &mut Vec<Action>) {
-        let State::Asking(cause) = self.state else {
+        if !matches!(self.state, State::Asking) {
             return;
-        };
+        }
         if self.outcome == Outcome::NotRun {
             self.refuse(RefusalReason::RetryBudget, retry_after_ms, actions);
         } else {
-            self.fail(cause, retry_after_ms, actions);
+            self.fail(self.cause, retry_after_ms, actions);
         }
     }
 
     fn budget_granted(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let State::Asking(cause) = self.state else {
+        if !matches!(self.state, State::Asking) {
             return;
-        };
+        }
         let first = self.restarts.attempt() == 0;
         let delay_us = self.restarts.delay_us();
         if first {
@@ -176,16 +179,18 @@
             return;
         }
         let until_us = now_us + delay_us;
-        if until_us >= self.deadline_us {
-            self.fail(cause, RETRY_AFTER_MS, actions);
-            return;
+        if until_us < self.deadline_us {
+            self.state = State::Pausing { until_us };
+        } else if self.outcome == Outcome::NotRun {
+            self.refuse(RefusalReason::WaitedTooLong, RETRY_AFTER_MS, actions);
+        } else {
+            self.fail(self.cause, RETRY_AFTER_MS, actions);
         }
-        self.state = State::Pausing { until_us };
     }
 
     fn caller_gone(&mut self, actions: &mut Vec<Action>) {
         if let State::Running(run) = &self.state {
-            stop(run, End::Cancelled, actions);
+            stop(run, Outcome::Ran, End::Cancelled, actions);
         }
         self.state = State::Over;
     }
@@ -201,6 +206,9 @@
         let Some(run) = self.run_of(generation) else {
             return;
         };
+        if run.link != Link::Open {
+            return;
+        }
         if tokens != run.received {
             self.link_lost(now_us, FailurePoint::Body, Cause::Malformed, actions);
             return;
@@ -239,7 +247,8 @@
         let State::Running(run) = &self.state else {
             return;
         };
-        stop(run, end, actions);
+        stop(run, outcome, end, actions);
+        self.cause = cause;
         self.outcome = self.outcome.max(outcome);
         if self.delivered > 0 {
             self.fail(cause, RETRY_AFTER_MS, actions);
@@ -247,7 +256,7 @@
         }
         actions.push(Action::Discard);
         actions.push(Action::AskBudget);
-        self.state = State::Asking(cause);
+        self.state = State::Asking;
     }
 
     fn granted(
@@ -265,6 +274,12 @@
         actions.push(Action::Start { generation });
     }
 
+    /// Whether a link to the generation is open or being opened.
+    fn has_link(&self, generation: GenerationId) -> bool {
+        self.run_of(generation)
+            .is_some_and(|run| !matches!(run.link, Link::Closed { .. }))
+    }
+
     /// Takes an event of the link to the running generation.
     fn link_event(&mut self, now_us: u64, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -337,7 +352,8 @@
             tokens: 0,
         });
         actions.push(Action::AskBudget);
-        self.state = State::Asking(Cause::Rejected);
+        self.cause = Cause::Rejected;
+        self.state = State::Asking;
     }
 
     fn number_in_use(&mut self, now_us: u64, actions: &mut Vec<Action>) {
@@ -356,7 +372,8 @@
         });
         self.outcome = self.outcome.max(Outcome::Unknown);
         actions.push(Action::AskBudget);
-        self.state = State::Asking(Cause::Rejected);
+        self.cause = Cause::Rejected;
+        self.state = State::Asking;
     }
 
     fn opened(&mut self, now_us: u64) {
@@ -386,7 +403,7 @@
         if self.outcome == Outcome::NotRun {
             self.refuse(refusal.reason, refusal.retry_after_ms, actions);
         } else {
-            self.fail(Cause::GenerationLost, refusal.retry_after_ms, actions);
+            self.fail(self.cause, refusal.retry_after_ms, actions);
         }
     }
 
@@ -402,7 +419,7 @@
             self.generation_lost(Outcome::Unknown, Cause::Rejected, End::Failed, actions);
             return;
         }
-        stop(run, End::Failed, actions);
+        stop(run, Outcome::Unknown, End::Failed, actions);
         self.outcome = self.outcome.max(Outcome::Unknown);
         self.fail(Cause::Rejected, RETRY_AFTER_MS, actions);
     }
@@ -414,10 +431,9 @@
         if run.received > 0 {
             return;
         }
-        self.outcome = self
-            .outcome
-            .max(Self::attempt_outcome(run, FailurePoint::Written));
-        stop(run, End::Cancelled, actions);
+        let outcome = Self::attempt_outcome(run, FailurePoint::Written);
+        stop(run, outcome, End::Cancelled, actions);
+        self.outcome = self.outcome.max(outcome);
         actions.push(Action::Acquire);
         self.state = State::Queued;
     }
@@ -429,17 +445,13 @@
         }
     }
 
-    fn runs(&self, generation: GenerationId) -> bool {
-        self.run_of(generation).is_some()
-    }
-
     fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         if now_us >= self.deadline_us {
             self.time_out(actions);
             return;
         }
         match &mut self.state {
-            State::Asking(_) | State::Over | State::Queued => {}
+            State::Asking | State::Over | State::Queued => {}
             State::Pausing { until_us } => {
                 if now_us >= *until_us {
                     self.state = State::Queued;
@@ -469,9 +481,9 @@
             State::Running(run) => {
                 let outcome = Self::attempt_outcome(run, FailurePoint::Written);
                 self.outcome = self.outcome.max(outcome);
-                stop(run, End::Cancelled, actions);
+                stop(run, outcome, End::Cancelled, actions);
             }
-            State::Asking(_) | State::Pausing { .. } | State::Queued => {}
+            State::Asking | State::Pausing { .. } | State::Queued => {}
         }
         if self.outcome == Outcome::NotRun {
             self.refuse(RefusalReason::WaitedTooLong, RETRY_AFTER_MS, actions);
@@ -512,11 +524,13 @@
 }
 
 /// Stops a generation on its engine and ends its permit.
-fn stop(run: &Run, end: End, actions: &mut Vec<Action>) {
+fn stop(run: &Run, outcome: Outcome, end: End, actions: &mut Vec<Action>) {
     actions.push(Action::DropLink);
-    actions.push(Action::Cancel {
-        generation: run.generation,
-    });
+    if outcome != Outcome::NotRun {
+        actions.push(Action::Cancel {
+            generation: run.generation,
+        });
+    }
     actions.push(Action::Release {
         end,
         tokens: run.received,
