Test late tokens of a closed link and the bound on resumes

Change: the bench also sends tokens of the running generation while its link is closed; a test counts resumes.

--- a/crates/entry/tests/call.rs
+++ b/crates/entry/tests/call.rs
@@ -277,7 +277,7 @@
         self.event(match step.detail {
             200..220 => Event::Rejected {
                 generation,
-                status: if step.detail % 2 == 0 { 400 } else { 502 },
+                status: if step.detail < 215 { 400 } else { 502 },
             },
             220..230 => Event::Lost { generation },
             230..240 => Event::Malformed { generation },
@@ -311,10 +311,15 @@
             _ => self.started.wrapping_sub(1),
         });
         let index = u32::from(step.detail) % 4;
+        let late = if self.waits_for == Waits::Stream {
+            generation
+        } else {
+            self.current()
+        };
         self.event(match step.choice {
             9 => Event::Ended {
                 end: GenerationEnd::Stop,
-                generation,
+                generation: late,
                 tokens: before,
             },
             10 => Event::LinkFailed {
@@ -324,7 +329,14 @@
             11 => Event::Opened { generation },
             12 => Event::NotRun { generation },
             13 => Event::Lost { generation },
-            _ => Event::Token { generation, index },
+            _ => Event::Token {
+                generation: late,
+                index: if step.detail < 128 {
+                    self.received
+                } else {
+                    index
+                },
+            },
         });
         assert_eq!(
             self.delivery.delivered_tokens(),
@@ -410,6 +422,7 @@
     bench
 }
 
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck hands values")]
 fn promises_hold(is_stream: bool, seed: u64, steps: Vec<Step>) -> bool {
     let mode = if is_stream { Mode::Stream } else { Mode::Whole };
     let bench = play(mode, seed, &steps);
@@ -567,6 +580,24 @@
     assert_eq!(actions, [Action::DropLink]);
 }
 
+#[test]
+fn resumes_that_bring_no_token_are_bounded() {
+    let mut bench = streaming(Mode::Stream, 0..2);
+    let generation = bench.current();
+    let point = FailurePoint::Connect;
+    let mut resumes = 0;
+    loop {
+        let actions = answer(&mut bench, Event::LinkFailed { generation, point });
+        if let Some(Action::Fail(failure)) = actions.last() {
+            assert_eq!(failure.outcome, Outcome::Ran);
+            break;
+        }
+        bench.now_us = bench.call.wake_us();
+        resumes += answer(&mut bench, Event::Tick).len();
+    }
+    assert_eq!(resumes, 6);
+}
+
 #[test]
 fn a_wait_that_would_pass_the_deadline_ends_the_call_at_once() {
     let mut bench = streaming(Mode::Stream, 0..2);
