--- a/crates/entry/src/http/body.rs
+++ b/crates/entry/src/http/body.rs
@@ -35,6 +35,7 @@
 /// Answer that is fed through a bounded channel.
 pub(crate) struct StreamBody {
     delivery: Delivery,
+    is_cut: bool,
     is_whole: bool,
     pieces: Receiver<Piece>,
 }
@@ -43,6 +44,7 @@
     pub(crate) fn new(pieces: Receiver<Piece>) -> Self {
         Self {
             delivery: Delivery::default(),
+            is_cut: false,
             is_whole: false,
             pieces,
         }
@@ -53,7 +55,13 @@
             return Poll::Ready(None);
         }
         match ready!(self.pieces.poll_recv(cx)) {
-            None => Poll::Ready(Some(Err(CutOff))),
+            None if self.is_cut => Poll::Ready(Some(Err(CutOff))),
+            None => {
+                // The connection sends what it holds before it sees the cut.
+                self.is_cut = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
             Some(Piece::Data { bytes, run }) => {
                 if let Some(run) = run {
                     self.delivery.deliver(run);
--- a/crates/entry/src/http/generation.rs
+++ b/crates/entry/src/http/generation.rs
@@ -21,7 +21,7 @@
 use super::problem::Problem;
 use super::shared::{Running, Shared};
 use crate::border::{End, Permit, PermitRequest, Refusal};
-use crate::core::{Action, Call, Event, Failure, FailurePoint, Mode, Status};
+use crate::core::{Action, Call, Event, Failure, FailurePoint, GenerationEnd, Mode, Status};
 
 /// When a request may be repeated whose budget of retries is spent.
 const BUDGET_RETRY_AFTER_MS: u64 = 2_000;
@@ -344,6 +344,16 @@
         });
     }
 
+    /// Whether the call drops a link for what came over it.
+    fn is_link_faulty(&self, event: &Event) -> bool {
+        let is_end = match event {
+            Event::Ended { end, .. } => *end == GenerationEnd::Cancelled,
+            _ => false,
+        };
+        let is_complete = matches!(self.actions.last(), Some(Action::Complete { .. }));
+        self.actions.contains(&Action::DropLink) && !is_end && !is_complete
+    }
+
     /// Takes the events of a piece, and hands the caller what follows.
     async fn take_piece(&mut self, piece: &Bytes) {
         let Waiting::Link(mut link) = mem::replace(&mut self.waiting, Waiting::Nothing) else {
@@ -400,9 +410,6 @@
                 }
             }
         };
-        if matches!(event_of_call, Event::Malformed { .. }) {
-            self.generation.measures.observer().connection_dropped();
-        }
         self.call.handle(now_us, event_of_call, &mut self.actions);
         if let (Some(Action::Deliver { generation, index }), EngineEvent::Token { text, .. }) =
             (self.actions.last(), event)
@@ -412,6 +419,9 @@
             self.received = index + 1;
             self.actions.pop();
         }
+        if self.is_link_faulty(&event_of_call) {
+            self.generation.measures.observer().connection_dropped();
+        }
         self.actions.is_empty()
     }
 }
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service.rs
@@ -28,7 +28,7 @@
     StoredHeader,
 };
 use crate::core::{
-    ClaimState, Failure, FailurePoint, Repeat, ServiceAction, ServiceCall, ServiceEvent,
+    ClaimState, Failure, FailurePoint, Outcome, Repeat, ServiceAction, ServiceCall, ServiceEvent,
 };
 
 /// When a call may be repeated that another request runs, or whose budget of retries is spent.
@@ -458,7 +458,6 @@
 }
 
 fn conflict(claim: ClaimState) -> Problem {
-    use crate::core::Outcome;
     match claim {
         ClaimState::InProgress => Problem::bad(
             StatusCode::CONFLICT,
@@ -514,7 +513,15 @@
 }
 
 fn replayed(stored: StoredAnswer) -> Response<AnswerBody> {
-    let body = stored.body.unwrap_or_default();
+    let Some(body) = stored.body else {
+        let detail = format!(
+            "the call ran and answered with status {}; its answer was too large to be stored",
+            stored.status
+        );
+        return Problem::bad(StatusCode::CONFLICT, "answer-not-stored", detail)
+            .with_outcome(Outcome::Ran)
+            .response();
+    };
     let mut response = Response::new(AnswerBody::Whole(Full::new(body)));
     *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     for header in stored.headers {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Small fakes of everything around an entry, on ports that the kernel gives.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod caller;
 mod endpoint;
