--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -26,6 +26,8 @@
 /// Running entry; stops at once when dropped.
 pub struct Entry {
     address: SocketAddr,
+    /// Cancelled once every connection is closed.
+    closed: CancellationToken,
     listener: JoinHandle<()>,
     shared: Arc<Shared>,
     stop: CancellationToken,
@@ -59,9 +61,16 @@
         info!(settings.log, "entry listens"; "address" => %address);
         let shared = Arc::new(Shared::new(settings, border));
         let stop = CancellationToken::new();
+        let closed = CancellationToken::new();
+        let closing = closed.clone().drop_guard();
         let accepting = accept(listener, Arc::clone(&shared), stop.clone());
+        let accepting = async move {
+            accepting.await;
+            drop(closing);
+        };
         Ok(Self {
             address,
+            closed,
             listener: tokio::spawn(accepting),
             shared,
             stop,
@@ -70,13 +79,15 @@
 
     /// Refuses new requests, lets every running request end, then stops listening.
     ///
-    /// New requests are answered `not-run` until then. Waits for as long as requests run.
+    /// New requests are answered `not-run` until then. Waits for as long as requests run and until
+    /// their callers have the last byte.
     pub async fn drain(&self) {
         self.begin_drain();
         let mut running = self.shared.running();
         // The sender lives in `shared`, so waiting cannot fail.
         drop(running.wait_for(|&count| count == 0).await);
         self.stop.cancel();
+        self.closed.cancelled().await;
         self.shared.background.close();
         self.shared.background.wait().await;
     }
--- a/crates/entry/tests/support/caller.rs
+++ b/crates/entry/tests/support/caller.rs
@@ -84,6 +84,12 @@
         String::from_utf8_lossy(&bytes).into_owned()
     }
 
+    /// Reads until the entry closes; the bytes read.
+    pub async fn drop_rest(&mut self) -> usize {
+        let mut rest = Vec::new();
+        self.stream.read_to_end(&mut rest).await.unwrap()
+    }
+
     /// Reads one answer.
     pub async fn answer(&mut self) -> Answer {
         let mut bytes = Vec::new();
