Let replicas outside the membership introduce themselves

Change: any replica that is no voter in its log and hears from no leader introduces itself, as an outsider that does not count for founding. Ruled out: keeping the join alive in the leader; a new leader cannot know it.

--- a/crates/agreement/examples/soak.rs
+++ b/crates/agreement/examples/soak.rs
@@ -26,6 +26,7 @@
     let summary = (first_seed..first_seed + runs)
         .map(|seed| {
             let voters = if seed % 3 == 0 { 5 } else { 3 };
+            eprintln!("seed={seed} voters={voters}");
             run(seed, voters, RUN_STEPS)
         })
         .reduce(simulation::Summary::plus);
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -44,7 +44,7 @@
 pub use membership::{Learner, Membership, MembershipChange};
 pub use message::{
     Append, AppendAnswer, AppendResult, Envelope, GroupId, Message, SnapshotAnswer, SnapshotChunk,
-    VoteAnswer, VoteRequest,
+    Standing, VoteAnswer, VoteRequest,
 };
 pub use output::{Output, Synced, Write};
 pub use replica::{Recovered, Replica};
--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -178,7 +178,9 @@
     }
 
     /// Replaces the log by a snapshot; keeps the entries behind it that extend the same log.
-    pub(crate) fn reset(&mut self, snapshot: Arc<Snapshot>) {
+    ///
+    /// Returns whether the whole log was discarded.
+    pub(crate) fn reset(&mut self, snapshot: Arc<Snapshot>) -> bool {
         let keeps_rest = self.term_at(snapshot.index) == Some(snapshot.term);
         let rest = if keeps_rest && snapshot.index < self.last_index() {
             self.entries_between(LogIndex(snapshot.index.0 + 1), self.last_index())
@@ -199,6 +201,7 @@
             self.push(entry);
         }
         self.synced = synced.min(self.last_index()).max(self.base_index);
+        !keeps_rest
     }
 
     /// Membership in force at a position of the log.
--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -40,10 +40,7 @@
     /// Answer to an append or to the last chunk of a snapshot.
     AppendAnswer(AppendAnswer),
     /// Introduces a replica to instances that may not know its storage.
-    Hello {
-        /// Whether the sender holds no log and no membership.
-        blank: bool,
-    },
+    Hello(Standing),
     /// Part of a snapshot.
     SnapshotChunk(SnapshotChunk),
     /// Answer to a chunk that was not the last.
@@ -56,6 +53,17 @@
     VoteRequest(VoteRequest),
 }
 
+/// What a replica that introduces itself knows of the group.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Standing {
+    /// Holds no log and no membership.
+    Blank,
+    /// Holds a log, is no voter in it, and hears from no leader.
+    Outsider,
+    /// Holds a log; only an answer to another introduction.
+    Settled,
+}
+
 /// Entries that follow a position of the leader's log.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Append {
--- a/crates/agreement/src/output.rs
+++ b/crates/agreement/src/output.rs
@@ -51,6 +51,8 @@
 /// `Synced`, which only a write turns into.
 #[derive(Debug)]
 pub struct Write {
+    /// Whether the snapshot replaces every entry so far, not only those up to its position.
+    pub discards_log: bool,
     /// Entries that replace everything from the first one's position on.
     pub entries: Vec<Entry>,
     /// New hard state.
--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -38,6 +38,7 @@
 /// Effects of the input that is being handled.
 #[derive(Debug, Default)]
 struct Draft {
+    discards_log: bool,
     first_entry: Option<LogIndex>,
     hard_state: bool,
     held: Vec<Envelope>,
@@ -170,13 +171,13 @@
             self.on_leader_tick();
             return;
         }
-        if self.is_blank() {
-            self.on_blank_tick();
+        if self.clock.now_ms() < self.election_deadline_ms && !self.is_blank() {
             return;
         }
-        let is_voter = self.log.membership().is_voter(&self.settings.member);
-        if is_voter && self.clock.now_ms() >= self.election_deadline_ms {
+        if self.log.membership().is_voter(&self.settings.member) {
             self.start_pre_vote();
+        } else {
+            self.introduce();
         }
     }
 
@@ -184,8 +185,8 @@
         if !self.is_for_this(&envelope) {
             return;
         }
-        if let Message::Hello { blank } = envelope.message {
-            self.on_hello(envelope.from, blank);
+        if let Message::Hello(standing) = envelope.message {
+            self.on_hello(envelope.from, standing);
             return;
         }
         if envelope.term > self.hard_state.term && !envelope.message.is_pre_vote() {
@@ -208,7 +209,7 @@
         match message {
             Message::Append(append) => self.on_append(from, append),
             Message::AppendAnswer(answer) => self.on_append_answer(&from, &answer),
-            Message::Hello { .. } => unreachable!("handled before the term is looked at"),
+            Message::Hello(_) => unreachable!("handled before the term is looked at"),
             Message::SnapshotAnswer(answer) => self.on_snapshot_answer(&from, &answer),
             Message::SnapshotChunk(chunk) => self.on_snapshot_chunk(&from, chunk),
             Message::StartElection => self.on_start_election(&from),
--- a/crates/agreement/src/replica/delivery.rs
+++ b/crates/agreement/src/replica/delivery.rs
@@ -76,6 +76,7 @@
             });
         let hard_state = std::mem::take(&mut self.draft.hard_state);
         Write {
+            discards_log: std::mem::take(&mut self.draft.discards_log),
             entries,
             hard_state: hard_state.then(|| self.hard_state.clone()),
             sequence: self.writes.next_sequence(),
--- a/crates/agreement/src/replica/founding.rs
+++ b/crates/agreement/src/replica/founding.rs
@@ -1,7 +1,9 @@
 use names::InstanceName;
 
 use super::Replica;
-use crate::{Entry, Envelope, HardState, Member, Membership, Message, Output, Payload, Term};
+use crate::{
+    Entry, Envelope, HardState, Member, Membership, Message, Output, Payload, Standing, Term,
+};
 use names::LogIndex;
 
 /// Most instances remembered that introduced themselves.
@@ -10,60 +12,84 @@
 /// Introductions count for founding for this many election timeouts.
 const INTRODUCTION_TIMEOUTS: u64 = 4;
 
-/// A blank replica that introduced itself.
+/// A replica that introduced itself.
 #[derive(Debug)]
 pub(super) struct Introduction {
     at_ms: u64,
     member: Member,
+    standing: Standing,
 }
 
 impl Replica {
     /// Introduces this replica, and founds the group once every initial voter is known blank.
-    pub(super) fn on_blank_tick(&mut self) {
+    pub(super) fn introduce(&mut self) {
+        let standing = if self.is_blank() {
+            Standing::Blank
+        } else {
+            Standing::Outsider
+        };
         if self.clock.now_ms() >= self.next_hello_ms {
             self.next_hello_ms = self.clock.now_ms() + self.settings.election_timeout_ms / 2;
-            for name in self.settings.initial_voters.clone() {
-                self.send_hello(name, true);
+            for name in self.hello_targets() {
+                self.send_hello(name, standing);
             }
         }
-        if let Some(voters) = self.founding_voters() {
+        if standing == Standing::Blank
+            && let Some(voters) = self.founding_voters()
+        {
             self.found(voters);
         }
     }
 
-    pub(super) fn on_hello(&mut self, from: Member, blank: bool) {
-        if !blank {
-            self.met_founded = true;
+    pub(super) fn on_hello(&mut self, from: Member, standing: Standing) {
+        self.met_founded |= standing != Standing::Blank;
+        if standing == Standing::Settled {
             return;
         }
         let name = from.name.clone();
-        self.remember(from);
+        self.remember(from, standing);
         if !self.is_blank() {
-            self.send_hello(name, false);
+            self.send_hello(name, Standing::Settled);
         }
     }
 
-    /// Blank replicas that are no members with their present storage.
+    /// Initial voters, and the members that this replica knows.
+    fn hello_targets(&self) -> Vec<InstanceName> {
+        let members = self.log.membership().members();
+        let mut names = self.settings.initial_voters.clone();
+        names.extend(members.map(|member| member.name.clone()));
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Replicas lately introduced that are no members with their present storage.
     pub(super) fn introduced(&self) -> Vec<Member> {
         let membership = self.log.membership();
+        let oldest_ms = self.oldest_introduction_ms();
         self.introductions
             .iter()
+            .filter(|introduction| introduction.at_ms >= oldest_ms)
             .map(|introduction| &introduction.member)
             .filter(|member| membership.member(&member.name) != Some(member))
             .cloned()
             .collect()
     }
 
-    fn remember(&mut self, member: Member) {
+    fn remember(&mut self, member: Member, standing: Standing) {
         let at_ms = self.clock.now_ms();
         let found = self
             .introductions
             .binary_search_by(|known| known.member.name.cmp(&member.name));
+        let introduction = Introduction {
+            at_ms,
+            member,
+            standing,
+        };
         match found {
-            Ok(at) => self.introductions[at] = Introduction { at_ms, member },
+            Ok(at) => self.introductions[at] = introduction,
             Err(at) if self.introductions.len() < INTRODUCTIONS_MAX => {
-                self.introductions
-                    .insert(at, Introduction { at_ms, member });
+                self.introductions.insert(at, introduction);
             }
             Err(_) => {}
         }
@@ -82,20 +108,25 @@
                 if *name == own.name {
                     return Some(own.clone());
                 }
-                self.introduced_lately(name).cloned()
+                self.known_blank(name).cloned()
             })
             .collect()
     }
 
-    fn introduced_lately(&self, name: &InstanceName) -> Option<&Member> {
-        let oldest_ms = self
-            .clock
-            .now_ms()
-            .saturating_sub(INTRODUCTION_TIMEOUTS * self.settings.election_timeout_ms);
-        self.introductions
-            .iter()
-            .find(|known| known.member.name == *name && known.at_ms >= oldest_ms)
-            .map(|known| &known.member)
+    fn known_blank(&self, name: &InstanceName) -> Option<&Member> {
+        let oldest_ms = self.oldest_introduction_ms();
+        let is_blank = |known: &&Introduction| {
+            known.member.name == *name
+                && known.at_ms >= oldest_ms
+                && known.standing == Standing::Blank
+        };
+        let known = self.introductions.iter().find(is_blank);
+        known.map(|known| &known.member)
+    }
+
+    fn oldest_introduction_ms(&self) -> u64 {
+        let timeout_ms = INTRODUCTION_TIMEOUTS * self.settings.election_timeout_ms;
+        self.clock.now_ms().saturating_sub(timeout_ms)
     }
 
     fn found(&mut self, voters: Vec<Member>) {
@@ -118,14 +149,14 @@
         self.election_deadline_ms = self.clock.now_ms();
     }
 
-    fn send_hello(&mut self, to: InstanceName, blank: bool) {
+    fn send_hello(&mut self, to: InstanceName, standing: Standing) {
         if to == self.settings.member.name {
             return;
         }
         self.draft.outputs.push(Output::Send(Envelope {
             from: self.settings.member.clone(),
             group: self.settings.group,
-            message: Message::Hello { blank },
+            message: Message::Hello(standing),
             term: self.hard_state.term,
             to,
             to_storage: None,
--- a/crates/agreement/src/replica/installation.rs
+++ b/crates/agreement/src/replica/installation.rs
@@ -94,9 +94,8 @@
             membership: chunk.membership,
             term: chunk.term,
         });
-        let last_before = self.log.last_index();
-        self.log.reset(snapshot.clone());
-        if self.log.last_index() < last_before {
+        self.draft.discards_log = self.log.reset(snapshot.clone());
+        if self.draft.discards_log {
             self.writes.truncate(LogIndex(snapshot.index.0 + 1));
         }
         self.commit = snapshot.index;
--- a/crates/agreement/tests/simulation/disk.rs
+++ b/crates/agreement/tests/simulation/disk.rs
@@ -72,7 +72,7 @@
             self.hard_state = hard_state.clone();
         }
         if let Some(snapshot) = &write.snapshot {
-            self.take_snapshot(snapshot);
+            self.take_snapshot(snapshot, write.discards_log);
         }
         if let Some(first) = write.entries.first() {
             self.entries.retain(|entry| entry.index < first.index);
@@ -82,16 +82,11 @@
         }
     }
 
-    fn take_snapshot(&mut self, snapshot: &Snapshot) {
-        let extends = self
-            .entries
-            .iter()
-            .any(|entry| entry.index == snapshot.index && entry.term == snapshot.term);
-        if extends {
-            self.entries.retain(|entry| entry.index > snapshot.index);
-        } else {
+    fn take_snapshot(&mut self, snapshot: &Snapshot, discards_log: bool) {
+        if discards_log {
             self.entries.clear();
         }
+        self.entries.retain(|entry| entry.index > snapshot.index);
         self.snapshot = Some(snapshot.clone());
     }
 }
--- a/crates/agreement/tests/simulation/mod.rs
+++ b/crates/agreement/tests/simulation/mod.rs
@@ -253,7 +253,8 @@
                 return;
             }
         }
-        panic!("no leader with whole voters after faults ended");
+        let statuses: Vec<_> = (0..self.nodes.len()).map(|at| self.status(at)).collect();
+        panic!("no leader with whole voters after faults ended: {statuses:#?}");
     }
 
     pub fn check_logs(&self) {
