--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use names::LogIndex;
+use names::{InstanceName, LogIndex};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -133,6 +133,28 @@
         outputs.append(&mut self.draft.outputs);
     }
 
+    /// Leader of the term, where known.
+    #[must_use]
+    pub fn leader(&self) -> Option<&InstanceName> {
+        self.leader.as_ref().map(|leader| &leader.name)
+    }
+
+    /// Role of this replica.
+    #[must_use]
+    pub fn role(&self) -> RoleName {
+        match self.role {
+            Role::Candidate { .. } | Role::PreCandidate { .. } => RoleName::Candidate,
+            Role::Follower => RoleName::Follower,
+            Role::Leader(_) => RoleName::Leader,
+        }
+    }
+
+    /// Current term.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
     /// What the replica knows of itself and its group.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -149,23 +171,15 @@
                 .collect(),
             introduced: self.introduced(),
             last_index: self.log.last_index(),
-            leader: self.leader.as_ref().map(|leader| leader.name.clone()),
+            leader: self.leader().cloned(),
             member: self.settings.member.clone(),
             membership: self.log.membership().clone(),
             membership_committed: self.commit >= self.log.membership_index(),
-            role: self.role_name(),
+            role: self.role(),
             term: self.hard_state.term,
         }
     }
 
-    fn role_name(&self) -> RoleName {
-        match self.role {
-            Role::Candidate { .. } | Role::PreCandidate { .. } => RoleName::Candidate,
-            Role::Follower => RoleName::Follower,
-            Role::Leader(_) => RoleName::Leader,
-        }
-    }
-
     fn on_tick(&mut self) {
         if matches!(self.role, Role::Leader(_)) {
             self.on_leader_tick();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,33 @@
 //! Hosts the replicated state: agreement, journal, state machine.
+//!
+//! [`Control::open`] opens the journal of a data folder, restores the state machine and starts an
+//! actor that owns the replica. A writer task owns the journal: it takes all writes that wait, of
+//! one or several groups, makes them durable with one sync, and hands the proofs back. Proposals
+//! that arrive while a write of their group is in progress are appended together after it.
+//!
+//! The network is behind [`Transport`], the replicated state behind [`StateMachine`].
+//!
+//! Outcomes of a proposal: an answer once it is committed and applied here; an error that says it
+//! was not appended ([`Error::is_not_run`]); or [`Error::Unknown`] when leadership was lost in
+//! between, after which it may or may not be committed. A repeat must then be idempotent.
+//!
+//! When the journal fails, the replica is dropped: the instance stops voting and acknowledging,
+//! and every call says why.
+
+mod codec;
+mod control;
+mod error;
+mod host;
+mod role;
+mod settings;
+mod state_machine;
+mod transport;
+mod writer;
+
+pub use control::{Answer, Control};
+pub use error::Error;
+pub use host::VoterChange;
+pub use role::{Role, Status};
+pub use settings::Settings;
+pub use state_machine::StateMachine;
+pub use transport::Transport;
--- /dev/null
+++ b/crates/control/src/writer.rs
@@ -0,0 +1,77 @@
+use agreement::{GroupId, Synced, Write};
+use journal::Journal;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::task::{self, JoinHandle};
+use xtra::WeakAddress;
+
+use crate::codec;
+use crate::host::{Host, JournalFailed, WritesSynced};
+
+/// A write of one group.
+#[derive(Debug)]
+pub(crate) struct WriteJob {
+    pub(crate) group: GroupId,
+    pub(crate) host: WeakAddress<Host>,
+    pub(crate) write: Write,
+}
+
+/// Task that owns the journal; it ends when every sender of jobs is gone.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    pub(crate) jobs: UnboundedSender<WriteJob>,
+    pub(crate) task: JoinHandle<()>,
+}
+
+impl Writer {
+    pub(crate) fn spawn(journal: Journal) -> Self {
+        let (jobs, waiting) = mpsc::unbounded_channel();
+        Self {
+            jobs,
+            task: tokio::spawn(run(journal, waiting)),
+        }
+    }
+}
+
+async fn run(mut journal: Journal, mut waiting: UnboundedReceiver<WriteJob>) {
+    while let Some(first) = waiting.recv().await {
+        let mut jobs = vec![first];
+        while let Ok(job) = waiting.try_recv() {
+            jobs.push(job);
+        }
+        let written = task::spawn_blocking(move || {
+            let result = write(&mut journal, &jobs);
+            (journal, jobs, result)
+        });
+        let (returned, jobs, result) = written.await.expect("the journal never panics");
+        journal = returned;
+        for job in jobs {
+            report(job, &result).await;
+        }
+    }
+}
+
+fn write(journal: &mut Journal, jobs: &[WriteJob]) -> Result<(), journal::Error> {
+    for job in jobs {
+        codec::append(journal, job.group.0, &job.write)?;
+    }
+    journal.sync()
+}
+
+/// Tells a host; one that is gone needs to know nothing.
+async fn report(job: WriteJob, result: &Result<(), journal::Error>) {
+    let told = match result {
+        Ok(()) => {
+            let synced: Synced = job.write.synced();
+            job.host.send(WritesSynced(synced)).detach().await.map(drop)
+        }
+        Err(error) => {
+            let cause = error.to_string();
+            job.host
+                .send(JournalFailed { cause })
+                .detach()
+                .await
+                .map(drop)
+        }
+    };
+    drop(told);
+}
--- /dev/null
+++ b/crates/control/tests/control.rs
@@ -0,0 +1,296 @@
+//! Three instances in one process, with real data folders.
+
+mod group;
+
+use std::io;
+use std::sync::Arc;
+
+use control::{Control, Error, VoterChange};
+use group::{Commands, Group, name};
+use journal::{FolderStorage, Storage};
+
+fn numbered(count: usize) -> Vec<Vec<u8>> {
+    (0..count).map(|at| at.to_string().into_bytes()).collect()
+}
+
+async fn until_applied(group: &Group, at: usize, expected: &[Vec<u8>]) {
+    group
+        .until(async |group| group.commands(at) == expected)
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_committed_command_is_applied_on_every_instance() {
+    let group = Group::open(3);
+    group.until_whole().await;
+    let leader = group.leader().unwrap();
+    let answer = group.control(leader).propose(b"0".to_vec()).await.unwrap();
+    assert_eq!(answer.bytes, b"1");
+    for at in 0..3 {
+        until_applied(&group, at, &numbered(1)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn commands_proposed_together_are_answered_each_with_its_own() {
+    let group = Group::open(3);
+    group.until_whole().await;
+    let leader = group.leader().unwrap();
+    let control = group.instances[leader].as_ref().unwrap().control.clone();
+    let proposals: Vec<_> = numbered(200)
+        .into_iter()
+        .map(|command| {
+            let control = control.clone();
+            tokio::spawn(async move { (control.propose(command.clone()).await, command) })
+        })
+        .collect();
+    for proposal in proposals {
+        let (answer, command) = proposal.await.unwrap();
+        let answer = String::from_utf8(answer.unwrap().bytes).unwrap();
+        let place: usize = answer.parse().unwrap();
+        assert_eq!(group.commands(leader)[place - 1], command);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_follower_names_the_leader() {
+    let group = Group::open(3);
+    group.until_whole().await;
+    let leader = group.leader().unwrap();
+    let follower = (leader + 1) % 3;
+    group
+        .until(async |group| group.control(follower).role().borrow().leader.is_some())
+        .await;
+    let error = group
+        .control(follower)
+        .propose(Vec::new())
+        .await
+        .unwrap_err();
+    assert!(matches!(&error, Error::NotLeader { leader: Some(known) } if *known == name(leader)));
+    assert!(error.is_not_run());
+}
+
+#[tokio::test(start_paused = true)]
+async fn committed_commands_survive_the_loss_of_every_process() {
+    let mut group = Group::open(3);
+    for at in 0..120 {
+        group.propose(&at.to_string()).await;
+    }
+    for at in 0..3 {
+        group.kill(at).await;
+    }
+    for at in 0..3 {
+        group.start(at);
+    }
+    group.propose("120").await;
+    for at in 0..3 {
+        until_applied(&group, at, &numbered(121)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_group_goes_on_without_its_leader() {
+    let mut group = Group::open(3);
+    group.propose("0").await;
+    let lost = group.leader().unwrap();
+    group.kill(lost).await;
+    group.propose("1").await;
+    group.start(lost);
+    until_applied(&group, lost, &numbered(2)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_is_cut_off_steps_down_and_tells_that_the_outcome_is_unknown() {
+    let group = Group::open(3);
+    group.propose("0").await;
+    let cut_off = group.leader().unwrap();
+    group.cut_off(cut_off);
+    let outcome = group.control(cut_off).propose(b"lost".to_vec()).await;
+    assert!(matches!(outcome, Err(Error::Unknown)));
+    let confirmed = group.control(cut_off).confirm().await;
+    assert!(matches!(confirmed, Err(Error::NotLeader { .. })));
+    group.propose("1").await;
+    group.heal();
+    until_applied(&group, cut_off, &numbered(2)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_loss_right_after_a_repair_loses_nothing() {
+    let mut group = Group::open(3);
+    for at in 0..60 {
+        group.propose(&at.to_string()).await;
+    }
+    for lost in [0, 1, 2] {
+        group.wipe(lost).await;
+        group.start(lost);
+        group.until_whole().await;
+    }
+    group.propose("60").await;
+    for at in 0..3 {
+        until_applied(&group, at, &numbered(61)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_far_behind_takes_a_snapshot() {
+    let mut group = Group::open(3);
+    group.propose("0").await;
+    let behind = (group.leader().unwrap() + 1) % 3;
+    group.kill(behind).await;
+    for at in 1..300 {
+        group.propose(&at.to_string()).await;
+    }
+    for at in 0..3 {
+        if at != behind {
+            group.kill(at).await;
+            group.start(at);
+        }
+    }
+    group.propose("300").await;
+    group.start(behind);
+    until_applied(&group, behind, &numbered(301)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn leadership_is_handed_over() {
+    let group = Group::open(3);
+    group.until_whole().await;
+    let from = group.leader().unwrap();
+    let to = (from + 1) % 3;
+    group.control(from).hand_over(name(to)).await.unwrap();
+    group.until(async |group| group.leader() == Some(to)).await;
+    assert!(group.control(to).confirm().await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_instance_joins_and_an_old_one_leaves() {
+    let mut group = Group::open(3);
+    group.until_whole().await;
+    group.instances.push(None);
+    group.start(3);
+    let leader = group.leader().unwrap();
+    group
+        .until(async |group| {
+            let status = group.control(leader).status().await.unwrap();
+            !status.replica.introduced.is_empty()
+        })
+        .await;
+    let promote = true;
+    let join = VoterChange::Join {
+        name: name(3),
+        promote,
+    };
+    group.control(leader).change_voters(join).await.unwrap();
+    let voters = async |group: &Group| {
+        let status = group.control(leader).status().await.unwrap().replica;
+        (
+            status.membership.voters().len(),
+            status.membership_committed,
+        )
+    };
+    group
+        .until(async |group| voters(group).await == (4, true))
+        .await;
+    let remove = VoterChange::Remove(name((leader + 1) % 3));
+    group.control(leader).change_voters(remove).await.unwrap();
+    assert_eq!(voters(&group).await.0, 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_folder_in_use_or_of_another_instance_is_refused() {
+    let mut group = Group::open(3);
+    let open = |group: &Group, settings| {
+        let machine = Box::new(Commands::default());
+        Control::open(settings, machine, Arc::new(group.network.clone()))
+    };
+    let error = open(&group, group.settings(0)).unwrap_err();
+    assert!(
+        matches!(error, Error::Journal(journal::Error::Locked { .. })),
+        "{error}"
+    );
+    group.kill(0).await;
+    let mut swapped = group.settings(1);
+    swapped.folder = group.folder(0);
+    let error = open(&group, swapped).unwrap_err();
+    assert!(
+        matches!(error, Error::Journal(journal::Error::WrongInstance { .. })),
+        "{error}"
+    );
+}
+
+/// Real folder whose disk is full from a moment on.
+#[derive(Debug)]
+struct FullStorage {
+    folder: FolderStorage,
+    room: usize,
+}
+
+impl Storage for FullStorage {
+    fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.room = self.room.checked_sub(1).ok_or(io::ErrorKind::StorageFull)?;
+        self.folder.append(file, bytes)
+    }
+
+    fn cut(&mut self, file: &str, length_bytes: u64) -> io::Result<()> {
+        self.folder.cut(file, length_bytes)
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.folder.list()
+    }
+
+    fn random_id(&mut self) -> io::Result<u128> {
+        self.folder.random_id()
+    }
+
+    fn read(&self, file: &str) -> io::Result<Vec<u8>> {
+        self.folder.read(file)
+    }
+
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        self.folder.remove(file)
+    }
+
+    fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.folder.replace(file, bytes)
+    }
+
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        self.folder.sync(file)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_with_a_full_disk_stops_to_take_part_and_says_so() {
+    let mut group = Group::open(3);
+    group.propose("0").await;
+    let full = group.leader().unwrap();
+    group.kill(full).await;
+    let commands = Commands::default();
+    let storage = FullStorage {
+        folder: FolderStorage::open(&group.folder(full)).unwrap(),
+        room: 3,
+    };
+    let control = Control::open_on(
+        Box::new(storage),
+        group.settings(full),
+        Box::new(commands.clone()),
+        Arc::new(group.network.clone()),
+    );
+    group.adopt(full, commands, control.unwrap());
+    for at in 1..10 {
+        group.propose(&at.to_string()).await;
+    }
+    group
+        .until(async |group| group.control(full).status().await.is_err())
+        .await;
+    let error = group.control(full).propose(Vec::new()).await.unwrap_err();
+    assert!(
+        error.to_string().contains("cannot append to `journal-"),
+        "{error}"
+    );
+    group.propose("10").await;
+    let mut commands = group.commands(group.leader().unwrap());
+    commands.dedup(); // A command whose outcome was unknown is proposed again.
+    assert_eq!(commands, numbered(11));
+}
