--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use names::LogIndex;
+use names::{InstanceName, LogIndex};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -38,6 +38,7 @@
 /// Effects of the input that is being handled.
 #[derive(Debug, Default)]
 struct Draft {
+    discards_log: bool,
     first_entry: Option<LogIndex>,
     hard_state: bool,
     held: Vec<Envelope>,
@@ -132,6 +133,28 @@
         outputs.append(&mut self.draft.outputs);
     }
 
+    /// Leader of the term, where known.
+    #[must_use]
+    pub fn leader(&self) -> Option<&InstanceName> {
+        self.leader.as_ref().map(|leader| &leader.name)
+    }
+
+    /// Role of this replica.
+    #[must_use]
+    pub fn role(&self) -> RoleName {
+        match self.role {
+            Role::Candidate { .. } | Role::PreCandidate { .. } => RoleName::Candidate,
+            Role::Follower => RoleName::Follower,
+            Role::Leader(_) => RoleName::Leader,
+        }
+    }
+
+    /// Current term.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
     /// What the replica knows of itself and its group.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -148,35 +171,27 @@
                 .collect(),
             introduced: self.introduced(),
             last_index: self.log.last_index(),
-            leader: self.leader.as_ref().map(|leader| leader.name.clone()),
+            leader: self.leader().cloned(),
             member: self.settings.member.clone(),
             membership: self.log.membership().clone(),
             membership_committed: self.commit >= self.log.membership_index(),
-            role: self.role_name(),
+            role: self.role(),
             term: self.hard_state.term,
         }
     }
 
-    fn role_name(&self) -> RoleName {
-        match self.role {
-            Role::Candidate { .. } | Role::PreCandidate { .. } => RoleName::Candidate,
-            Role::Follower => RoleName::Follower,
-            Role::Leader(_) => RoleName::Leader,
-        }
-    }
-
     fn on_tick(&mut self) {
         if matches!(self.role, Role::Leader(_)) {
             self.on_leader_tick();
             return;
         }
-        if self.is_blank() {
-            self.on_blank_tick();
+        if self.clock.now_ms() < self.election_deadline_ms && !self.is_blank() {
             return;
         }
-        let is_voter = self.log.membership().is_voter(&self.settings.member);
-        if is_voter && self.clock.now_ms() >= self.election_deadline_ms {
+        if self.log.membership().is_voter(&self.settings.member) {
             self.start_pre_vote();
+        } else {
+            self.introduce();
         }
     }
 
@@ -184,8 +199,8 @@
         if !self.is_for_this(&envelope) {
             return;
         }
-        if let Message::Hello { blank } = envelope.message {
-            self.on_hello(envelope.from, blank);
+        if let Message::Hello(standing) = envelope.message {
+            self.on_hello(envelope.from, standing);
             return;
         }
         if envelope.term > self.hard_state.term && !envelope.message.is_pre_vote() {
@@ -208,7 +223,7 @@
         match message {
             Message::Append(append) => self.on_append(from, append),
             Message::AppendAnswer(answer) => self.on_append_answer(&from, &answer),
-            Message::Hello { .. } => unreachable!("handled before the term is looked at"),
+            Message::Hello(_) => unreachable!("handled before the term is looked at"),
             Message::SnapshotAnswer(answer) => self.on_snapshot_answer(&from, &answer),
             Message::SnapshotChunk(chunk) => self.on_snapshot_chunk(&from, chunk),
             Message::StartElection => self.on_start_election(&from),
