Measure table and claims; count a claim's memory as it is

Views and restored tables now build their map at once, so that its nodes are full. Default bounds of claims are halved to 32 MiB, since the old count let them take 100 MB.

--- a/crates/claims/src/bounds.rs
+++ b/crates/claims/src/bounds.rs
@@ -16,9 +16,9 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            bytes_max: 64 * 1024 * 1024,
-            claims_max: 200_000,
-            customer_bytes_max: 16 * 1024 * 1024,
+            bytes_max: 32 * 1024 * 1024,
+            claims_max: 100_000,
+            customer_bytes_max: 8 * 1024 * 1024,
             retention_ms: 24 * 60 * 60 * 1000,
         }
     }
--- a/crates/claims/src/usage.rs
+++ b/crates/claims/src/usage.rs
@@ -5,8 +5,8 @@
 
 use crate::{Bounds, ClaimKey, StoredOutcome};
 
-/// Bytes counted for the fixed part of a claim.
-const CLAIM_OVERHEAD_BYTES: usize = 256;
+/// Memory that a claim takes besides its key and outcome.
+const CLAIM_OVERHEAD_BYTES: usize = 544;
 
 /// Bytes of a claim whose outcome may still come.
 pub(crate) fn reserved_bytes(key: &ClaimKey) -> usize {
--- /dev/null
+++ b/crates/table/examples/table_slopes.rs
@@ -0,0 +1,182 @@
+//! Measures the table: memory and time against the number of rows, bytes of deltas and snapshots.
+//!
+//! Run with `cargo run --release -p table --example table_slopes -- CUSTOMERS`, one process for each
+//! size, since memory that an earlier size freed would be counted to the next. With a second argument,
+//! the published snapshot is written to that file; `table_slopes view FILE` measures a view of it.
+
+use std::fs;
+use std::time::Instant;
+
+use names::{KindName, LogIndex, ModelName};
+use table::{
+    Change, Edit, EditId, EditOutcome, Item, OperatorName, Publication, Revision, Row, RowKey,
+    Table, Target, View,
+};
+
+const BATCH_ROWS: usize = 1_000;
+const CUSTOMERS_DEFAULT: usize = 37_000;
+const EDITS: u32 = 20_000;
+const KINDS: [&str; 3] = ["syllabus", "advice", "booking"];
+
+struct Bench {
+    index: u64,
+    table: Table,
+}
+
+impl Bench {
+    fn apply(&mut self, changes: Vec<Change>) {
+        self.index += 1;
+        let edit = edit(self.index, changes);
+        // The time of 110,000 edits a day, so that answers are kept as they would be.
+        let at_ms = self.index * 785;
+        let outcome = self.table.apply(LogIndex(self.index), at_ms, &edit);
+        assert!(
+            matches!(outcome, EditOutcome::Accepted { .. }),
+            "{outcome:?}"
+        );
+    }
+}
+
+fn change(customer: usize, kind: usize, expected: Revision, weight: u32) -> Change {
+    let key = RowKey {
+        customer: format!("customer-{customer:05}").parse().expect("a name"),
+        kind: KINDS[kind].parse().expect("a name"),
+    };
+    let row = Row {
+        models: vec![ModelName::new("forge-7b").expect("a name")],
+        priority: 0,
+        queued_max: 10,
+        queueing_ms_max: 5_000,
+        running_max: 4,
+        tokens_per_second_max: Some(400),
+        urgent_share_percent: 25,
+        weight,
+        window: None,
+    };
+    Change::row(key, expected, Some(row))
+}
+
+fn edit(id: u64, changes: Vec<Change>) -> Edit {
+    Edit {
+        author: OperatorName::new("operator").expect("a name"),
+        changes,
+        edit_id: EditId::new(&format!("{id:032x}")).expect("an id"),
+        source: None,
+    }
+}
+
+fn fill(customers: usize) -> Bench {
+    let mut bench = Bench {
+        index: 0,
+        table: Table::default(),
+    };
+    let kinds = KINDS.map(|kind| Change {
+        expected_revision: Revision::ABSENT,
+        item: Some(Item::Kind),
+        target: Target::Kind(KindName::new(kind).expect("a name")),
+    });
+    bench.apply(kinds.into());
+    let rows: Vec<(usize, usize)> = (0..customers)
+        .flat_map(|customer| (0..KINDS.len()).map(move |kind| (customer, kind)))
+        .collect();
+    for batch in rows.chunks(BATCH_ROWS) {
+        let changes = batch
+            .iter()
+            .map(|&(c, k)| change(c, k, Revision::ABSENT, 1));
+        bench.apply(changes.collect());
+    }
+    bench
+}
+
+/// Memory of the process that is in use.
+fn resident_bytes() -> usize {
+    let status = fs::read_to_string("/proc/self/status").expect("Linux has it");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse::<usize>().ok())
+        .expect("a number")
+        * 1024
+}
+
+fn measure(customers: usize, path: Option<&str>) {
+    let before_bytes = resident_bytes();
+    let mut bench = fill(customers);
+    let rows = bench.table.items().rows().count();
+    let table_bytes = resident_bytes().saturating_sub(before_bytes);
+    let started = Instant::now();
+    for n in 0..EDITS {
+        // A step that shares no factor with the number of rows visits them all.
+        let row = n as usize * 7_919 % rows;
+        let (customer, kind) = (row / KINDS.len(), row % KINDS.len());
+        let first = change(customer, kind, Revision::ABSENT, 1);
+        let Target::Row(key) = &first.target else {
+            unreachable!("a row was named")
+        };
+        let revision = bench.table.items().row(key).map(|(_, revision)| revision);
+        let revision = revision.expect("it is held");
+        bench.apply(vec![change(customer, kind, revision, 2 + n % 100)]);
+    }
+    let apply_us = started.elapsed().as_secs_f64() * 1e6 / f64::from(EDITS);
+    println!(
+        "rows={rows} memory_bytes_per_row={} apply_us_per_edit={apply_us:.2}",
+        table_bytes / rows
+    );
+    measure_publication(&bench, path);
+}
+
+fn measure_publication(bench: &Bench, path: Option<&str>) {
+    let latest = bench.table.revision().0;
+    for changes in [1, 10, 100] {
+        let delta = bench.table.delta_since(Revision(latest - changes));
+        assert!(matches!(delta, Publication::Delta(_)));
+        let bytes = postcard::to_allocvec(&delta).expect("it encodes").len();
+        println!("delta_changes={changes} delta_bytes={bytes}");
+    }
+    let published = postcard::to_allocvec(&bench.table.publish()).expect("it encodes");
+    println!("publication_bytes={}", published.len());
+    if let Some(path) = path {
+        fs::write(path, published).expect("the file is written");
+    }
+    let started = Instant::now();
+    let snapshot = bench.table.snapshot();
+    let snapshot_ms = started.elapsed().as_secs_f64() * 1e3;
+    let started = Instant::now();
+    let restored = Table::restore(&snapshot).expect("it decodes");
+    let restore_ms = started.elapsed().as_secs_f64() * 1e3;
+    assert!(
+        restored == bench.table,
+        "the snapshot holds the whole state"
+    );
+    println!(
+        "snapshot_bytes={} snapshot_ms={snapshot_ms:.1} restore_ms={restore_ms:.1}",
+        snapshot.len()
+    );
+}
+
+fn measure_view(path: &str) {
+    let published = fs::read(path).expect("the file is read");
+    let before_bytes = resident_bytes();
+    let started = Instant::now();
+    let mut view = View::default();
+    let snapshot = postcard::from_bytes(&published).expect("it decodes");
+    view.apply(Publication::Snapshot(snapshot));
+    let decode_ms = started.elapsed().as_secs_f64() * 1e3;
+    println!(
+        "view_rows={} view_decode_ms={decode_ms:.1} view_peak_bytes={}",
+        view.items().rows().count(),
+        resident_bytes().saturating_sub(before_bytes)
+    );
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match arguments.as_slice() {
+        [] => measure(CUSTOMERS_DEFAULT, None),
+        ["view", path] => measure_view(path),
+        [customers, rest @ ..] => {
+            let customers = customers.parse().expect("a number of customers");
+            measure(customers, rest.first().copied());
+        }
+    }
+}
--- a/crates/table/src/error.rs
+++ b/crates/table/src/error.rs
@@ -26,6 +26,12 @@
         /// The refused text, shortened.
         text: String,
     },
+    /// The content of an item is of another sort than the item.
+    #[error("content does not fit the item {target}")]
+    Misfit {
+        /// The item.
+        target: String,
+    },
     /// A snapshot does not decode.
     #[error("snapshot of the table does not decode: {reason}")]
     SnapshotDecode {
--- a/crates/table/src/item.rs
+++ b/crates/table/src/item.rs
@@ -64,3 +64,11 @@
     /// Which item.
     pub target: Target,
 }
+
+impl Versioned {
+    pub(crate) fn is_fitting(&self) -> bool {
+        self.item
+            .as_ref()
+            .is_none_or(|item| self.target.admits(item))
+    }
+}
--- a/crates/table/src/items.rs
+++ b/crates/table/src/items.rs
@@ -1,22 +1,76 @@
 use std::collections::BTreeMap;
 
 use names::{CustomerName, KindName};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
-use crate::{CustomerKey, Item, KeyHash, OperatorKey, Revision, Row, RowKey, Target, Versioned};
+use crate::{
+    CustomerKey, Error, Item, KeyHash, OperatorKey, Revision, Row, RowKey, Target, Versioned,
+};
 
 /// Everything that the table governs, by target.
-#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq)]
+#[serde(try_from = "Vec<Published>")]
 pub struct Items {
     by_target: BTreeMap<Target, Stored>,
 }
 
-#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+/// One item as it is encoded.
+#[derive(Deserialize)]
+struct Published {
+    item: Item,
+    revision: Revision,
+    target: Target,
+}
+
+#[derive(Serialize)]
+struct PublishedRef<'a> {
+    item: &'a Item,
+    revision: Revision,
+    target: &'a Target,
+}
+
+#[derive(Debug, Clone, Eq, PartialEq)]
 struct Stored {
     item: Item,
     revision: Revision,
 }
 
+impl Serialize for Items {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.by_target.iter().map(PublishedRef::new))
+    }
+}
+
+impl<'a> PublishedRef<'a> {
+    fn new((target, stored): (&'a Target, &'a Stored)) -> Self {
+        Self {
+            item: &stored.item,
+            revision: stored.revision,
+            target,
+        }
+    }
+}
+
+impl TryFrom<Vec<Published>> for Items {
+    type Error = Error;
+
+    /// Builds the map at once: its nodes are full, which insertion one by one would not give.
+    fn try_from(published: Vec<Published>) -> Result<Self, Error> {
+        if let Some(misfit) = published.iter().find(|p| !p.target.admits(&p.item)) {
+            return Err(Error::Misfit {
+                target: misfit.target.to_string(),
+            });
+        }
+        let stored = |published: Published| {
+            let Published { item, revision, .. } = published;
+            (published.target, Stored { item, revision })
+        };
+        Ok(Self {
+            by_target: published.into_iter().map(stored).collect(),
+        })
+    }
+}
+
 impl Items {
     /// Key of a customer, found by the key as its holder sends it.
     #[must_use]
@@ -114,12 +168,6 @@
             })
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Target, &Item, Revision)> {
-        self.by_target
-            .iter()
-            .map(|(target, stored)| (target, &stored.item, stored.revision))
-    }
-
     pub(crate) fn revision(&self, target: &Target) -> Revision {
         self.get(target)
             .map_or(Revision::ABSENT, |(_, revision)| revision)
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -49,7 +49,7 @@
 pub use key::{CustomerKey, KeyHash, OperatorKey, Role};
 pub use operator_name::OperatorName;
 pub use problem::{Problem, Reason};
-pub use publication::{Delta, Publication, PublishedItem, Snapshot};
+pub use publication::{Delta, Publication, Snapshot};
 pub use revision::Revision;
 pub use row::{Row, RowKey, Share};
 pub use table::Table;
--- a/crates/table/src/publication.rs
+++ b/crates/table/src/publication.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{Item, Revision, Target, Versioned};
+use crate::{Items, Revision, Versioned};
 
 /// Latest state of everything that changed between two revisions.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
@@ -22,22 +22,11 @@
     Snapshot(Snapshot),
 }
 
-/// One item of a snapshot.
-#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PublishedItem {
-    /// Its content.
-    pub item: Item,
-    /// Revision of its last change.
-    pub revision: Revision,
-    /// Which item.
-    pub target: Target,
-}
-
 /// Everything that the table governs at one revision.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
-    /// Every item, ordered by target.
-    pub items: Vec<PublishedItem>,
+    /// Every item.
+    pub items: Items,
     /// Revision of the table.
     pub revision: Revision,
 }
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -5,8 +5,8 @@
 use crate::check::{edit_problems, time_zone_problems};
 use crate::history::History;
 use crate::{
-    CONFLICTS_LISTED_MAX, Delta, Edit, EditOutcome, Error, Items, Problem, Publication,
-    PublishedItem, Revised, Revision, Snapshot, Target, Versioned,
+    CONFLICTS_LISTED_MAX, Delta, Edit, EditOutcome, Error, Items, Problem, Publication, Revised,
+    Revision, Snapshot, Target, Versioned,
 };
 
 const SNAPSHOT_FORMAT: u8 = 1;
@@ -126,16 +126,8 @@
     /// Everything that the table governs, as sent to subscribers.
     #[must_use]
     pub fn publish(&self) -> Snapshot {
-        let items = self
-            .items
-            .iter()
-            .map(|(target, item, revision)| PublishedItem {
-                item: item.clone(),
-                revision,
-                target: target.clone(),
-            });
         Snapshot {
-            items: items.collect(),
+            items: self.items.clone(),
             revision: self.revision,
         }
     }
--- a/crates/table/src/view.rs
+++ b/crates/table/src/view.rs
@@ -1,4 +1,4 @@
-use crate::{Delta, Items, Publication, Revision, Snapshot};
+use crate::{Delta, Items, Publication, Revision, Snapshot, Versioned};
 
 /// What became of a publication.
 #[derive(Debug, Clone, Copy, Eq, PartialEq)]
@@ -7,6 +7,8 @@
     Applied,
     /// The delta starts after the view's revision; nothing changed.
     Gap,
+    /// The delta holds content that does not fit its item; nothing changed.
+    Misfit,
     /// The publication leads no further than the view already is; nothing changed.
     Stale,
 }
@@ -58,6 +60,9 @@
         if delta.from > self.revision {
             return ViewOutcome::Gap;
         }
+        if !delta.changes.iter().all(Versioned::is_fitting) {
+            return ViewOutcome::Misfit;
+        }
         for change in delta.changes {
             // A deleted item has no revision of its own; it is as new as the delta.
             let revision = match change.item {
@@ -74,11 +79,7 @@
         if snapshot.revision <= self.revision {
             return ViewOutcome::Stale;
         }
-        let mut items = Items::default();
-        for published in snapshot.items {
-            items.set(published.target, published.revision, Some(published.item));
-        }
-        self.items = items;
+        self.items = snapshot.items;
         self.revision = snapshot.revision;
         ViewOutcome::Applied
     }
--- a/crates/table/tests/publication.rs
+++ b/crates/table/tests/publication.rs
@@ -4,7 +4,9 @@
 
 use common::{Bench, KINDS, edit, key, row};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use table::{Change, HISTORY_TARGETS_MAX, Publication, Revision, Target, View, ViewOutcome};
+use table::{
+    Change, HISTORY_TARGETS_MAX, Item, Items, Publication, Revision, Target, View, ViewOutcome,
+};
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -114,6 +116,35 @@
     assert_eq!(changed, [&Target::Row(key("centre", "syllabus"))]);
 }
 
+#[test]
+fn content_that_does_not_fit_its_item_is_refused_without_a_panic() {
+    let mut bench = Bench::new();
+    bench.set("centre", "advice", 0, row(1));
+    let Publication::Delta(mut delta) = bench.table.delta_since(Revision(0)) else {
+        panic!("the history is complete");
+    };
+    let last = delta.changes.last_mut().unwrap();
+    last.item = Some(Item::Kind);
+    let mut view = View::default();
+    let outcome = view.apply(Publication::Delta(delta));
+    assert_eq!(outcome, ViewOutcome::Misfit);
+    assert!(view.items().is_empty());
+    let target = Target::Row(key("centre", "advice"));
+    let bytes = postcard::to_allocvec(&[(Item::Kind, Revision(1), target)].as_slice()).unwrap();
+    assert!(postcard::from_bytes::<Items>(&bytes).is_err());
+}
+
+#[test]
+fn a_published_snapshot_survives_its_encoding() {
+    let mut bench = Bench::new();
+    bench.set("centre", "advice", 0, row(1));
+    let bytes = postcard::to_allocvec(&bench.table.publish()).unwrap();
+    let decoded = postcard::from_bytes(&bytes).unwrap();
+    let mut view = View::default();
+    view.apply(Publication::Snapshot(decoded));
+    assert!(view.items() == bench.table.items());
+}
+
 #[test]
 fn a_subscriber_far_behind_gets_a_snapshot() {
     let mut bench = Bench::new();
