Count retention in bounded steps of the leaders' clocks

Retention was counted from the greatest stamp seen.

Ruled out: trusting the present stamp alone, which goes back and forth between leaders.

A row whose body names another row than its path is refused; before, it was taken for the path's.

--- a/crates/admin/src/edit_handler.rs
+++ b/crates/admin/src/edit_handler.rs
@@ -74,15 +74,15 @@
         let customer = customer.map_err(|error| problems.push(problem(Column::Customer, error)));
         let kind = KindName::new(&self.kind);
         let kind = kind.map_err(|error| problems.push(problem(Column::Kind, error)));
-        let row = self.row.as_ref().map(|fields| read_row(&label, fields));
-        let row = row.transpose().map_err(|found| problems.extend(found));
-        match (customer, kind, row) {
-            (Ok(customer), Ok(kind), Ok(row)) => {
-                let key = RowKey { customer, kind };
-                Ok(Change::row(key, Revision(self.expected_revision), row))
-            }
-            _ => Err(problems),
-        }
+        let (Ok(customer), Ok(kind)) = (customer, kind) else {
+            return Err(problems);
+        };
+        let key = RowKey { customer, kind };
+        let row = self.row.as_ref();
+        let row = row
+            .map(|fields| read_row(&label, &key, fields))
+            .transpose()?;
+        Ok(Change::row(key, Revision(self.expected_revision), row))
     }
 }
 
--- a/crates/admin/src/row_document.rs
+++ b/crates/admin/src/row_document.rs
@@ -72,13 +72,22 @@
 }
 
 /// Reads the fields of a row; `label` names it in problems.
-pub(crate) fn read_row(label: &str, fields: &Map<String, Value>) -> Result<Row, Vec<Problem>> {
+///
+/// A row is sent back as it was read: its name may stand in it, and its revision is not looked at.
+pub(crate) fn read_row(
+    label: &str,
+    key: &RowKey,
+    fields: &Map<String, Value>,
+) -> Result<Row, Vec<Problem>> {
     let mut cells = Cells::new(label);
     let mut problems = Vec::new();
     for (name, value) in fields {
         match name.as_str() {
-            // A row is sent back as it was read; its name and revision stand elsewhere.
-            "customer" | "kind" | "revision" => (),
+            "customer" if *value == key.customer.as_str() => (),
+            "kind" if *value == key.kind.as_str() => (),
+            "customer" => problems.push(mismatch(label, Column::Customer)),
+            "kind" => problems.push(mismatch(label, Column::Kind)),
+            "revision" => (),
             "window" => read_window(label, value, &mut cells, &mut problems),
             _ => read_field(label, name, value, &mut cells, &mut problems),
         }
@@ -105,6 +114,14 @@
     }
 }
 
+fn mismatch(label: &str, column: Column) -> Problem {
+    Problem {
+        column,
+        reason: Reason::Mismatch,
+        row: label.to_owned(),
+    }
+}
+
 fn read_field(
     label: &str,
     name: &str,
@@ -136,10 +153,6 @@
                 read_field(label, &name, value, cells, problems);
             }
         }
-        _ => problems.push(Problem {
-            column: Column::WindowStart,
-            reason: Reason::Mismatch,
-            row: label.to_owned(),
-        }),
+        _ => problems.push(mismatch(label, Column::WindowStart)),
     }
 }
--- a/crates/admin/src/row_handler.rs
+++ b/crates/admin/src/row_handler.rs
@@ -127,7 +127,7 @@
     let expected = expected_revision(&call.headers)?;
     let body = read_body(body, BODY_BYTES_MAX).await?;
     let fields: Map<String, Value> = read_json(&body)?;
-    let row = read_row(&key.to_string(), &fields);
+    let row = read_row(&key.to_string(), &key, &fields);
     let row = row.map_err(|problems| ProblemDocument::invalid(&problems))?;
     single(handler, call, Change::row(key, expected, Some(row))).await
 }
--- a/crates/admin/tests/rows.rs
+++ b/crates/admin/tests/rows.rs
@@ -102,6 +102,16 @@
     assert_eq!(bench.get("/v1/table").await.json()["rows"], json!([]));
 }
 
+#[tokio::test]
+async fn a_row_that_names_another_than_its_path_is_refused() {
+    let bench = Bench::new().await;
+    let body = row(1).replacen('{', r#"{"customer":"other","#, 1);
+    let headers = ["gentiancleat-edit-id: a", NEW];
+    let call = "PUT /v1/table/rows/c/advice";
+    let answer = bench.call(call, "edit", &headers, body).await;
+    assert_eq!(answer.status, 422, "{}", answer.body);
+}
+
 #[tokio::test]
 async fn each_broken_rule_names_row_column_and_reason() {
     let bench = Bench::new().await;
--- a/crates/claims/src/claims.rs
+++ b/crates/claims/src/claims.rs
@@ -3,6 +3,7 @@
 use names::{Incarnation, InstanceName, LogIndex};
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Clock;
 use crate::settled::{End, Settled, SettledClaim};
 use crate::usage::{Usage, reserved_bytes};
 use crate::{
@@ -17,10 +18,10 @@
 pub struct Claims {
     applied: LogIndex,
     bounds: Bounds,
+    clock: Clock,
     /// Last run of each instance that is over.
     fences: BTreeMap<InstanceName, Fence>,
     in_progress: BTreeMap<ClaimKey, InProgress>,
-    now_ms: u64,
     settled: Settled,
     usage: Usage,
 }
@@ -44,9 +45,9 @@
         Self {
             applied: LogIndex::default(),
             bounds,
+            clock: Clock::default(),
             fences: BTreeMap::new(),
             in_progress: BTreeMap::new(),
-            now_ms: 0,
             settled: Settled::default(),
             usage: Usage::default(),
         }
@@ -71,10 +72,18 @@
         postcard::from_bytes(body).map_err(|error| decode_error(error.to_string()))
     }
 
+    /// Lets time pass up to the stamp of a log entry that is no command.
+    ///
+    /// Retentions count at most [`CLOCK_STEP_MS_MAX`](crate::CLOCK_STEP_MS_MAX) between two entries,
+    /// so every entry of the log should be shown to the claims.
+    pub fn advance(&mut self, at_ms: u64) {
+        self.clock.advance(at_ms);
+        self.expire();
+    }
+
     /// Applies a command from the log.
     ///
-    /// `at_ms` is the leader's time as carried in the log; where it is behind an earlier one, the
-    /// earlier one counts.
+    /// `at_ms` is the leader's time as carried in the log, in milliseconds since 1970 in UTC.
     ///
     /// # Panics
     ///
@@ -82,8 +91,7 @@
     pub fn apply(&mut self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
         assert!(index > self.applied, "log entries applied out of order");
         self.applied = index;
-        self.now_ms = self.now_ms.max(at_ms);
-        self.expire();
+        self.advance(at_ms);
         let answer = match command {
             Command::Abandon { claimant } => self.abandon(claimant),
             Command::Claim {
@@ -139,7 +147,7 @@
 
     fn abandon(&mut self, claimant: &Claimant) -> Answer {
         let fence = Fence {
-            expires_ms: self.now_ms + self.bounds.retention_ms,
+            expires_ms: self.clock.elapsed_ms() + self.bounds.retention_ms,
             incarnation: claimant.incarnation,
         };
         let held = self
@@ -193,7 +201,7 @@
         let is_full = self.len() >= self.bounds.claims_max;
         if is_full || !self.usage.has_room(&self.bounds, key) {
             let expiry_ms = self.settled.next_expiry_ms();
-            let retry_after_ms = expiry_ms.map(|at_ms| at_ms - self.now_ms);
+            let retry_after_ms = expiry_ms.map(|at_ms| at_ms - self.clock.elapsed_ms());
             return ClaimAnswer::Full { retry_after_ms };
         }
         let attempt = attempt.clone();
@@ -204,7 +212,7 @@
     }
 
     fn expire(&mut self) {
-        let now_ms = self.now_ms;
+        let now_ms = self.clock.elapsed_ms();
         self.settled.expire(now_ms, &mut self.usage);
         self.fences.retain(|_, fence| fence.expires_ms > now_ms);
     }
@@ -254,7 +262,7 @@
     }
 
     fn settle(&mut self, key: ClaimKey, attempt: Attempt, digest: RequestDigest, end: End) {
-        let expires_ms = self.now_ms + self.bounds.retention_ms;
+        let expires_ms = self.clock.elapsed_ms() + self.bounds.retention_ms;
         self.settled
             .insert(key, attempt, digest, end, expires_ms, &mut self.usage);
     }
--- a/crates/claims/tests/claims.rs
+++ b/crates/claims/tests/claims.rs
@@ -107,20 +107,41 @@
         bench.claim(key, "x", &attempt(1, 1, request));
         bench.finish(key, &attempt(1, 1, request), "booked");
     }
-    bench.at_ms += bounds.retention_ms - 1;
+    bench.wait(bounds.retention_ms - 1);
     let full = ClaimAnswer::Full {
         retry_after_ms: Some(1),
     };
     assert_eq!(bench.claim(&keys[3], "x", &attempt(1, 1, 4)), full);
     let stored = ClaimAnswer::Finished(outcome("booked"));
     assert_eq!(bench.claim(&keys[0], "x", &attempt(1, 1, 5)), stored);
-    bench.at_ms += 1;
+    bench.wait(1);
     assert_eq!(
         bench.claim(&keys[3], "x", &attempt(1, 1, 4)),
         ClaimAnswer::Granted
     );
 }
 
+#[test]
+fn a_leader_whose_clock_is_wrong_ends_no_retention_and_does_not_stop_time() {
+    let retention_ms = Bounds::default().retention_ms;
+    let mut bench = Bench::new(Bounds::default());
+    let key = key("a", "1");
+    bench.claim(&key, "x", &attempt(1, 1, 1));
+    bench.finish(&key, &attempt(1, 1, 1), "booked");
+    let before_ms = bench.at_ms;
+    let stored = ClaimAnswer::Finished(outcome("booked"));
+    for wrong_ms in [u64::MAX, 0, before_ms + 9 * retention_ms, before_ms] {
+        bench.at_ms = wrong_ms;
+        assert_eq!(
+            bench.claim(&key, "x", &attempt(2, 1, 1)),
+            stored,
+            "at {wrong_ms}"
+        );
+    }
+    bench.wait(retention_ms);
+    assert!(bench.claims.is_empty());
+}
+
 #[test]
 fn one_customers_flood_leaves_room_for_others() {
     let bounds = Bounds {
@@ -147,7 +168,7 @@
     assert!(bench.claims.bytes() > BODY_BYTES_MAX);
     bench.finish(&key, &attempt(1, 1, 1), "booked");
     assert!(bench.claims.bytes() < 1_024);
-    bench.at_ms += Bounds::default().retention_ms;
+    bench.wait(Bounds::default().retention_ms);
     bench.abandon(claimant(9, 1));
     assert_eq!((bench.claims.bytes(), bench.claims.len()), (0, 0));
 }
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use claims::{
-    Answer, Attempt, Bounds, ClaimAnswer, ClaimKey, Claimant, Claims, Command, IdempotencyKey,
-    RequestDigest, SettleAnswer, StoredBody, StoredOutcome,
+    Answer, Attempt, Bounds, CLOCK_STEP_MS_MAX, ClaimAnswer, ClaimKey, Claimant, Claims, Command,
+    IdempotencyKey, RequestDigest, SettleAnswer, StoredBody, StoredOutcome,
 };
 use names::{CustomerName, Incarnation, InstanceName, LogIndex, RequestId};
 
@@ -23,6 +23,15 @@
         }
     }
 
+    /// Lets time pass in steps that count in full.
+    pub fn wait(&mut self, ms: u64) {
+        let end_ms = self.at_ms + ms;
+        while self.at_ms < end_ms {
+            self.at_ms = end_ms.min(self.at_ms + CLOCK_STEP_MS_MAX);
+            self.claims.advance(self.at_ms);
+        }
+    }
+
     pub fn apply(&mut self, command: &Command) -> Answer {
         self.index += 1;
         self.claims.apply(LogIndex(self.index), self.at_ms, command)
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -3,6 +3,7 @@
 
 use crate::answers::Answers;
 use crate::check::{edit_problems, time_zone_problems};
+use crate::clock::Clock;
 use crate::history::History;
 use crate::{
     CONFLICTS_LISTED_MAX, Delta, Edit, EditOutcome, Error, Items, Problem, Publication, Revised,
@@ -16,9 +17,9 @@
 pub struct Table {
     answers: Answers,
     applied: LogIndex,
+    clock: Clock,
     history: History,
     items: Items,
-    now_ms: u64,
     revision: Revision,
 }
 
@@ -42,10 +43,18 @@
         postcard::from_bytes(body).map_err(|error| decode_error(error.to_string()))
     }
 
+    /// Lets time pass up to the stamp of a log entry that is no edit.
+    ///
+    /// Retentions count at most [`CLOCK_STEP_MS_MAX`](crate::CLOCK_STEP_MS_MAX) between two entries,
+    /// so every entry of the log should be shown to the table.
+    pub fn advance(&mut self, at_ms: u64) {
+        self.clock.advance(at_ms);
+        self.answers.expire(self.clock.elapsed_ms());
+    }
+
     /// Applies an edit from the log.
     ///
-    /// `at_ms` is the leader's time as carried in the log; where it is behind an earlier one, the
-    /// earlier one counts.
+    /// `at_ms` is the leader's time as carried in the log, in milliseconds since 1970 in UTC.
     ///
     /// # Panics
     ///
@@ -53,19 +62,19 @@
     pub fn apply(&mut self, index: LogIndex, at_ms: u64, edit: &Edit) -> EditOutcome {
         assert!(index > self.applied, "log entries applied out of order");
         self.applied = index;
-        self.now_ms = self.now_ms.max(at_ms);
-        self.answers.expire(self.now_ms);
+        self.advance(at_ms);
         if let Some(first) = self.answers.get(edit) {
             return first;
         }
         let outcome = self.decide(edit, index.into());
-        if let Some(retry_after_ms) = self.answers.retry_after_ms(self.now_ms, &outcome) {
+        let now_ms = self.clock.elapsed_ms();
+        if let Some(retry_after_ms) = self.answers.retry_after_ms(now_ms, &outcome) {
             return EditOutcome::Busy { retry_after_ms };
         }
         if let EditOutcome::Accepted { revision } = outcome {
-            self.accept(edit, revision);
+            self.accept(edit, revision, at_ms);
         }
-        self.answers.insert(self.now_ms, edit, &outcome);
+        self.answers.insert(now_ms, edit, &outcome);
         outcome
     }
 
@@ -149,7 +158,7 @@
         postcard::to_extend(self, bytes).expect("the table encodes without failure")
     }
 
-    fn accept(&mut self, edit: &Edit, revision: Revision) {
+    fn accept(&mut self, edit: &Edit, revision: Revision, at_ms: u64) {
         assert!(
             revision > self.revision,
             "the table returned to an older revision"
@@ -158,7 +167,7 @@
             self.items
                 .set(change.target.clone(), revision, change.item.clone());
         }
-        self.history.push(self.now_ms, edit, revision);
+        self.history.push(at_ms, edit, revision);
         self.revision = revision;
     }
 
--- a/crates/table/tests/common/mod.rs
+++ b/crates/table/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use names::{CustomerName, KindName, LogIndex, ModelName};
 use table::{
-    Change, Edit, EditId, EditOutcome, Item, LocalTime, OperatorName, Revision, Row, RowKey, Table,
-    Target, Window,
+    CLOCK_STEP_MS_MAX, Change, Edit, EditId, EditOutcome, Item, LocalTime, OperatorName, Revision,
+    Row, RowKey, Table, Target, Window,
 };
 
 pub const KINDS: [&str; 3] = ["syllabus", "advice", "съвет"];
@@ -34,6 +34,15 @@
         bench
     }
 
+    /// Lets time pass in steps that count in full.
+    pub fn wait(&mut self, ms: u64) {
+        let end_ms = self.at_ms + ms;
+        while self.at_ms < end_ms {
+            self.at_ms = end_ms.min(self.at_ms + CLOCK_STEP_MS_MAX);
+            self.table.advance(self.at_ms);
+        }
+    }
+
     pub fn apply(&mut self, edit: &Edit) -> EditOutcome {
         self.index += 1;
         self.table.apply(LogIndex(self.index), self.at_ms, edit)
--- a/crates/table/tests/edits.rs
+++ b/crates/table/tests/edits.rs
@@ -137,7 +137,7 @@
                 continue;
             }
             Step::Wait(ms) => {
-                bench.at_ms += u64::from(*ms);
+                bench.wait(u64::from(*ms));
                 continue;
             }
             Step::Resend(_) | Step::SnapshotAndRestore => continue,
@@ -207,10 +207,10 @@
     let change = Change::row(key("centre", "advice"), Revision::ABSENT, Some(row(1)));
     let edit = edit("first", vec![change]);
     assert_eq!(bench.apply(&edit), accepted(2));
-    bench.at_ms += ACCEPTED_RETENTION_MS - 1;
+    bench.wait(ACCEPTED_RETENTION_MS - 1);
     bench.table = Table::restore(&bench.table.snapshot()).unwrap();
     assert_eq!(bench.apply(&edit), accepted(2));
-    bench.at_ms += 1;
+    bench.wait(1);
     assert!(matches!(bench.apply(&edit), EditOutcome::Conflict { .. }));
 }
 
@@ -230,16 +230,24 @@
 }
 
 #[test]
-fn a_clock_that_jumps_back_does_not_shorten_the_retention() {
+fn a_clock_that_jumps_does_not_end_the_retention_or_stop_time() {
     let mut bench = Bench::new();
-    bench.at_ms += ACCEPTED_RETENTION_MS;
-    assert_eq!(bench.set("centre", "advice", 0, row(1)), accepted(2));
-    bench.at_ms = 0;
-    let change = Change::row(key("centre", "advice"), Revision(2), Some(row(2)));
-    let edit = edit("after-jump", vec![change]);
-    assert_eq!(bench.apply(&edit), accepted(3));
-    bench.at_ms = ACCEPTED_RETENTION_MS * 2 - 1;
-    assert_eq!(bench.apply(&edit), accepted(3));
+    let change = Change::row(key("centre", "advice"), Revision::ABSENT, Some(row(1)));
+    let edit = edit("first", vec![change]);
+    assert_eq!(bench.apply(&edit), accepted(2));
+    let before_ms = bench.at_ms;
+    for wrong_ms in [u64::MAX, 0, before_ms + 9 * ACCEPTED_RETENTION_MS] {
+        bench.at_ms = wrong_ms;
+        assert_eq!(
+            bench.apply(&edit),
+            accepted(2),
+            "after a jump to {wrong_ms}"
+        );
+    }
+    bench.at_ms = before_ms;
+    assert_eq!(bench.apply(&edit), accepted(2));
+    bench.wait(ACCEPTED_RETENTION_MS);
+    assert!(matches!(bench.apply(&edit), EditOutcome::Conflict { .. }));
 }
 
 #[test]
@@ -317,7 +325,7 @@
     assert_eq!(retry_after_ms, REFUSED_RETENTION_MS);
     let index = bench.index + 1;
     assert_eq!(bench.set("other", "advice", 0, row(1)), accepted(index));
-    bench.at_ms += retry_after_ms;
+    bench.wait(retry_after_ms);
     let outcome = bench.apply(&batch("later", 9));
     assert!(matches!(outcome, EditOutcome::Conflict { .. }));
 }
