Tell edited lines of a table file from unedited ones

A file was compared by revision alone: a line that its operator never touched was in conflict as soon as anybody changed its row. Each line now carries a fingerprint of what was written; a line that still matches it changes nothing.

Ruled out: keeping each exported table on the server (memory for every export); columns with the old values (twice the file, and easily edited by mistake).

LocalTime and Response move to files of their own.

--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -18,7 +18,7 @@
 
 use crate::percent::encode;
 use crate::random::random_hex;
-use crate::{EDIT_ID_HEADER, Error};
+use crate::{EDIT_ID_HEADER, Error, Response};
 
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
 const ATTEMPTS_MAX: u32 = 4;
@@ -37,35 +37,6 @@
     Operator(String, Role),
 }
 
-/// Answer of the interface.
-#[derive(Debug, Clone, Eq, PartialEq)]
-pub struct Response {
-    /// Body as text.
-    pub body: String,
-    /// Entity tag, where the answer has one.
-    pub entity_tag: Option<String>,
-    /// HTTP status.
-    pub status: u16,
-}
-
-impl Response {
-    /// Whether the call was done.
-    #[must_use]
-    pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status)
-    }
-
-    /// The body as JSON; a string where it is not JSON.
-    #[must_use]
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.body).unwrap_or_else(|_| Value::String(self.body.clone()))
-    }
-
-    fn is_worth_repeating(&self) -> bool {
-        matches!(self.status, 503 | 504)
-    }
-}
-
 /// Calls the interface of one instance.
 #[derive(Debug)]
 pub struct Client {
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -25,6 +25,7 @@
 mod problem_document;
 mod random;
 pub mod render;
+mod response;
 mod route;
 mod row_document;
 mod row_handler;
@@ -32,9 +33,10 @@
 
 pub use admin::Admin;
 pub use backend::{Backend, BackendError, MetricsSource, Operator, TableVisitor};
-pub use client::{Client, KeyHolder, Response};
+pub use client::{Client, KeyHolder};
 pub use error::Error;
 pub use fleet::{EndpointStatus, InstanceStatus, Readiness, Status};
+pub use response::Response;
 
 /// Longest body of a request for one row, key, kind or batch.
 pub const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
--- a/crates/admin/src/row_document.rs
+++ b/crates/admin/src/row_document.rs
@@ -129,7 +129,8 @@
     cells: &mut Cells,
     problems: &mut Vec<Problem>,
 ) {
-    let column = Column::CSV.into_iter().find(|column| column.name() == name);
+    let is_named = |column: &Column| column.name() == name && *column != Column::Base;
+    let column = Column::CSV.into_iter().find(is_named);
     let is_list = value.is_array();
     let fits = |column: &Column| !is_list || *column == Column::Models;
     match (column.filter(fits), cell_text(value)) {
--- a/crates/table/src/cells.rs
+++ b/crates/table/src/cells.rs
@@ -1,7 +1,7 @@
 use names::{CustomerName, KindName, ModelName};
 
 use crate::check::{range, range_problem};
-use crate::{Column, LocalTime, Problem, Reason, Revision, Row, RowKey, Window};
+use crate::{Base, Column, LocalTime, Problem, Reason, Row, RowKey, Window};
 
 const MODEL_SEPARATOR: char = '|';
 const SHOWN_CHARS_MAX: usize = 40;
@@ -25,12 +25,11 @@
 
     /// The cells of a row.
     #[must_use]
-    pub fn of(key: &RowKey, revision: Revision, row: &Row) -> Self {
+    pub fn of(key: &RowKey, row: &Row) -> Self {
         let mut cells = Self::new(&key.to_string());
         cells.set(Column::Customer, key.customer.as_str());
         cells.set(Column::Kind, key.kind.as_str());
         cells.set_row(row);
-        cells.set(Column::Revision, &revision.to_string());
         cells
     }
 
@@ -49,6 +48,22 @@
         self.cells.push((column, text.trim().to_owned()));
     }
 
+    /// Reads the base of the line; none where empty.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what is not as it was written.
+    pub fn parse_base(&self) -> Result<Option<Base>, Vec<Problem>> {
+        let text = self.get(Column::Base);
+        if text.is_empty() {
+            return Ok(None);
+        }
+        text.parse().map(Some).map_err(|_| {
+            let text = shorten(text);
+            vec![self.problem(Column::Base, Reason::NotABase { text })]
+        })
+    }
+
     /// Reads the key of the row.
     ///
     /// # Errors
@@ -66,24 +81,6 @@
         })
     }
 
-    /// Reads the revision, [`Revision::ABSENT`] where empty.
-    ///
-    /// # Errors
-    ///
-    /// Refuses what is not a whole number.
-    pub fn parse_revision(&self) -> Result<Revision, Vec<Problem>> {
-        let text = self.get(Column::Revision);
-        if text.is_empty() {
-            return Ok(Revision::ABSENT);
-        }
-        text.parse().map_err(|_| {
-            let reason = Reason::NotANumber {
-                text: shorten(text),
-            };
-            vec![self.problem(Column::Revision, reason)]
-        })
-    }
-
     /// Reads the row.
     ///
     /// # Errors
--- a/crates/table/src/column.rs
+++ b/crates/table/src/column.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Column {
+    /// What a line of a file was when it was written.
+    Base,
     /// The list of changes of an edit.
     Changes,
     /// Customer of a row or key.
@@ -22,8 +24,6 @@
     QueuedMax,
     /// Longest time in the queue.
     QueueingMsMax,
-    /// Revision of the table at export.
-    Revision,
     /// Most requests that run at once.
     RunningMax,
     /// Most generated tokens a second.
@@ -62,13 +62,14 @@
         Self::WindowTimeZone,
         Self::WindowWeight,
         Self::WindowPriority,
-        Self::Revision,
+        Self::Base,
     ];
 
     /// Name in CSV headers, JSON fields and problems.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
+            Self::Base => "base",
             Self::Changes => "changes",
             Self::Customer => "customer",
             Self::Key => "key",
@@ -77,7 +78,6 @@
             Self::Priority => "priority",
             Self::QueuedMax => "queued_max",
             Self::QueueingMsMax => "queueing_ms_max",
-            Self::Revision => "revision",
             Self::RunningMax => "running_max",
             Self::TokensPerSecondMax => "tokens_per_second_max",
             Self::UrgentSharePercent => "urgent_share_percent",
--- a/crates/table/src/csv_file.rs
+++ b/crates/table/src/csv_file.rs
@@ -6,7 +6,7 @@
 
 use csv::{ReaderBuilder, StringRecord, Trim, WriterBuilder};
 
-use crate::{Cells, Column, Error, Items, Problem, Revision, Row, RowKey};
+use crate::{Base, Cells, Column, Error, Items, Problem, Revision, Row, RowKey};
 
 const BYTE_ORDER_MARK: char = '\u{feff}';
 const GUARD: char = '\'';
@@ -14,12 +14,12 @@
 /// One line of a CSV file.
 #[derive(Debug, Clone, Eq, PartialEq)]
 pub struct ProposedRow {
+    /// What the line was when it was written; none for a new row.
+    pub base: Option<Base>,
     /// Names the row.
     pub key: RowKey,
     /// Line of the file, from 1.
     pub line: u64,
-    /// Revision of the table at export; [`Revision::ABSENT`] for a new row.
-    pub revision: Revision,
     /// Its content.
     pub row: Row,
 }
@@ -51,7 +51,7 @@
     Ok(Err(problems))
 }
 
-/// Writes every row, with `revision` as the table's revision at export.
+/// Writes every row, with `revision` as that of the table.
 ///
 /// # Panics
 ///
@@ -64,7 +64,9 @@
         .write_record(header)
         .expect("memory takes any record");
     for (key, _, row) in items.rows() {
-        let cells = Cells::of(key, revision, row);
+        let mut cells = Cells::of(key, row);
+        let base = Base::new(revision, key, row);
+        cells.set(Column::Base, &base.to_string());
         let record = Column::CSV.map(|column| guarded(column, cells.get(column)));
         writer
             .write_record(record)
@@ -116,16 +118,16 @@
     for (&column, text) in columns.iter().zip(record) {
         cells.set(column, text.strip_prefix(GUARD).unwrap_or(text));
     }
-    let (key, revision, row) = (cells.parse_key(), cells.parse_revision(), cells.parse_row());
-    match (key, revision, row) {
-        (Ok(key), Ok(revision), Ok(row)) => Ok(ProposedRow {
+    let (base, key, row) = (cells.parse_base(), cells.parse_key(), cells.parse_row());
+    match (base, key, row) {
+        (Ok(base), Ok(key), Ok(row)) => Ok(ProposedRow {
+            base,
             key,
             line,
-            revision,
             row,
         }),
-        (key, revision, row) => {
-            let problems = [key.err(), revision.err(), row.err()];
+        (base, key, row) => {
+            let problems = [base.err(), key.err(), row.err()];
             Err(problems.into_iter().flatten().flatten().collect())
         }
     }
--- a/crates/table/src/diff.rs
+++ b/crates/table/src/diff.rs
@@ -1,14 +1,15 @@
 //! What a file of rows would change.
 //!
-//! Each line carries the table's revision at export. A row that was changed after that is a
-//! conflict. A row that the file lacks is removed, unless it was changed after the export: then it
-//! is not the file's to remove.
+//! Each line carries its base: the table's revision when the file was written, and a fingerprint of
+//! the line. A line that was not edited changes nothing, whatever became of its row since. An edited
+//! line whose row was changed after the file was written is a conflict. A row that the file lacks is
+//! removed, unless it was changed after the file was written: then it is not the file's to remove.
 
 use std::fmt::{self, Display, Formatter};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Cells, Change, Column, Items, ProposedRow, Revision, Row, RowKey};
+use crate::{Base, Cells, Change, Column, Items, ProposedRow, Revision, Row, RowKey};
 
 /// Difference between the table and a proposal.
 #[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -22,14 +23,14 @@
 /// A line that does not fit the present table.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub enum DiffConflict {
-    /// The row was changed after the export.
+    /// The row was changed after the file was written.
     Changed {
         /// Which row.
         key: RowKey,
         /// Its present revision.
         revision: Revision,
     },
-    /// The line has the revision of an existing row, which is gone.
+    /// The line has the base of an existing row, which is gone.
     Missing {
         /// Which row.
         key: RowKey,
@@ -47,12 +48,12 @@
             Self::Changed { key, revision } => {
                 write!(
                     f,
-                    "! {key}: was changed at revision {revision}, after the export"
+                    "! {key}: was changed at revision {revision}, after the file was written"
                 )
             }
             Self::Missing { key } => write!(
                 f,
-                "! {key}: does not exist; empty its cell `revision` to add it"
+                "! {key}: does not exist; empty its cell `base` to add it"
             ),
             Self::Twice { key } => write!(f, "! {key}: stands in two lines"),
         }
@@ -81,12 +82,12 @@
         };
         write!(f, "{mark} {}:", self.key)?;
         let cells = |row: &Option<Row>| match row {
-            Some(row) => Cells::of(&self.key, Revision::ABSENT, row),
+            Some(row) => Cells::of(&self.key, row),
             None => Cells::default(),
         };
         let (before, after) = (cells(&self.before), cells(&self.after));
         let is_shown = |column: &Column| {
-            !matches!(column, Column::Customer | Column::Kind | Column::Revision)
+            !matches!(column, Column::Base | Column::Customer | Column::Kind)
                 && before.get(*column) != after.get(*column)
         };
         for column in Column::CSV.into_iter().filter(is_shown) {
@@ -136,31 +137,33 @@
     }
 
     fn compare_line(&mut self, current: &Items, line: &ProposedRow) {
-        let key = line.key.clone();
-        let Some((before, revision)) = current.row(&key) else {
-            if line.revision == Revision::ABSENT {
-                self.push(key, Revision::ABSENT, None, Some(&line.row));
-            } else {
-                self.conflicts.push(DiffConflict::Missing { key });
-            }
-            return;
-        };
-        if *before == line.row {
+        let is_unedited = |base: Base| base.is_unedited(&line.key, &line.row);
+        if line.base.is_some_and(is_unedited) {
             return;
         }
-        if revision > line.revision {
-            self.conflicts.push(DiffConflict::Changed { key, revision });
-            return;
+        let key = line.key.clone();
+        match (current.row(&key), line.base) {
+            (Some((before, _)), _) if *before == line.row => (),
+            (Some((before, revision)), Some(base)) if revision <= base.revision => {
+                self.push(key, revision, Some(before), Some(&line.row));
+            }
+            (Some((_, revision)), _) => {
+                self.conflicts.push(DiffConflict::Changed { key, revision });
+            }
+            (None, Some(_)) => self.conflicts.push(DiffConflict::Missing { key }),
+            (None, None) => self.push(key, Revision::ABSENT, None, Some(&line.row)),
         }
-        self.push(key, revision, Some(before), Some(&line.row));
     }
 
     fn compare_removed(&mut self, current: &Items, lines: &[&ProposedRow]) {
-        let exported = lines.iter().map(|line| line.revision).max();
-        let exported = exported.unwrap_or(Revision::ABSENT);
+        let written = lines
+            .iter()
+            .filter_map(|line| line.base)
+            .map(|base| base.revision);
+        let written = written.max().unwrap_or(Revision::ABSENT);
         for (key, revision, row) in current.rows() {
             let is_held = lines.binary_search_by(|line| line.key.cmp(key)).is_ok();
-            if !is_held && revision <= exported {
+            if !is_held && revision <= written {
                 self.push(key.clone(), revision, Some(row), None);
             }
         }
--- a/crates/table/src/error.rs
+++ b/crates/table/src/error.rs
@@ -3,6 +3,9 @@
 /// Why text or bytes could not be taken.
 #[derive(Debug, Error)]
 pub enum Error {
+    /// The base of a line is not as it was written.
+    #[error("the base of a line must be as it was written, such as r17-9f2c41aa03bd")]
+    Base,
     /// A CSV file does not have the expected shape.
     #[error("CSV line {line}: {reason}")]
     Csv {
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -17,6 +17,7 @@
 //! does ask the database, and only then appends the edit to the log.
 
 mod answers;
+mod base;
 mod cells;
 mod check;
 mod clock;
@@ -29,6 +30,7 @@
 mod item;
 mod items;
 mod key;
+mod local_time;
 mod operator_name;
 mod problem;
 mod publication;
@@ -38,6 +40,7 @@
 mod view;
 mod window;
 
+pub use base::Base;
 pub use cells::Cells;
 pub use column::Column;
 pub use csv_file::{ProposedRow, read_csv, write_csv};
@@ -48,6 +51,7 @@
 pub use item::{Item, Target, Versioned};
 pub use items::Items;
 pub use key::{CustomerKey, KeyHash, OperatorKey, Role};
+pub use local_time::LocalTime;
 pub use operator_name::OperatorName;
 pub use problem::{Problem, Reason};
 pub use publication::{Delta, Publication, Snapshot};
@@ -55,7 +59,7 @@
 pub use row::{Row, RowKey, Share};
 pub use table::Table;
 pub use view::{View, ViewOutcome};
-pub use window::{LocalTime, Window};
+pub use window::Window;
 
 /// Time for which the answer to an accepted edit is kept and given again.
 pub const ACCEPTED_RETENTION_MS: u64 = 6 * 60 * 60 * 1000;
--- a/crates/table/src/problem.rs
+++ b/crates/table/src/problem.rs
@@ -64,6 +64,12 @@
         /// Which rule.
         detail: String,
     },
+    /// Not the base that was written.
+    #[error("`{text}` is not what was written; empty the cell to add the row")]
+    NotABase {
+        /// The text, shortened.
+        text: String,
+    },
     /// Not a whole number.
     #[error("`{text}` is not a whole number")]
     NotANumber {
