--- a/crates/claims/tests/claims.rs
+++ b/crates/claims/tests/claims.rs
@@ -7,6 +7,7 @@
     SettleAnswer, StoredBody, StoredHeader,
 };
 use common::{Bench, attempt, claimant, key, outcome};
+use quickcheck::{Gen, QuickCheck};
 
 fn small(claims_max: usize) -> Bounds {
     Bounds {
@@ -107,20 +108,41 @@
         bench.claim(key, "x", &attempt(1, 1, request));
         bench.finish(key, &attempt(1, 1, request), "booked");
     }
-    bench.at_ms += bounds.retention_ms - 1;
+    bench.wait(bounds.retention_ms - 1);
     let full = ClaimAnswer::Full {
         retry_after_ms: Some(1),
     };
     assert_eq!(bench.claim(&keys[3], "x", &attempt(1, 1, 4)), full);
     let stored = ClaimAnswer::Finished(outcome("booked"));
     assert_eq!(bench.claim(&keys[0], "x", &attempt(1, 1, 5)), stored);
-    bench.at_ms += 1;
+    bench.wait(1);
     assert_eq!(
         bench.claim(&keys[3], "x", &attempt(1, 1, 4)),
         ClaimAnswer::Granted
     );
 }
 
+#[test]
+fn a_leader_whose_clock_is_wrong_ends_no_retention_and_does_not_stop_time() {
+    let retention_ms = Bounds::default().retention_ms;
+    let mut bench = Bench::new(Bounds::default());
+    let key = key("a", "1");
+    bench.claim(&key, "x", &attempt(1, 1, 1));
+    bench.finish(&key, &attempt(1, 1, 1), "booked");
+    let before_ms = bench.at_ms;
+    let stored = ClaimAnswer::Finished(outcome("booked"));
+    for wrong_ms in [u64::MAX, 0, before_ms + 9 * retention_ms, before_ms] {
+        bench.at_ms = wrong_ms;
+        assert_eq!(
+            bench.claim(&key, "x", &attempt(2, 1, 1)),
+            stored,
+            "at {wrong_ms}"
+        );
+    }
+    bench.wait(retention_ms);
+    assert!(bench.claims.is_empty());
+}
+
 #[test]
 fn one_customers_flood_leaves_room_for_others() {
     let bounds = Bounds {
@@ -147,7 +169,7 @@
     assert!(bench.claims.bytes() > BODY_BYTES_MAX);
     bench.finish(&key, &attempt(1, 1, 1), "booked");
     assert!(bench.claims.bytes() < 1_024);
-    bench.at_ms += Bounds::default().retention_ms;
+    bench.wait(Bounds::default().retention_ms);
     bench.abandon(claimant(9, 1));
     assert_eq!((bench.claims.bytes(), bench.claims.len()), (0, 0));
 }
@@ -184,6 +206,28 @@
     }
 }
 
+#[test]
+fn mutated_snapshots_decode_or_are_refused_without_a_panic() {
+    fn property(places: Vec<(usize, u8)>, length: usize) -> bool {
+        let mut bench = Bench::new(Bounds::default());
+        bench.claim(&key("a", "1"), "x", &attempt(1, 1, 1));
+        bench.claim(&key("a", "2"), "x", &attempt(1, 1, 2));
+        bench.finish(&key("a", "2"), &attempt(1, 1, 2), "booked");
+        let mut bytes = bench.claims.snapshot();
+        for (place, value) in places {
+            let place = place % bytes.len();
+            bytes[place] = value;
+        }
+        bytes.truncate(1 + length % bytes.len());
+        let _ = Claims::restore(&bytes);
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(6, 17))
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<(usize, u8)>, usize) -> bool);
+}
+
 #[test]
 fn a_damaged_snapshot_is_refused() {
     let mut bench = Bench::new(Bounds::default());
--- a/crates/table/src/error.rs
+++ b/crates/table/src/error.rs
@@ -3,6 +3,9 @@
 /// Why text or bytes could not be taken.
 #[derive(Debug, Error)]
 pub enum Error {
+    /// The base of a line is not as it was written.
+    #[error("the base of a line must be as it was written, such as r17-9f2c41aa03bd")]
+    Base,
     /// A CSV file does not have the expected shape.
     #[error("CSV line {line}: {reason}")]
     Csv {
@@ -26,6 +29,12 @@
         /// The refused text, shortened.
         text: String,
     },
+    /// The content of an item is of another sort than the item.
+    #[error("content does not fit the item {target}")]
+    Misfit {
+        /// The item.
+        target: String,
+    },
     /// A snapshot does not decode.
     #[error("snapshot of the table does not decode: {reason}")]
     SnapshotDecode {
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -17,8 +17,10 @@
 //! does ask the database, and only then appends the edit to the log.
 
 mod answers;
+mod base;
 mod cells;
 mod check;
+mod clock;
 mod column;
 mod csv_file;
 mod diff;
@@ -28,6 +30,7 @@
 mod item;
 mod items;
 mod key;
+mod local_time;
 mod operator_name;
 mod problem;
 mod publication;
@@ -37,6 +40,7 @@
 mod view;
 mod window;
 
+pub use base::Base;
 pub use cells::Cells;
 pub use column::Column;
 pub use csv_file::{ProposedRow, read_csv, write_csv};
@@ -47,14 +51,15 @@
 pub use item::{Item, Target, Versioned};
 pub use items::Items;
 pub use key::{CustomerKey, KeyHash, OperatorKey, Role};
+pub use local_time::LocalTime;
 pub use operator_name::OperatorName;
 pub use problem::{Problem, Reason};
-pub use publication::{Delta, Publication, PublishedItem, Snapshot};
+pub use publication::{Delta, Publication, Snapshot};
 pub use revision::Revision;
 pub use row::{Row, RowKey, Share};
 pub use table::Table;
 pub use view::{View, ViewOutcome};
-pub use window::{LocalTime, Window};
+pub use window::Window;
 
 /// Time for which the answer to an accepted edit is kept and given again.
 pub const ACCEPTED_RETENTION_MS: u64 = 6 * 60 * 60 * 1000;
@@ -71,6 +76,9 @@
 /// Most changes in one edit.
 pub const CHANGES_PER_EDIT_MAX: usize = 10_000;
 
+/// Most time that counts as gone by between two log entries, whatever their stamps say.
+pub const CLOCK_STEP_MS_MAX: u64 = 10 * 60 * 1000;
+
 /// Most conflicts that one answer lists.
 pub const CONFLICTS_LISTED_MAX: usize = 100;
 
