--- a/crates/fakes/examples/experiment.rs
+++ b/crates/fakes/examples/experiment.rs
@@ -1,12 +1,11 @@
 //! Runs dispatch policies side by side on one load; see `docs/EXPERIMENTS.md`.
 
 use std::error::Error;
-use std::fs;
 use std::path::PathBuf;
 use std::thread;
 
 use fakes::baselines::{self, POLICIES};
-use fakes::experiment::{Capacity, Fault, LoadFile, Report, Scenario, Summary, run};
+use fakes::experiment::{Capacity, LoadFile, Report, Scenario, Summary, run};
 use gumdrop::Options;
 
 /// Flags of the experiment.
@@ -29,26 +28,32 @@
     )]
     faults: String,
     #[options(no_short, help = "simulated seconds, in place of the load file's")]
-    duration_s: Option<u64>,
+    duration_s: Option<u32>,
     #[options(no_short, help = "runs at once", default = "3")]
     jobs: usize,
-    #[options(no_short, help = "folder for table, CSV and SVG")]
+    #[options(no_short, help = "folder for table, CSV and plots")]
     out: Option<PathBuf>,
 }
 
-struct Job {
-    load: usize,
-    policy: String,
+struct Job<'a> {
+    load: &'a LoadFile,
+    policy: &'a str,
     scenario: Scenario,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
     let flags = Flags::parse_args_default_or_exit();
-    let loads = read_loads(&flags)?;
-    let jobs = plan(&flags, loads.len())?;
+    let mut loads = Vec::new();
+    for path in &flags.load {
+        loads.push(LoadFile::read(path, flags.duration_s)?);
+    }
+    let jobs = plan(&flags, &loads)?;
     let mut report = Report::default();
     for batch in jobs.chunks(flags.jobs.max(1)) {
-        report.summaries.extend(run_batch(&loads, batch)?);
+        report.summaries.extend(run_batch(batch)?);
+    }
+    for load in &loads {
+        eprintln!("{}: {:?}", load.name(), Capacity::of(load));
     }
     print!("{}", report.table());
     if let Some(folder) = &flags.out {
@@ -57,35 +62,31 @@
     Ok(())
 }
 
-fn plan(flags: &Flags, loads: usize) -> Result<Vec<Job>, Box<dyn Error>> {
+fn plan<'a>(flags: &'a Flags, loads: &'a [LoadFile]) -> Result<Vec<Job<'a>>, Box<dyn Error>> {
     let all = flags.policies == "all";
-    let policies: Vec<&str> = if all {
+    let policies = if all {
         POLICIES.to_vec()
     } else {
         list(&flags.policies)
     };
-    let mut jobs = Vec::new();
-    for load in 0..loads {
-        for fault in list(&flags.faults) {
-            let fault: Fault = fault.parse()?;
-            for load_factor in list(&flags.loads) {
-                let load_factor = load_factor.parse()?;
-                for seed in list(&flags.seed) {
-                    let seed = seed.parse()?;
-                    let scenario = Scenario {
-                        fault,
-                        load_factor,
-                        seed,
-                    };
-                    jobs.extend(policies.iter().map(|policy| Job {
-                        load,
-                        policy: (*policy).to_owned(),
-                        scenario,
-                    }));
-                }
+    let mut scenarios = Vec::new();
+    for fault in list(&flags.faults) {
+        for load_factor in list(&flags.loads) {
+            for seed in list(&flags.seed) {
+                scenarios.push(Scenario::new(fault, load_factor.parse()?, seed.parse()?)?);
             }
         }
     }
+    let mut jobs = Vec::new();
+    for load in loads {
+        for scenario in &scenarios {
+            jobs.extend(policies.iter().map(|policy| Job {
+                load,
+                policy,
+                scenario: scenario.clone(),
+            }));
+        }
+    }
     Ok(jobs)
 }
 
@@ -93,49 +94,18 @@
     text.split(',').map(str::trim).collect()
 }
 
-fn read_loads(flags: &Flags) -> Result<Vec<LoadFile>, Box<dyn Error>> {
-    let mut loads = Vec::new();
-    for path in &flags.load {
-        let text = fs::read_to_string(path)?;
-        let mut load: LoadFile = serde_json::from_str(&text)?;
-        load.duration_s = flags.duration_s.unwrap_or(load.duration_s);
-        let Capacity {
-            batch,
-            requests_per_s,
-            step_us,
-            tokens_per_s,
-        } = Capacity::of(&load);
-        eprintln!(
-            "{}: capacity {requests_per_s:.1} requests/s, {tokens_per_s:.0} tokens/s, batch {batch}, step {:.1} ms",
-            load.name,
-            step_us / 1e3
-        );
-        loads.push(load);
-    }
-    Ok(loads)
-}
-
-fn run_batch(loads: &[LoadFile], batch: &[Job]) -> Result<Vec<Summary>, Box<dyn Error>> {
+fn run_batch(batch: &[Job<'_>]) -> Result<Vec<Summary>, String> {
     thread::scope(|scope| {
-        let handles: Vec<_> = batch
-            .iter()
-            .map(|job| scope.spawn(|| run_job(&loads[job.load], job)))
-            .collect();
-        handles
-            .into_iter()
-            .map(|handle| handle.join().expect("a run does not panic"))
-            .collect::<Result<_, String>>()
+        let start = |job| scope.spawn(move || run_job(job));
+        let handles: Vec<_> = batch.iter().map(start).collect();
+        let join = |handle: thread::ScopedJoinHandle<'_, _>| handle.join().expect("no run panics");
+        handles.into_iter().map(join).collect()
     })
-    .map_err(Into::into)
 }
 
-fn run_job(load: &LoadFile, job: &Job) -> Result<Summary, String> {
-    let candidate = baselines::build(&job.policy, job.scenario.seed);
+fn run_job(job: &Job<'_>) -> Result<Summary, String> {
+    let candidate = baselines::build(job.policy, job.scenario.seed());
     let mut candidate = candidate.ok_or_else(|| format!("`{}` is no policy", job.policy))?;
-    Ok(run(
-        load,
-        &job.scenario,
-        candidate.policy.as_mut(),
-        candidate.central,
-    ))
+    let policy = candidate.policy.as_mut();
+    Ok(run(job.load, &job.scenario, policy, candidate.central))
 }
--- a/crates/fakes/src/baselines/entry_view.rs
+++ b/crates/fakes/src/baselines/entry_view.rs
@@ -1,10 +1,12 @@
+use std::collections::BTreeMap;
+
 use dispatch::{Action, CustomerIndex, Demand, End, Event, KindIndex, Limits, ModelIndex};
 use names::{EndpointId, PermitId, RequestId};
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 /// Entry instances in front of the engines.
-const ENTRIES: usize = 9;
+pub(crate) const ENTRIES: usize = 9;
 /// How long an endpoint that failed a call is left out.
 const FAILURE_PAUSE_US: u64 = 3_000_000;
 
@@ -14,7 +16,7 @@
     draw: Xoshiro256PlusPlus,
     known: Vec<Known>,
     next_permit: u64,
-    permits: std::collections::BTreeMap<PermitId, EndpointId>,
+    permits: BTreeMap<PermitId, EndpointId>,
     priorities: Vec<((CustomerIndex, KindIndex), i32)>,
 }
 
@@ -43,13 +45,13 @@
             draw: Xoshiro256PlusPlus::seed_from_u64(seed),
             known: Vec::new(),
             next_permit: 0,
-            permits: std::collections::BTreeMap::new(),
+            permits: BTreeMap::new(),
             priorities: Vec::new(),
         }
     }
 
-    pub(crate) fn below(&mut self, bound: usize) -> usize {
-        usize::try_from(self.draw.next_u64() % bound as u64).unwrap_or(0)
+    pub(crate) fn draw(&mut self) -> usize {
+        usize::try_from(self.draw.next_u64() >> 32).unwrap_or(0)
     }
 
     /// Endpoints that may take a request; all ready ones if each has failed of late.
--- a/crates/fakes/src/baselines/mod.rs
+++ b/crates/fakes/src/baselines/mod.rs
@@ -4,18 +4,14 @@
 //! arrive, and what this entry itself sent since the report was true. They queue nothing; engines
 //! queue in order of priority and arrival. The fourth reserves the maximum length centrally.
 
+mod entry_policy;
 mod entry_view;
-mod least_requests;
-mod power_of_two;
 mod reservation;
-mod round_robin;
 
 use dispatch::{Dispatcher, Policy, Settings};
 
-pub use least_requests::LeastRequests;
-pub use power_of_two::PowerOfTwo;
+pub use entry_policy::{Choice, EntryPolicy};
 pub use reservation::Reservation;
-pub use round_robin::RoundRobin;
 
 /// Names of all policies, the product's first.
 pub const POLICIES: [&str; 5] = [
@@ -37,12 +33,13 @@
 /// Builds a policy by name.
 #[must_use]
 pub fn build(name: &str, seed: u64) -> Option<Candidate> {
+    let entries = |choice| -> Box<dyn Policy> { Box::new(EntryPolicy::new(choice, seed)) };
     let (central, policy): (bool, Box<dyn Policy>) = match name {
-        "least-requests" => (false, Box::new(LeastRequests::new(seed))),
+        "least-requests" => (false, entries(Choice::LeastRequests)),
         "permits" => (true, Box::new(Dispatcher::new(Settings::default(), seed))),
-        "power-of-two" => (false, Box::new(PowerOfTwo::new(seed))),
+        "power-of-two" => (false, entries(Choice::PowerOfTwo)),
         "reservation" => (true, Box::new(Reservation::new())),
-        "round-robin" => (false, Box::new(RoundRobin::new(seed))),
+        "round-robin" => (false, entries(Choice::RoundRobin)),
         _ => return None,
     };
     Some(Candidate { central, policy })
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -8,15 +8,14 @@
 //!
 //! Maps are `BTreeMap`: queues and caches hold thousands of entries and change at every step.
 
-mod job;
 mod memory;
 mod model;
 mod output;
 mod sequence;
 mod settings;
 
-pub use job::Job;
 pub use memory::CacheNews;
 pub use model::EngineModel;
-pub use output::{EndReason, Load, Output, OutputKind, Refusal, SequenceState};
+pub use output::{EndReason, Output, OutputKind, Refused, SequenceState};
+pub use sequence::Job;
 pub use settings::EngineSettings;
--- a/crates/fakes/src/engine/model.rs
+++ b/crates/fakes/src/engine/model.rs
@@ -1,11 +1,12 @@
 use std::collections::{BTreeMap, VecDeque};
 
+use dispatch::Report;
 use names::GenerationId;
 
 use crate::engine::memory::Memory;
 use crate::engine::sequence::{Rank, Sequence};
 use crate::engine::{
-    CacheNews, EndReason, EngineSettings, Job, Load, Output, OutputKind, Refusal, SequenceState,
+    CacheNews, EndReason, EngineSettings, Job, Output, OutputKind, Refused, SequenceState,
 };
 
 const INTERVAL_WINDOW_US: u64 = 1_000_000;
@@ -23,6 +24,7 @@
     settings: EngineSettings,
     step_end_us: Option<u64>,
     step_us: u64,
+    /// End and length of recent steps.
     steps: VecDeque<(u64, u64)>,
     waiting: BTreeMap<Rank, Sequence>,
 }
@@ -52,6 +54,8 @@
     }
 
     /// Runs all steps that end by `now_us` and appends what came out.
+    ///
+    /// Every other method with a time expects that the engine was advanced to it.
     pub fn advance(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
         while let Some(end_us) = self.step_end_us.filter(|&end_us| end_us <= now_us) {
             self.finish_step(end_us, outputs);
@@ -60,8 +64,6 @@
     }
 
     /// Ends a generation early; false if it is not here.
-    ///
-    /// `advance` must have been called for `now_us`.
     pub fn cancel(&mut self, now_us: u64, id: GenerationId, outputs: &mut Vec<Output>) -> bool {
         let Some(sequence) = self.remove_running(id).or_else(|| self.remove_waiting(id)) else {
             return false;
@@ -70,17 +72,23 @@
         true
     }
 
+    /// Forgets every sequence and the cache, as a death does; returns the numbers.
+    pub fn clear(&mut self) -> Vec<GenerationId> {
+        let running = std::mem::take(&mut self.running);
+        let waiting = std::mem::take(&mut self.waiting);
+        self.memory = Memory::new(self.settings.memory_blocks());
+        self.step_end_us = None;
+        let all = running.iter().chain(waiting.values());
+        all.map(|sequence| sequence.job.generation).collect()
+    }
+
     /// Load at `now_us`.
     #[must_use]
-    pub fn load(&self, now_us: u64) -> Load {
-        let recent = || {
-            let since_us = now_us.saturating_sub(INTERVAL_WINDOW_US);
-            self.steps
-                .iter()
-                .filter(move |(end_us, _)| *end_us > since_us)
-        };
+    pub fn load(&self, now_us: u64) -> Report {
+        let since_us = now_us.saturating_sub(INTERVAL_WINDOW_US);
+        let recent = || self.steps.iter().filter(|(end_us, _)| *end_us > since_us);
         let total_us: u64 = recent().map(|(_, step_us)| step_us).sum();
-        Load {
+        Report {
             memory_used_tokens: self.memory.used() as u64 * u64::from(self.settings.block_tokens),
             preemptions: self.preemptions,
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
@@ -97,22 +105,18 @@
 
     /// Queues a job; an idle engine starts on it at once.
     ///
-    /// `advance` must have been called for `now_us`.
-    ///
     /// # Errors
     ///
-    /// Says why the job was not taken; nothing ran.
+    /// When the job can never fit; nothing ran.
     pub fn submit(
         &mut self,
         now_us: u64,
         job: Job,
         outputs: &mut Vec<Output>,
-    ) -> Result<(), Refusal> {
-        if self.waiting.len() >= self.settings.waiting_max {
-            return Err(Refusal::WaitingFull);
-        }
-        if self.blocks(job.prompt_tokens + 1) + self.reserve() > self.settings.memory_blocks() {
-            return Err(Refusal::TooLarge);
+    ) -> Result<(), Refused> {
+        let blocks = (job.prompt_tokens + 1).div_ceil(self.settings.block_tokens) as usize;
+        if blocks + self.reserve() > self.settings.memory_blocks() {
+            return Err(Refused);
         }
         self.arrivals += 1;
         let sequence = Sequence {
@@ -136,19 +140,6 @@
         self.memory.take_news()
     }
 
-    /// Removes every sequence, as when the engine dies; returns their numbers.
-    pub fn clear(&mut self) -> Vec<GenerationId> {
-        let running = std::mem::take(&mut self.running);
-        let waiting = std::mem::take(&mut self.waiting);
-        self.memory = Memory::new(self.settings.memory_blocks());
-        self.step_end_us = None;
-        running
-            .iter()
-            .chain(waiting.values())
-            .map(|s| s.job.generation)
-            .collect()
-    }
-
     fn admit_waiting(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
         while self.running.len() < self.settings.sequences_max as usize {
             let Some((_, sequence)) = self.waiting.first_key_value() else {
@@ -174,23 +165,25 @@
         }
     }
 
-    fn blocks(&self, tokens: u32) -> usize {
-        tokens.div_ceil(self.settings.block_tokens) as usize
-    }
-
+    /// Counts the step's time for the accounts whose sequences it computed.
     fn charge(&mut self) {
-        let sequences = self.running.iter().filter(|s| s.scheduled > 0).count();
-        #[expect(clippy::cast_precision_loss, reason = "batches are far below 2^52")]
-        let base_us = self.settings.base_step_us / sequences.max(1) as f64;
-        for sequence in self.running.iter().filter(|s| s.scheduled > 0) {
+        let scheduled = || {
+            self.running
+                .iter()
+                .filter(|sequence| sequence.scheduled > 0)
+        };
+        let sequences = u32::try_from(scheduled().count()).unwrap_or(u32::MAX);
+        let base_us = self.settings.base_step_us / f64::from(sequences.max(1));
+        for sequence in scheduled() {
             let account = sequence.job.account;
             if account >= self.account_us.len() {
                 self.account_us.resize(account + 1, 0.0);
             }
             let prefill = f64::from(sequence.scheduled - 1);
-            let resident = f64::from(sequence.computed);
-            let own_us = self.settings.step_us(1.0, prefill, resident);
-            self.account_us[account] += own_us - self.settings.base_step_us + base_us;
+            let own_us = self
+                .settings
+                .work_us(1.0, prefill, f64::from(sequence.computed));
+            self.account_us[account] += base_us + own_us;
         }
     }
 
@@ -200,11 +193,10 @@
         while self
             .steps
             .front()
-            .is_some_and(|(end_us, _)| end_us + INTERVAL_WINDOW_US < now_us)
+            .is_some_and(|step| step.0 + INTERVAL_WINDOW_US < now_us)
         {
             self.steps.pop_front();
         }
-        let mut ended_any = false;
         for sequence in &mut self.running {
             sequence.computed += std::mem::take(&mut sequence.scheduled);
             if sequence.pending_tokens() > 0 {
@@ -213,19 +205,17 @@
             if sequence.generated == 0 {
                 outputs.push(state(now_us, sequence, SequenceState::Running));
             }
-            let kind = OutputKind::Token {
-                index: sequence.generated,
-            };
-            outputs.push(Output {
-                at_us: now_us,
-                generation: sequence.job.generation,
-                kind,
-            });
+            outputs.push(output(
+                now_us,
+                sequence,
+                OutputKind::Token(sequence.generated),
+            ));
             sequence.generated += 1;
-            ended_any |= sequence.generated >= sequence.job.length_tokens;
         }
-        if ended_any {
-            self.remove_ended(now_us, outputs);
+        for sequence in self.running.extract_if(.., |sequence| sequence.is_ended()) {
+            self.memory
+                .release(&sequence.job.prefix_hashes, sequence.private_blocks);
+            outputs.push(ended(now_us, &sequence, EndReason::Stop));
         }
     }
 
@@ -242,8 +232,7 @@
             .collect();
         order.sort_unstable();
         for rank in order {
-            while let Some(position) = self.running.iter().position(|s| s.rank() == rank) {
-                let sequence = &mut self.running[position];
+            while let Some(sequence) = self.running.iter_mut().find(|s| s.rank() == rank) {
                 if self.memory.take_private() {
                     sequence.private_blocks += 1;
                     break;
@@ -256,15 +245,12 @@
     }
 
     fn preempt_last(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
-        let last = self
-            .running
-            .iter()
-            .enumerate()
-            .max_by_key(|(_, s)| s.rank());
-        let (position, _) = last.expect("a sequence that needs memory is running");
-        let mut sequence = self.running.remove(position);
-        self.memory
-            .release(&sequence.job.prefix_hashes, sequence.private_blocks);
+        let last = self.running.iter().max_by_key(|sequence| sequence.rank());
+        let last = last
+            .expect("a sequence that needs memory is running")
+            .job
+            .generation;
+        let mut sequence = self.remove_running(last).expect("found above");
         if self.running.is_empty() {
             outputs.push(ended(now_us, &sequence, EndReason::Length));
             return;
@@ -276,16 +262,6 @@
         self.waiting.insert(sequence.rank(), sequence);
     }
 
-    fn remove_ended(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
-        let is_ended = |s: &mut Sequence| s.generated >= s.job.length_tokens;
-        let ended_sequences: Vec<Sequence> = self.running.extract_if(.., is_ended).collect();
-        for sequence in ended_sequences {
-            self.memory
-                .release(&sequence.job.prefix_hashes, sequence.private_blocks);
-            outputs.push(ended(now_us, &sequence, EndReason::Stop));
-        }
-    }
-
     fn remove_running(&mut self, id: GenerationId) -> Option<Sequence> {
         let position = self.running.iter().position(|s| s.job.generation == id)?;
         let sequence = self.running.remove(position);
@@ -295,8 +271,10 @@
     }
 
     fn remove_waiting(&mut self, id: GenerationId) -> Option<Sequence> {
-        let (rank, _) = self.waiting.iter().find(|(_, s)| s.job.generation == id)?;
-        let rank = *rank;
+        let mut waiting = self.waiting.iter();
+        let rank = *waiting
+            .find(|(_, sequence)| sequence.job.generation == id)?
+            .0;
         self.waiting.remove(&rank)
     }
 
@@ -304,38 +282,33 @@
         self.settings.memory_blocks() / RESERVE_DIVISOR
     }
 
-    /// Shares the step's token budget: decoding first, then prefill in order of service.
-    fn schedule(&mut self) -> (u32, u32, u64) {
-        let mut budget = self.settings.step_tokens_max;
-        let mut resident: u64 = 0;
-        let mut sequences = 0;
+    /// Shares the step's token budget, decoding first, and returns the step's time.
+    fn schedule(&mut self) -> f64 {
+        let (mut resident, mut sequences, mut prefill) = (0.0, 0, 0);
         for sequence in &mut self.running {
-            resident += u64::from(sequence.computed);
+            resident += f64::from(sequence.computed);
             sequence.scheduled = u32::from(sequence.decodes());
             sequences += sequence.scheduled;
         }
-        budget = budget.saturating_sub(sequences);
-        let mut prefill = 0;
-        let mut pending: Vec<&mut Sequence> = self
+        let mut budget = self.settings.step_tokens_max.saturating_sub(sequences);
+        let idle = self
             .running
             .iter_mut()
-            .filter(|s| s.scheduled == 0)
-            .collect();
-        pending.sort_unstable_by_key(|s| s.rank());
+            .filter(|sequence| sequence.scheduled == 0);
+        let mut pending: Vec<&mut Sequence> = idle.collect();
+        pending.sort_unstable_by_key(|sequence| sequence.rank());
         for sequence in pending {
             sequence.scheduled = sequence.pending_tokens().min(budget);
             budget -= sequence.scheduled;
             prefill += sequence.scheduled;
             sequences += u32::from(sequence.scheduled > 0);
         }
-        (sequences, prefill, resident)
+        self.settings
+            .step_us(f64::from(sequences), f64::from(prefill), resident)
     }
 
     fn start_step(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
-        if !self.grow(now_us, outputs) {
-            self.admit_waiting(now_us, outputs);
-        }
-        if self.running.is_empty() {
+        if !self.grow(now_us, outputs) || self.running.is_empty() {
             self.admit_waiting(now_us, outputs);
         }
         if self.running.is_empty() {
@@ -346,30 +319,23 @@
             self.step_end_us = None;
             return;
         }
-        let (sequences, prefill, resident) = self.schedule();
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "memory is far below 2^52 tokens"
-        )]
-        let step_us =
-            self.settings
-                .step_us(f64::from(sequences), f64::from(prefill), resident as f64);
+        let step_us = self.schedule().max(1.0);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "positive, small"
+            reason = "small"
         )]
-        let whole_us = step_us.max(1.0) as u64;
-        self.step_us = whole_us;
-        self.step_end_us = Some(now_us + whole_us);
+        let step_us = step_us as u64;
+        self.step_us = step_us;
+        self.step_end_us = Some(now_us + step_us);
     }
 }
 
 fn ended(at_us: u64, sequence: &Sequence, end: EndReason) -> Output {
-    let kind = OutputKind::Ended {
-        end,
-        tokens: sequence.generated,
-    };
+    output(at_us, sequence, OutputKind::Ended(end))
+}
+
+fn output(at_us: u64, sequence: &Sequence, kind: OutputKind) -> Output {
     Output {
         at_us,
         generation: sequence.job.generation,
@@ -378,9 +344,5 @@
 }
 
 fn state(at_us: u64, sequence: &Sequence, state: SequenceState) -> Output {
-    Output {
-        at_us,
-        generation: sequence.job.generation,
-        kind: OutputKind::State(state),
-    }
+    output(at_us, sequence, OutputKind::State(state))
 }
--- a/crates/fakes/src/engine/output.rs
+++ b/crates/fakes/src/engine/output.rs
@@ -14,21 +14,6 @@
     Stop,
 }
 
-/// Load of the engine at one moment.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Load {
-    /// Memory referenced by running sequences.
-    pub memory_used_tokens: u64,
-    /// Preemptions since the start.
-    pub preemptions: u64,
-    /// Sequences running.
-    pub running: u32,
-    /// Mean step time over the last second; zero when idle.
-    pub token_interval_us: u64,
-    /// Sequences waiting.
-    pub waiting: u32,
-}
-
 /// Something that happened inside the engine.
 #[derive(Debug, Clone, Copy, Eq, PartialEq)]
 pub struct Output {
@@ -44,34 +29,20 @@
 #[derive(Debug, Clone, Copy, Eq, PartialEq)]
 pub enum OutputKind {
     /// The generation ended.
-    Ended {
-        /// Why.
-        end: EndReason,
-        /// Tokens of the whole generation.
-        tokens: u32,
-    },
+    Ended(EndReason),
     /// The generation changed its state.
     State(SequenceState),
-    /// A token came out.
-    Token {
-        /// Its index, from 0.
-        index: u32,
-    },
+    /// The token with this index came out.
+    Token(u32),
 }
 
-/// Why the engine did not take a job.
+/// The engine did not take a job: its prompt is larger than the memory.
 #[derive(Debug, Clone, Copy, Eq, Error, PartialEq)]
-pub enum Refusal {
-    /// The prompt is larger than the memory.
-    #[error("prompt is larger than the engine's memory")]
-    TooLarge,
-    /// The waiting queue is full.
-    #[error("engine has no room for another waiting generation")]
-    WaitingFull,
-}
+#[error("prompt is larger than the engine's memory")]
+pub struct Refused;
 
 /// State of a generation that has not ended.
-#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SequenceState {
     /// Lost its memory; waits to be recomputed.
--- a/crates/fakes/src/engine/settings.rs
+++ b/crates/fakes/src/engine/settings.rs
@@ -18,8 +18,6 @@
     pub sequence_us: f64,
     /// Most sequences running at once.
     pub sequences_max: u32,
-    /// Most sequences waiting at once.
-    pub waiting_max: usize,
 }
 
 impl Default for EngineSettings {
@@ -33,7 +31,6 @@
             sequence_us: 200.0,
             sequences_max: 128,
             step_tokens_max: 512,
-            waiting_max: 100_000,
         }
     }
 }
@@ -42,13 +39,16 @@
     /// Time of a step with this much work.
     #[must_use]
     pub fn step_us(&self, sequences: f64, prefill_tokens: f64, resident_tokens: f64) -> f64 {
-        self.base_step_us
-            + self.sequence_us * sequences
-            + self.prefill_token_us * prefill_tokens
-            + self.resident_token_us * resident_tokens
+        self.base_step_us + self.work_us(sequences, prefill_tokens, resident_tokens)
     }
 
     pub(crate) fn memory_blocks(&self) -> usize {
         usize::try_from(self.memory_tokens / u64::from(self.block_tokens)).unwrap_or(usize::MAX)
     }
+
+    pub(crate) fn work_us(&self, sequences: f64, prefill: f64, resident: f64) -> f64 {
+        self.sequence_us * sequences
+            + self.prefill_token_us * prefill
+            + self.resident_token_us * resident
+    }
 }
--- a/crates/fakes/src/experiment/draw.rs
+++ b/crates/fakes/src/experiment/draw.rs
@@ -64,3 +64,8 @@
 pub(crate) fn micros(time_s: f64) -> u64 {
     (time_s * 1e6) as u64
 }
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+pub(crate) fn wide(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/fakes/src/experiment/metrics.rs
+++ b/crates/fakes/src/experiment/metrics.rs
@@ -1,16 +1,17 @@
-use dispatch::RefusalReason;
 use hdrhistogram::Histogram;
 
+use crate::experiment::draw::{whole, wide};
+
 /// Gap between tokens from which on a caller is stalled.
-pub(crate) const STALL_US: u64 = 200_000;
+const STALL_US: u64 = 200_000;
 /// Goal for the first token.
-pub(crate) const FIRST_TOKEN_GOAL_US: u64 = 310_000;
+const FIRST_TOKEN_GOAL_US: u64 = 310_000;
 const HIGHEST_US: u64 = 3_600_000_000;
 
 /// What callers saw in one run.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    pub(crate) bytes_across_regions: u64,
+    pub(crate) across_bytes: u64,
     pub(crate) call_us: Histogram<u32>,
     pub(crate) completed: u64,
     pub(crate) first_us: Histogram<u32>,
@@ -19,22 +20,17 @@
     pub(crate) good_tokens: u64,
     pub(crate) late_first_us: u64,
     pub(crate) lost: u64,
-    pub(crate) refusals: Vec<(RefusalReason, u64)>,
+    pub(crate) refused: u64,
     pub(crate) requests: u64,
-    pub(crate) stalls: Vec<Stall>,
-}
-
-/// Stall time of one generation.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Stall {
-    pub(crate) customer: usize,
-    pub(crate) stall_us: u64,
+    /// Customer and stall time of each generation that began.
+    pub(crate) stalls: Vec<(usize, u64)>,
 }
 
 impl Metrics {
     pub(crate) fn new() -> Self {
+        let histogram = || Histogram::new_with_bounds(1, HIGHEST_US, 3).expect("valid bounds");
         Self {
-            bytes_across_regions: 0,
+            across_bytes: 0,
             call_us: histogram(),
             completed: 0,
             first_us: histogram(),
@@ -43,7 +39,7 @@
             good_tokens: 0,
             late_first_us: 0,
             lost: 0,
-            refusals: Vec::new(),
+            refused: 0,
             requests: 0,
             stalls: Vec::new(),
         }
@@ -54,29 +50,20 @@
         self.late_first_us += waited_us.saturating_sub(FIRST_TOKEN_GOAL_US);
     }
 
-    pub(crate) fn refused(&mut self, reason: RefusalReason) {
-        match self
-            .refusals
-            .binary_search_by_key(&reason, |(known, _)| *known)
-        {
-            Ok(position) => self.refusals[position].1 += 1,
-            Err(position) => self.refusals.insert(position, (reason, 1)),
-        }
+    /// Counts a gap between tokens and returns the stall in it.
+    pub(crate) fn gap(&mut self, gap_us: u64) -> u64 {
+        self.gap_us.saturating_record(gap_us);
+        gap_us.saturating_sub(STALL_US)
     }
 
-    /// Stall time below which this part of the generations stays.
+    /// Stall time that this part of the generations does not exceed.
     pub(crate) fn stall_us(&self, part: f64, without: Option<usize>) -> u64 {
-        let counted = self
-            .stalls
-            .iter()
-            .filter(|stall| Some(stall.customer) != without);
-        let mut sorted: Vec<u64> = counted.map(|stall| stall.stall_us).collect();
+        let counted = self.stalls.iter().filter(|stall| Some(stall.0) != without);
+        let mut sorted: Vec<u64> = counted.map(|stall| stall.1).collect();
         sorted.sort_unstable();
-        let before = crate::experiment::draw::whole(part * wide(sorted.len()), 0, u32::MAX);
-        sorted
-            .get((before as usize).min(sorted.len().saturating_sub(1)))
-            .copied()
-            .unwrap_or(0)
+        let position = whole(part * wide(sorted.len()), 0, u32::MAX) as usize;
+        let last = sorted.len().saturating_sub(1);
+        sorted.get(position.min(last)).copied().unwrap_or(0)
     }
 }
 
@@ -105,12 +92,3 @@
     }
     shares
 }
-
-#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-pub(crate) fn wide(count: usize) -> f64 {
-    count as f64
-}
-
-fn histogram() -> Histogram<u32> {
-    Histogram::new_with_bounds(1, HIGHEST_US, 3).expect("valid bounds")
-}
--- a/crates/fakes/src/experiment/mod.rs
+++ b/crates/fakes/src/experiment/mod.rs
@@ -5,20 +5,20 @@
 //! same figures each time. Definitions of the figures are in `docs/EXPERIMENTS.md`.
 
 mod capacity;
+mod columns;
 mod draw;
-mod engines;
 mod load_file;
 mod metrics;
+mod plot;
 mod queue;
 mod report;
 mod scenario;
 mod simulation;
-mod summary;
+mod sites;
 mod workload;
 
 pub use capacity::Capacity;
 pub use load_file::LoadFile;
-pub use report::Report;
-pub use scenario::{Fault, Scenario};
+pub use report::{Report, Summary};
+pub use scenario::{Scenario, UnknownFault};
 pub use simulation::run;
-pub use summary::Summary;
--- a/crates/fakes/src/experiment/scenario.rs
+++ b/crates/fakes/src/experiment/scenario.rs
@@ -1,36 +1,23 @@
-use std::str::FromStr;
-
 use thiserror::Error;
 
 /// What goes wrong in a run.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Fault {
-    /// Cache news are lost with this probability.
+pub(crate) enum Fault {
     CacheGaps(f64),
-    /// Two engines die without notice, a third leaves first; each returns after a minute.
     EngineLoss,
-    /// One customer sends twenty times its load through the middle half of the run.
     Flood,
-    /// Nothing beyond the usual lag of one second.
     None,
-    /// Load and cache reports are this old.
-    ReportLag {
-        /// Their age.
-        lag_ms: u64,
-    },
-    /// The day jumps by an hour in the middle of the run.
+    ReportLag(u64),
     Shift,
 }
 
 /// One run of all policies.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Scenario {
-    /// What goes wrong.
-    pub fault: Fault,
-    /// Load relative to capacity.
-    pub load_factor: f64,
-    /// Seed of all random draws.
-    pub seed: u64,
+    pub(crate) fault: Fault,
+    pub(crate) fault_name: String,
+    pub(crate) load_factor: f64,
+    pub(crate) seed: u64,
 }
 
 /// The name of a fault is not known.
@@ -40,54 +27,54 @@
 
 const LAG_MS: u64 = 1_000;
 
-impl Fault {
-    /// Name as on the command line.
+impl Scenario {
+    /// A run at `load_factor` times capacity.
+    ///
+    /// # Errors
+    ///
+    /// When the fault is not known.
+    pub fn new(fault: &str, load_factor: f64, seed: u64) -> Result<Self, UnknownFault> {
+        let parsed = parse(fault).ok_or_else(|| UnknownFault(fault.to_owned()))?;
+        Ok(Self {
+            fault: parsed,
+            fault_name: fault.to_owned(),
+            load_factor,
+            seed,
+        })
+    }
+
+    /// Seed of all random draws.
     #[must_use]
-    pub fn name(self) -> String {
-        match self {
-            Self::CacheGaps(part) => format!("gaps:{part}"),
-            Self::EngineLoss => "engine-loss".to_owned(),
-            Self::Flood => "flood".to_owned(),
-            Self::None => "none".to_owned(),
-            Self::ReportLag { lag_ms } => format!("lag:{lag_ms}"),
-            Self::Shift => "shift".to_owned(),
-        }
+    pub fn seed(&self) -> u64 {
+        self.seed
     }
 
-    pub(crate) fn gap_part(self) -> f64 {
-        match self {
-            Self::CacheGaps(part) => part,
+    pub(crate) fn gap_part(&self) -> f64 {
+        match self.fault {
+            Fault::CacheGaps(part) => part,
             _ => 0.0,
         }
     }
 
-    pub(crate) fn lag_us(self) -> u64 {
-        match self {
-            Self::ReportLag { lag_ms } => lag_ms * 1000,
+    pub(crate) fn lag_us(&self) -> u64 {
+        match self.fault {
+            Fault::ReportLag(lag_ms) => lag_ms * 1000,
             _ => LAG_MS * 1000,
         }
     }
 }
 
-impl FromStr for Fault {
-    type Err = UnknownFault;
-
-    fn from_str(text: &str) -> Result<Self, UnknownFault> {
-        let unknown = || UnknownFault(text.to_owned());
-        match text.split_once(':') {
-            Some(("gaps", part)) => part.parse().map(Self::CacheGaps).map_err(|_| unknown()),
-            Some(("lag", lag)) => {
-                let lag_ms = lag.parse().map_err(|_| unknown())?;
-                Ok(Self::ReportLag { lag_ms })
-            }
-            Some(_) => Err(unknown()),
-            None => match text {
-                "engine-loss" => Ok(Self::EngineLoss),
-                "flood" => Ok(Self::Flood),
-                "none" => Ok(Self::None),
-                "shift" => Ok(Self::Shift),
-                _ => Err(unknown()),
-            },
-        }
+fn parse(text: &str) -> Option<Fault> {
+    match text.split_once(':') {
+        Some(("gaps", part)) => part.parse().ok().map(Fault::CacheGaps),
+        Some(("lag", lag_ms)) => lag_ms.parse().ok().map(Fault::ReportLag),
+        Some(_) => None,
+        None => match text {
+            "engine-loss" => Some(Fault::EngineLoss),
+            "flood" => Some(Fault::Flood),
+            "none" => Some(Fault::None),
+            "shift" => Some(Fault::Shift),
+            _ => None,
+        },
     }
 }
--- a/crates/fakes/src/experiment/workload.rs
+++ b/crates/fakes/src/experiment/workload.rs
@@ -85,7 +85,7 @@
         let mut draw = Draw::new(seed, 0x1000 + customer as u64);
         let mut phases_s = Vec::new();
         let mut at_s = draw.exponential(burst.gap_s);
-        while micros(at_s) < load.duration_s * 1_000_000 {
+        while micros(at_s) < load.duration_us() {
             let end_s = at_s + draw.exponential(burst.length_s);
             phases_s.push((at_s, end_s));
             at_s = end_s + draw.exponential(burst.gap_s);
@@ -130,7 +130,7 @@
         let flood = if floods { FLOOD_FACTOR } else { 1.0 };
         let most = self.rate * (1.0 + kind.day_amplitude) * self.load.burst.factor.max(1.0) * flood;
         let mut at_s = times.exponential(1.0 / most);
-        while micros(at_s) < self.load.duration_s * 1_000_000 {
+        while micros(at_s) < self.load.duration_us() {
             if times.unit() * most < self.rate_at(at_s, kind, floods) {
                 arrivals.push(self.arrival(micros(at_s), kind, &mut shapes));
             }
@@ -174,9 +174,8 @@
         self.scenario.fault == Fault::Flood && self.position == self.load.flood_customer
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "runs last minutes")]
     fn rate_at(&self, at_s: f64, kind: &Kind, floods: bool) -> f64 {
-        let duration_s = self.load.duration_s as f64;
+        let duration_s = f64::from(self.load.duration_s);
         let shifted = self.scenario.fault == Fault::Shift && at_s * 2.0 > duration_s;
         let shift = if shifted { 1.0 / HOURS_PER_DAY } else { 0.0 };
         let phase = at_s / self.load.day_s + shift - kind.day_peak;
--- a/crates/fakes/src/http/announcer.rs
+++ b/crates/fakes/src/http/announcer.rs
@@ -9,10 +9,11 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use serde_json::json;
 use tokio::time::{MissedTickBehavior, interval, timeout};
-use tokio_util::sync::CancellationToken;
 
-use crate::http::Announcement;
+use crate::http::Fault;
+use crate::http::handle::{Handle, Handler};
 
 const ANSWER_TIMEOUT_MS: u64 = 800;
 const INTERVAL_MS: u64 = 1000;
@@ -32,49 +33,48 @@
     pub region: String,
 }
 
-/// Writes announcements.
-pub(crate) trait Announce: Send + Sync {
-    /// The next announcement, without its sequence; none to stay silent.
-    fn announcement(&self) -> Option<Announcement>;
-
-    /// Tells whether the last announcement was taken.
-    fn announced(&self, taken: bool);
-}
-
-/// Announces once a second until `stop`.
-pub(crate) async fn run(place: Place, source: Arc<dyn Announce>, stop: CancellationToken) {
+/// Announces once a second.
+pub(crate) async fn run<H: Handler>(place: Place, handle: Handle, handler: Arc<H>) {
     let client = Client::builder(TokioExecutor::new()).build_http();
     let mut ticks = interval(Duration::from_millis(INTERVAL_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut sequence = 0;
     let mut first = 0;
-    while stop.run_until_cancelled(ticks.tick()).await.is_some() {
-        let Some(mut announcement) = source.announcement() else {
+    for sequence in 1.. {
+        ticks.tick().await;
+        if handle.faults().current() == Some(Fault::Silence) {
             continue;
-        };
-        sequence += 1;
-        announcement.sequence = sequence;
-        let body = serde_json::to_vec(&announcement).expect("announcements are plain data");
-        let body = Bytes::from(body);
+        }
+        let body = announcement(&place, &handle, handler.as_ref(), sequence);
         let mut taken = false;
         for offset in 0..place.instances.len() {
             let position = (first + offset) % place.instances.len();
-            let post = post(
-                &client,
-                place.instances[position],
-                &place.name,
-                body.clone(),
-            );
-            taken = stop.run_until_cancelled(post).await.unwrap_or(false);
-            if taken {
+            let instance = place.instances[position];
+            if post(&client, instance, &place.name, body.clone()).await {
                 first = position;
+                taken = true;
                 break;
             }
         }
-        source.announced(taken);
+        handler.announced(taken);
     }
 }
 
+fn announcement<H: Handler>(place: &Place, handle: &Handle, handler: &H, sequence: u64) -> Bytes {
+    let body = json!({
+        "address": handle.address(),
+        "cache": handler.cache(),
+        "data_centre": place.data_centre,
+        "incarnation": place.incarnation,
+        "offer": handler.offer(),
+        "reclaim_in_ms": null,
+        "region": place.region,
+        "report": handler.report(),
+        "sequence": sequence,
+        "state": if handle.is_leaving() { "leaving" } else { "ready" },
+    });
+    Bytes::from(body.to_string())
+}
+
 async fn post(
     client: &Client<HttpConnector, Full<Bytes>>,
     instance: SocketAddr,
--- a/crates/fakes/src/http/booking_server.rs
+++ b/crates/fakes/src/http/booking_server.rs
@@ -1,5 +1,7 @@
+use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::ops::Deref;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -7,13 +9,12 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio_util::sync::CancellationToken;
+use serde_json::{Value, json};
 
-use crate::http::announcer::{self, Announce};
+use crate::http::Place;
 use crate::http::fault::{Fault, FaultSwitch};
+use crate::http::handle::{Dropped, Handle, Handler};
 use crate::http::reply::{self, Reply};
-use crate::http::server::{self, Dropped, Handler};
-use crate::http::{Announcement, Error, LoadReport, Offer, Place, ServiceOffer, State};
 
 /// How a fake booking service behaves.
 #[derive(Debug, Clone)]
@@ -62,9 +63,8 @@
 /// A running fake booking service; dropping it kills the service.
 #[derive(Debug)]
 pub struct BookingServer {
-    address: SocketAddr,
+    handle: Handle,
     shared: Arc<Shared>,
-    stop: CancellationToken,
 }
 
 impl BookingServer {
@@ -73,59 +73,18 @@
     /// # Errors
     ///
     /// When the address cannot be bound.
-    pub async fn spawn(settings: BookingSettings) -> Result<Self, Error> {
-        let (listener, address) = server::bind(settings.address).await?;
-        let stop = CancellationToken::new();
+    pub async fn spawn(settings: BookingSettings) -> Result<Self, io::Error> {
+        let (address, place) = (settings.address, settings.place.clone());
+        let faults = FaultSwitch::default();
+        let (running, runs) = (AtomicU32::new(0), Mutex::default());
         let shared = Arc::new(Shared {
-            address,
-            faults: FaultSwitch::default(),
-            leaving: AtomicBool::new(false),
-            running: AtomicU32::new(0),
-            runs: Mutex::default(),
+            faults: faults.clone(),
+            running,
+            runs,
             settings,
         });
-        let faults = shared.faults.clone();
-        tokio::spawn(server::run(
-            listener,
-            Arc::clone(&shared),
-            faults,
-            stop.clone(),
-        ));
-        let place = shared.settings.place.clone();
-        let source: Arc<dyn Announce> = Arc::clone(&shared) as _;
-        tokio::spawn(announcer::run(place, source, stop.clone()));
-        Ok(Self {
-            address,
-            shared,
-            stop,
-        })
-    }
-
-    /// Where it listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Resolves when the service was told to die.
-    pub async fn closed(&self) {
-        self.stop.cancelled().await;
-    }
-
-    /// The fault switch.
-    #[must_use]
-    pub fn faults(&self) -> &FaultSwitch {
-        &self.shared.faults
-    }
-
-    /// Ends all connections at once.
-    pub fn kill(&self) {
-        self.stop.cancel();
-    }
-
-    /// Announces from now on that it takes no new work.
-    pub fn leave(&self) {
-        self.shared.leaving.store(true, Ordering::Relaxed);
+        let handle = Handle::spawn(address, place, faults, Arc::clone(&shared)).await?;
+        Ok(Self { handle, shared })
     }
 
     /// What ran, in order.
@@ -135,17 +94,23 @@
     }
 }
 
+impl Deref for BookingServer {
+    type Target = Handle;
+
+    fn deref(&self) -> &Handle {
+        &self.handle
+    }
+}
+
 impl Drop for BookingServer {
     fn drop(&mut self) {
-        self.stop.cancel();
+        self.handle.kill();
     }
 }
 
 #[derive(Debug)]
 struct Shared {
-    address: SocketAddr,
     faults: FaultSwitch,
-    leaving: AtomicBool,
     running: AtomicU32,
     runs: Mutex<Vec<Run>>,
     settings: BookingSettings,
@@ -156,15 +121,17 @@
         if self.faults.take(|fault| fault == Fault::Refuse).is_some() {
             return Ok(reply::not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
-        let Some(_running) = Running::enter(&self.running, self.settings.calls_max) else {
+        let running = Running::enter(&self.running);
+        if running.before >= self.settings.calls_max {
             return Ok(reply::not_run(StatusCode::SERVICE_UNAVAILABLE));
-        };
+        }
         let Some(run) = read(request).await else {
             return Ok(reply::not_run(StatusCode::BAD_REQUEST));
         };
+        let seat = run.seat.clone();
         let number = {
             let mut runs = self.runs();
-            runs.push(run.clone());
+            runs.push(run);
             runs.len()
         };
         tokio::time::sleep(Duration::from_millis(self.settings.call_ms)).await;
@@ -174,13 +141,7 @@
         {
             Some(Fault::LoseAnswer) => Err(Dropped),
             Some(_) => Ok(reply::empty(StatusCode::INTERNAL_SERVER_ERROR)),
-            None => Ok(reply::json(
-                StatusCode::OK,
-                &Booked {
-                    number,
-                    seat: run.seat,
-                },
-            )),
+            None => Ok(reply::json(&json!({"number": number, "seat": seat}))),
         }
     }
 
@@ -189,97 +150,71 @@
     }
 }
 
-/// Answer of a call.
-#[derive(Debug, Serialize)]
-struct Booked {
-    number: usize,
-    seat: Option<String>,
-}
-
 /// Counts a call as running until dropped.
-struct Running<'a>(&'a AtomicU32);
+struct Running<'a> {
+    before: u32,
+    running: &'a AtomicU32,
+}
 
 impl<'a> Running<'a> {
-    fn enter(running: &'a AtomicU32, calls_max: u32) -> Option<Self> {
-        let guard = Self(running);
-        (running.fetch_add(1, Ordering::Relaxed) < calls_max).then_some(guard)
+    fn enter(running: &'a AtomicU32) -> Self {
+        Self {
+            before: running.fetch_add(1, Ordering::Relaxed),
+            running,
+        }
     }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-impl Announce for Shared {
+impl Handler for Shared {
     fn announced(&self, _taken: bool) {}
 
-    fn announcement(&self) -> Option<Announcement> {
-        if self.faults.current() == Some(Fault::Silence) {
-            return None;
-        }
-        let leaving = self.leaving.load(Ordering::Relaxed);
-        let running = self.running.load(Ordering::Relaxed);
-        let offer = ServiceOffer {
-            calls_max: self.settings.calls_max,
-            name: self.settings.service.clone(),
-        };
-        Some(Announcement {
-            address: self.address,
-            cache: None,
-            data_centre: self.settings.place.data_centre.clone(),
-            incarnation: self.settings.place.incarnation,
-            offer: Offer::Service(offer),
-            reclaim_in_ms: None,
-            region: self.settings.place.region.clone(),
-            report: Some(LoadReport {
-                running,
-                ..LoadReport::default()
-            }),
-            sequence: 0,
-            state: if leaving {
-                State::Leaving
-            } else {
-                State::Ready
-            },
-        })
+    fn cache(&self) -> Value {
+        Value::Null
     }
-}
 
-impl Handler for Shared {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Dropped> {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Reply, Dropped> {
         if request.uri().path() == "/ledger" {
-            return Ok(reply::json(StatusCode::OK, self.runs().as_slice()));
+            return Ok(reply::json(self.runs().as_slice()));
         }
         self.call(request).await
     }
-}
 
-fn header(request: &Request<Incoming>, name: &str) -> Option<String> {
-    request
-        .headers()
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned)
+    fn offer(&self) -> Value {
+        let BookingSettings {
+            calls_max, service, ..
+        } = &self.settings;
+        json!({"service": {"calls_max": calls_max, "name": service}})
+    }
+
+    fn report(&self) -> Value {
+        json!({
+            "age_ms": 0,
+            "memory_used_tokens": 0,
+            "preemptions": 0,
+            "running": self.running.load(Ordering::Relaxed),
+            "token_interval_us": 0,
+            "waiting": 0,
+        })
+    }
 }
 
 async fn read(request: Request<Incoming>) -> Option<Run> {
-    let call = header(&request, "gentiancleat-call");
-    let idempotency_key = header(&request, "idempotency-key");
-    let method = request.method().to_string();
-    let path = request.uri().to_string();
-    let body = request.into_body().collect().await.ok()?.to_bytes();
-    let seat = serde_json::from_slice::<serde_json::Value>(&body)
-        .ok()
-        .and_then(|body| body.get("seat")?.as_str().map(str::to_owned));
-    let body = String::from_utf8_lossy(&body).into_owned();
+    let (head, body) = request.into_parts();
+    let header = |name| head.headers.get(name)?.to_str().ok().map(str::to_owned);
+    let body = body.collect().await.ok()?.to_bytes();
+    let fields: Option<Value> = serde_json::from_slice(&body).ok();
     Some(Run {
-        body,
-        call,
-        idempotency_key,
-        method,
-        path,
-        seat,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        call: header("gentiancleat-call"),
+        idempotency_key: header("idempotency-key"),
+        method: head.method.to_string(),
+        path: head.uri.to_string(),
+        seat: fields.and_then(|fields| Some(fields.get("seat")?.as_str()?.to_owned())),
     })
 }
--- a/crates/fakes/src/http/engine_server.rs
+++ b/crates/fakes/src/http/engine_server.rs
@@ -1,5 +1,6 @@
+use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::ops::Deref;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -7,22 +8,17 @@
 use hyper::{Method, Request, StatusCode};
 use names::GenerationId;
 use serde::Deserialize;
+use serde_json::{Value, json};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
-use tokio_util::sync::CancellationToken;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::engine::{EngineModel, EngineSettings};
-use crate::http::announcer::{self, Announce};
-use crate::http::cache_log::CacheLog;
-use crate::http::engine_state::{EngineState, Start, Started};
+use crate::http::engine_state::{EngineState, Start, Started, Watched};
 use crate::http::fault::{Fault, FaultSwitch};
 use crate::http::generation_stream;
+use crate::http::handle::{Dropped, Handle, Handler};
 use crate::http::reply::{self, Reply};
-use crate::http::report_log::ReportLog;
-use crate::http::server::{self, Dropped, Handler};
-use crate::http::{
-    Announcement, EngineOffer, EngineOrders, Error, LedgerEntry, LengthRule, Offer, Place, State,
-};
+use crate::http::{EngineOrders, LedgerEntry, LengthRule, Place};
 
 const STALL_POLL_MS: u64 = 10;
 
@@ -65,9 +61,8 @@
 /// A running fake engine; dropping it kills the engine.
 #[derive(Debug)]
 pub struct EngineServer {
-    address: SocketAddr,
+    handle: Handle,
     shared: Arc<Shared>,
-    stop: CancellationToken,
 }
 
 impl EngineServer {
@@ -76,53 +71,13 @@
     /// # Errors
     ///
     /// When the address cannot be bound.
-    pub async fn spawn(settings: EngineServerSettings) -> Result<Self, Error> {
-        let (listener, address) = server::bind(settings.address).await?;
-        let stop = CancellationToken::new();
-        let shared = Arc::new(Shared::new(settings, address));
-        let faults = shared.faults.clone();
-        tokio::spawn(server::run(
-            listener,
-            Arc::clone(&shared),
-            faults,
-            stop.clone(),
-        ));
-        tokio::spawn(drive(Arc::clone(&shared), stop.clone()));
-        let place = shared.settings.place.clone();
-        let source: Arc<dyn Announce> = Arc::clone(&shared) as _;
-        tokio::spawn(announcer::run(place, source, stop.clone()));
-        Ok(Self {
-            address,
-            shared,
-            stop,
-        })
-    }
-
-    /// Where it listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Resolves when the engine was told to die.
-    pub async fn closed(&self) {
-        self.stop.cancelled().await;
-    }
-
-    /// The fault switch.
-    #[must_use]
-    pub fn faults(&self) -> &FaultSwitch {
-        &self.shared.faults
-    }
-
-    /// Ends all connections at once.
-    pub fn kill(&self) {
-        self.stop.cancel();
-    }
-
-    /// Announces from now on that it takes no new work.
-    pub fn leave(&self) {
-        self.shared.leaving.store(true, Ordering::Relaxed);
+    pub async fn spawn(settings: EngineServerSettings) -> Result<Self, io::Error> {
+        let (address, place) = (settings.address, settings.place.clone());
+        let faults = FaultSwitch::default();
+        let shared = Arc::new(Shared::new(settings, faults.clone()));
+        let handle = Handle::spawn(address, place, faults, Arc::clone(&shared)).await?;
+        handle.run(drive(Arc::clone(&shared)));
+        Ok(Self { handle, shared })
     }
 
     /// What ran, by generation.
@@ -138,19 +93,23 @@
     }
 }
 
+impl Deref for EngineServer {
+    type Target = Handle;
+
+    fn deref(&self) -> &Handle {
+        &self.handle
+    }
+}
+
 impl Drop for EngineServer {
     fn drop(&mut self) {
-        self.stop.cancel();
+        self.handle.kill();
     }
 }
 
 #[derive(Debug)]
 struct Shared {
-    address: SocketAddr,
-    cache: Mutex<CacheLog>,
     faults: FaultSwitch,
-    leaving: AtomicBool,
-    reports: Mutex<ReportLog>,
     settings: EngineServerSettings,
     started: Instant,
     state: Mutex<EngineState>,
@@ -158,32 +117,24 @@
 }
 
 impl Shared {
-    fn new(settings: EngineServerSettings, address: SocketAddr) -> Self {
-        let orders = EngineOrders {
-            model: settings.model.clone(),
-            role: "both".to_owned(),
-            version: settings.version.clone(),
-            ..EngineOrders::default()
-        };
+    fn new(settings: EngineServerSettings, faults: FaultSwitch) -> Self {
         let model = EngineModel::new(settings.engine.clone());
-        let block_tokens = settings.engine.block_tokens;
-        let state = EngineState::new(model, block_tokens, settings.length, orders);
+        let mut state = EngineState::new(model, settings.engine.block_tokens, settings.length);
+        state.orders.model.clone_from(&settings.model);
+        "both".clone_into(&mut state.orders.role);
+        state.orders.version.clone_from(&settings.version);
+        let (started, state) = (Instant::now(), Mutex::new(state));
         Self {
-            address,
-            cache: Mutex::default(),
-            faults: FaultSwitch::default(),
-            leaving: AtomicBool::new(false),
-            reports: Mutex::new(ReportLog::new(settings.report_lag_ms)),
+            faults,
             settings,
-            started: Instant::now(),
-            state: Mutex::new(state),
+            started,
+            state,
             submitted: Notify::new(),
         }
     }
 
     fn cancel(&self, id: GenerationId) -> Reply {
         let known = self.lock().cancel(self.now_us(), id);
-        // The tombstone stands in both cases.
         reply::empty(if known {
             StatusCode::NO_CONTENT
         } else {
@@ -199,19 +150,6 @@
         u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 
-    fn offer(&self, state: &EngineState) -> EngineOffer {
-        EngineOffer {
-            adapters: state.orders.adapters.clone(),
-            block_tokens: self.settings.engine.block_tokens,
-            checks_fencing: self.settings.checks_fencing,
-            memory_tokens: self.settings.engine.memory_tokens,
-            model: state.orders.model.clone(),
-            role: state.orders.role.clone(),
-            sequences_max: self.settings.engine.sequences_max,
-            version: state.orders.version.clone(),
-        }
-    }
-
     async fn order(&self, request: Request<Incoming>) -> Reply {
         let Some(order) = reply::read_json::<Order>(request).await else {
             return reply::empty(StatusCode::BAD_REQUEST);
@@ -223,7 +161,7 @@
         }
         state.orders.fencing = state.orders.fencing.max(order.fencing);
         order.action.apply(&mut state.orders);
-        reply::json(StatusCode::OK, &state.orders)
+        reply::json(&state.orders)
     }
 
     fn resume(&self, id: GenerationId, query: Option<&str>) -> Reply {
@@ -231,12 +169,11 @@
         let Ok(from) = from.unwrap_or("0").parse() else {
             return reply::empty(StatusCode::BAD_REQUEST);
         };
-        match self.lock().watch(id) {
-            None => reply::empty(StatusCode::NOT_FOUND),
-            Some(watched) => {
-                reply::event_stream(generation_stream::open(watched, from, self.faults.clone()))
-            }
-        }
+        let watched = self.lock().watch(id);
+        watched.map_or_else(
+            || reply::empty(StatusCode::NOT_FOUND),
+            |w| self.stream(w, from),
+        )
     }
 
     async fn start(&self, id: GenerationId, request: Request<Incoming>) -> Result<Reply, Dropped> {
@@ -251,10 +188,8 @@
         }
         let started = self.lock().start(self.now_us(), id, start);
         self.submitted.notify_one();
-        let fault = self
-            .faults
-            .take(|fault| matches!(fault, Fault::LoseAnswer | Fault::FailAfterRun));
-        match fault {
+        let after = |fault| matches!(fault, Fault::LoseAnswer | Fault::FailAfterRun);
+        match self.faults.take(after) {
             Some(Fault::LoseAnswer) => return Err(Dropped),
             Some(_) => return Ok(reply::empty(StatusCode::INTERNAL_SERVER_ERROR)),
             None => {}
@@ -263,62 +198,27 @@
             Started::CancelledBefore => reply::not_run(StatusCode::CONFLICT),
             Started::InUse => reply::empty(StatusCode::CONFLICT),
             Started::NoRoom => reply::not_run(StatusCode::SERVICE_UNAVAILABLE),
-            Started::Running(watched) => {
-                reply::event_stream(generation_stream::open(watched, 0, self.faults.clone()))
-            }
+            Started::Running(watched) => self.stream(watched, 0),
         })
     }
+
+    fn stream(&self, watched: Watched, from: u32) -> Reply {
+        reply::event_stream(generation_stream::open(watched, from, self.faults.clone()))
+    }
 }
 
-impl Announce for Shared {
+impl Handler for Shared {
     fn announced(&self, taken: bool) {
-        self.cache
-            .lock()
-            .expect("no holder of the news panics")
-            .sent(taken);
+        if taken {
+            self.lock().cache_taken();
+        }
     }
 
-    fn announcement(&self) -> Option<Announcement> {
-        if self.faults.current() == Some(Fault::Silence) {
-            return None;
-        }
-        let now_us = self.now_us();
-        let mut state = self.lock();
-        state.advance(now_us);
-        let load = state.model.load(now_us);
-        let news = state.model.take_cache_news();
-        let report = self
-            .reports
-            .lock()
-            .expect("no holder of reports panics")
-            .push(now_us, load);
-        let cache = self
-            .cache
-            .lock()
-            .expect("no holder of the news panics")
-            .push(news);
-        let leaving = self.leaving.load(Ordering::Relaxed);
-        Some(Announcement {
-            address: self.address,
-            cache,
-            data_centre: self.settings.place.data_centre.clone(),
-            incarnation: self.settings.place.incarnation,
-            offer: Offer::Engine(self.offer(&state)),
-            reclaim_in_ms: None,
-            region: self.settings.place.region.clone(),
-            report,
-            sequence: 0,
-            state: if leaving {
-                State::Leaving
-            } else {
-                State::Ready
-            },
-        })
+    fn cache(&self) -> Value {
+        self.lock().cache()
     }
-}
 
-impl Handler for Shared {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Dropped> {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Reply, Dropped> {
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
         if let Some(rest) = path.strip_prefix("/generations/") {
@@ -334,12 +234,32 @@
             };
         }
         Ok(match (method, path.as_str()) {
-            (Method::GET, "/ledger") => reply::json(StatusCode::OK, &self.lock().ledger()),
-            (Method::GET, "/state") => reply::json(StatusCode::OK, &self.lock().orders),
+            (Method::GET, "/ledger") => reply::json(&self.lock().ledger()),
+            (Method::GET, "/state") => reply::json(&self.lock().orders),
             (Method::POST, "/orders") => self.order(request).await,
             _ => reply::not_run(StatusCode::NOT_FOUND),
         })
     }
+
+    fn offer(&self) -> Value {
+        let orders = self.lock().orders.clone();
+        let engine = &self.settings.engine;
+        json!({"engine": {
+            "adapters": orders.adapters,
+            "block_tokens": engine.block_tokens,
+            "checks_fencing": self.settings.checks_fencing,
+            "memory_tokens": engine.memory_tokens,
+            "model": orders.model,
+            "role": orders.role,
+            "sequences_max": engine.sequences_max,
+            "version": orders.version,
+        }})
+    }
+
+    fn report(&self) -> Value {
+        self.lock()
+            .report(self.now_us(), self.settings.report_lag_ms * 1000)
+    }
 }
 
 /// What an order asks for.
@@ -347,12 +267,12 @@
 #[serde(rename_all = "snake_case")]
 enum Action {
     ChangeRole { role: String },
-    Load(Load),
-    Unload(Load),
+    Load(Weights),
+    Unload(Weights),
 }
 
 #[derive(Debug, Deserialize)]
-struct Load {
+struct Weights {
     adapter: Option<String>,
     model: String,
     version: Option<String>,
@@ -368,25 +288,24 @@
     fn apply(self, orders: &mut EngineOrders) {
         match self {
             Self::ChangeRole { role } => orders.role = role,
-            Self::Load(Load {
+            Self::Load(Weights {
                 adapter: Some(adapter),
                 ..
             }) => {
-                if !orders.adapters.contains(&adapter) {
-                    orders.adapters.push(adapter);
-                }
+                orders.adapters.retain(|loaded| *loaded != adapter);
+                orders.adapters.push(adapter);
             }
-            Self::Load(Load { model, version, .. }) => {
+            Self::Load(Weights { model, version, .. }) => {
                 orders.model = model;
                 orders.version = version.unwrap_or_default();
             }
-            Self::Unload(Load {
+            Self::Unload(Weights {
                 adapter: Some(adapter),
                 ..
             }) => {
                 orders.adapters.retain(|loaded| *loaded != adapter);
             }
-            Self::Unload(Load { .. }) => {
+            Self::Unload(_) => {
                 orders.model.clear();
                 orders.version.clear();
             }
@@ -395,26 +314,19 @@
 }
 
 /// Runs the engine's steps on the clock of the runtime.
-async fn drive(shared: Arc<Shared>, stop: CancellationToken) {
+async fn drive(shared: Arc<Shared>) {
     loop {
         let next_us = {
             let mut state = shared.lock();
             state.advance(shared.now_us());
             state.model.next_us()
         };
-        let pause = async {
-            match next_us {
-                None => shared.submitted.notified().await,
-                Some(next_us) => {
-                    sleep_until(shared.started + Duration::from_micros(next_us)).await;
-                }
-            }
-            while shared.faults.current() == Some(Fault::Stall) {
-                tokio::time::sleep(Duration::from_millis(STALL_POLL_MS)).await;
-            }
-        };
-        if stop.run_until_cancelled(pause).await.is_none() {
-            return;
+        match next_us {
+            None => shared.submitted.notified().await,
+            Some(next_us) => sleep_until(shared.started + Duration::from_micros(next_us)).await,
+        }
+        while shared.faults.current() == Some(Fault::Stall) {
+            sleep(Duration::from_millis(STALL_POLL_MS)).await;
         }
     }
 }
--- a/crates/fakes/src/http/engine_state.rs
+++ b/crates/fakes/src/http/engine_state.rs
@@ -1,11 +1,13 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use dispatch::Report;
 use names::GenerationId;
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use tokio::sync::watch;
 
 use crate::answer::{generation_tag, hash_bytes, prompt_tag};
-use crate::engine::{EndReason, EngineModel, Job, Output, OutputKind, SequenceState};
+use crate::engine::{CacheNews, EndReason, EngineModel, Job, Output, OutputKind, SequenceState};
 
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -52,7 +54,7 @@
 }
 
 /// Body of a start.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Deserialize)]
 pub(crate) struct Start {
     pub(crate) max_tokens: u32,
     pub(crate) model: String,
@@ -69,22 +71,18 @@
 }
 
 #[derive(Debug)]
-pub(crate) struct Generation {
-    pub(crate) max_tokens: u32,
-    pub(crate) progress: watch::Sender<Progress>,
-    pub(crate) prompt: String,
+struct Generation {
+    max_tokens: u32,
+    progress: watch::Sender<Progress>,
+    prompt: String,
 }
 
 /// Outcome of a start.
 #[derive(Debug)]
 pub(crate) enum Started {
-    /// The number was cancelled before.
     CancelledBefore,
-    /// The number is in use.
     InUse,
-    /// The engine has no room.
     NoRoom,
-    /// Runs.
     Running(Watched),
 }
 
@@ -100,30 +98,32 @@
 /// Generations of one engine. Those that ended are kept, for resumes and the ledger.
 #[derive(Debug)]
 pub(crate) struct EngineState {
-    pub(crate) cancelled: Vec<GenerationId>,
-    pub(crate) generations: BTreeMap<GenerationId, Generation>,
-    pub(crate) length: LengthRule,
     pub(crate) model: EngineModel,
     pub(crate) orders: EngineOrders,
     block_bytes: usize,
+    cancelled: BTreeSet<GenerationId>,
+    generations: BTreeMap<GenerationId, Generation>,
+    length: LengthRule,
+    /// Cache news that no instance has taken yet, and the number of the first.
+    news: CacheNews,
+    news_sequence: u64,
     outputs: Vec<Output>,
+    reports: VecDeque<(u64, Report)>,
 }
 
 impl EngineState {
-    pub(crate) fn new(
-        model: EngineModel,
-        block_tokens: u32,
-        length: LengthRule,
-        orders: EngineOrders,
-    ) -> Self {
+    pub(crate) fn new(model: EngineModel, block_tokens: u32, length: LengthRule) -> Self {
         Self {
             block_bytes: block_tokens as usize * BYTES_PER_TOKEN,
-            cancelled: Vec::new(),
+            cancelled: BTreeSet::new(),
             generations: BTreeMap::new(),
             length,
             model,
-            orders,
+            news: CacheNews::default(),
+            news_sequence: 0,
+            orders: EngineOrders::default(),
             outputs: Vec::new(),
+            reports: VecDeque::new(),
         }
     }
 
@@ -132,11 +132,32 @@
         self.publish();
     }
 
-    /// Cancels and buries the number; false if it was never started here.
-    pub(crate) fn cancel(&mut self, now_us: u64, id: GenerationId) -> bool {
-        if let Err(position) = self.cancelled.binary_search(&id) {
-            self.cancelled.insert(position, id);
+    pub(crate) fn cache(&mut self) -> Value {
+        let mut news = self.model.take_cache_news();
+        self.news.added.append(&mut news.added);
+        self.news.evicted.append(&mut news.evicted);
+        if self.news.added.is_empty() && self.news.evicted.is_empty() {
+            return Value::Null;
         }
+        let hexadecimal = |hashes: &[u64]| -> Vec<String> {
+            hashes.iter().map(|hash| format!("{hash:016x}")).collect()
+        };
+        json!({
+            "added": hexadecimal(&self.news.added),
+            "evicted": hexadecimal(&self.news.evicted),
+            "first_sequence": self.news_sequence,
+        })
+    }
+
+    /// Forgets the cache news that an instance has taken.
+    pub(crate) fn cache_taken(&mut self) {
+        let news = std::mem::take(&mut self.news);
+        self.news_sequence += (news.added.len() + news.evicted.len()) as u64;
+    }
+
+    /// Cancels, and refuses the number from now on; false if it was never started here.
+    pub(crate) fn cancel(&mut self, now_us: u64, id: GenerationId) -> bool {
+        self.cancelled.insert(id);
         self.advance(now_us);
         self.model.cancel(now_us, id, &mut self.outputs);
         self.publish();
@@ -146,12 +167,33 @@
     pub(crate) fn ledger(&self) -> Vec<LedgerEntry> {
         self.generations
             .iter()
-            .map(|(id, generation)| entry(*id, generation))
+            .map(|(id, generation)| generation.entry(*id))
             .collect()
     }
 
+    /// The newest load report that is as old as the lag.
+    pub(crate) fn report(&mut self, now_us: u64, lag_us: u64) -> Value {
+        self.advance(now_us);
+        self.reports.push_back((now_us, self.model.load(now_us)));
+        let old = |entry: &(u64, Report)| entry.0 + lag_us <= now_us;
+        while self.reports.get(1).is_some_and(old) {
+            self.reports.pop_front();
+        }
+        let Some((at_us, report)) = self.reports.front().filter(|entry| old(entry)) else {
+            return Value::Null;
+        };
+        json!({
+            "age_ms": (now_us - at_us) / 1000,
+            "memory_used_tokens": report.memory_used_tokens,
+            "preemptions": report.preemptions,
+            "running": report.running,
+            "token_interval_us": report.token_interval_us,
+            "waiting": report.waiting,
+        })
+    }
+
     pub(crate) fn start(&mut self, now_us: u64, id: GenerationId, start: Start) -> Started {
-        if self.cancelled.binary_search(&id).is_ok() {
+        if self.cancelled.contains(&id) {
             return Started::CancelledBefore;
         }
         if self.generations.contains_key(&id) {
@@ -162,18 +204,23 @@
         if self.model.submit(now_us, job, &mut self.outputs).is_err() {
             return Started::NoRoom;
         }
-        let state = SequenceState::Waiting;
-        let (progress, _) = watch::channel(Progress {
+        let progress = Progress {
             end: None,
-            state,
+            state: SequenceState::Waiting,
             tokens: 0,
-        });
-        let generation = Generation {
-            max_tokens: start.max_tokens,
-            progress,
-            prompt: start.prompt,
         };
-        self.generations.insert(id, generation);
+        let Start {
+            max_tokens, prompt, ..
+        } = start;
+        let (progress, _) = watch::channel(progress);
+        self.generations.insert(
+            id,
+            Generation {
+                max_tokens,
+                progress,
+                prompt,
+            },
+        );
         self.publish();
         Started::Running(self.watch(id).expect("inserted above"))
     }
@@ -188,12 +235,17 @@
     }
 
     fn job(&self, id: GenerationId, start: &Start) -> Job {
-        let prompt_tokens = start.prompt.len().div_ceil(BYTES_PER_TOKEN).max(1);
+        let prompt = start.prompt.as_bytes();
+        let prompt_tokens = prompt.len().div_ceil(BYTES_PER_TOKEN).max(1);
+        let blocks = prompt.len() / self.block_bytes;
+        let prefix = |block: usize| &prompt[..block * self.block_bytes];
         Job {
             account: 0,
             generation: id,
             length_tokens: self.length.tokens(id).min(start.max_tokens).max(1),
-            prefix_hashes: prefix_hashes(&start.prompt, self.block_bytes),
+            prefix_hashes: (1..=blocks)
+                .map(|block| hash_bytes(prefix(block)))
+                .collect(),
             priority: start.priority,
             prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX / 2),
         }
@@ -208,48 +260,38 @@
             generation
                 .progress
                 .send_modify(|progress| match output.kind {
-                    OutputKind::Ended {
-                        end: EndReason::Stop,
-                        tokens,
-                    } if tokens >= max_tokens => {
+                    OutputKind::Ended(EndReason::Stop) if progress.tokens >= max_tokens => {
                         progress.end = Some(EndReason::Length);
                     }
-                    OutputKind::Ended { end, .. } => progress.end = Some(end),
+                    OutputKind::Ended(end) => progress.end = Some(end),
                     OutputKind::State(state) => progress.state = state,
-                    OutputKind::Token { index } => progress.tokens = index + 1,
+                    OutputKind::Token(index) => progress.tokens = index + 1,
                 });
         }
     }
 }
 
+impl Generation {
+    fn entry(&self, id: GenerationId) -> LedgerEntry {
+        let progress = *self.progress.borrow();
+        LedgerEntry {
+            end: progress.end,
+            generation: id,
+            generation_tag: generation_tag(id),
+            prompt: self.prompt.clone(),
+            tokens: progress.tokens,
+        }
+    }
+}
+
 impl LengthRule {
     fn tokens(self, id: GenerationId) -> u32 {
         match self {
             Self::Fixed(tokens) => tokens,
             Self::Spread { median } => {
                 let draw = hash_bytes(&id.0.to_le_bytes()) % 1000;
-                let share = median.saturating_mul(500);
-                share / u32::try_from(1000 - draw).unwrap_or(1)
+                median.saturating_mul(500) / u32::try_from(1000 - draw).unwrap_or(1)
             }
         }
     }
 }
-
-/// Hashes of the whole blocks of a prompt; each covers the prompt up to its block's end.
-fn prefix_hashes(prompt: &str, block_bytes: usize) -> Vec<u64> {
-    let bytes = prompt.as_bytes();
-    (1..=bytes.len() / block_bytes)
-        .map(|n| hash_bytes(&bytes[..n * block_bytes]))
-        .collect()
-}
-
-fn entry(id: GenerationId, generation: &Generation) -> LedgerEntry {
-    let progress = *generation.progress.borrow();
-    LedgerEntry {
-        end: progress.end,
-        generation: id,
-        generation_tag: generation_tag(id),
-        prompt: generation.prompt.clone(),
-        tokens: progress.tokens,
-    }
-}
--- a/crates/fakes/src/http/fault.rs
+++ b/crates/fakes/src/http/fault.rs
@@ -1,55 +1,37 @@
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use serde::{Deserialize, Serialize};
 
-/// A rule that a fake breaks.
+/// A rule that a fake breaks; numbers are the index of the token that is hit.
 #[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
-    /// Breaks the connection before the token at the index.
-    Cut {
-        /// Index of the token.
-        at_index: u32,
-    },
-    /// Ends the process's server: all connections close, nothing is announced any more.
+    /// Breaks the connection before the token.
+    Cut(u32),
+    /// Ends the server: all connections close, nothing is announced any more.
     Die,
-    /// Sends the token at the index twice.
-    DuplicateToken {
-        /// Index of the token.
-        at_index: u32,
-    },
+    /// Sends the token twice.
+    DuplicateToken(u32),
     /// Runs the call, then answers 500.
     FailAfterRun,
     /// Takes orders with an old fencing number.
     IgnoreFencing,
     /// Runs the call, then closes the connection without an answer.
     LoseAnswer,
-    /// Sends a broken event in place of the token at the index.
-    MalformedEvent {
-        /// Index of the token.
-        at_index: u32,
-    },
+    /// Sends a broken event in place of the token.
+    MalformedEvent(u32),
     /// Refuses new calls without running them.
     Refuse,
     /// Announces nothing; calls are answered as before.
     Silence,
     /// Answers nothing more and sends no more tokens; connections stay open.
     Stall,
-    /// Ends the stream in order, but without `end`, before the token at the index.
-    Truncate {
-        /// Index of the token.
-        at_index: u32,
-    },
-    /// Leaves out the token at the index.
-    WrongIndex {
-        /// Index of the token.
-        at_index: u32,
-    },
-    /// Sends the token at the index under the number of another generation.
-    WrongId {
-        /// Index of the token.
-        at_index: u32,
-    },
+    /// Ends the stream in order, but without `end`, before the token.
+    Truncate(u32),
+    /// Sends the token under the number of another generation.
+    WrongId(u32),
+    /// Leaves the token out.
+    WrongIndex(u32),
 }
 
 /// Body of `PUT /fault`.
@@ -90,7 +72,7 @@
         Some(fault)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, FaultOrder> {
+    fn lock(&self) -> MutexGuard<'_, FaultOrder> {
         self.0.lock().expect("no holder of the fault panics")
     }
 }
--- a/crates/fakes/src/http/reply.rs
+++ b/crates/fakes/src/http/reply.rs
@@ -2,31 +2,46 @@
 use std::io;
 
 use bytes::Bytes;
+use futures::Stream;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Header by which an endpoint says that it ran nothing.
-pub(crate) const OUTCOME: &str = "gentiancleat-outcome";
+const OUTCOME: &str = "gentiancleat-outcome";
 
-pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
-pub(crate) type Reply = Response<ReplyBody>;
+pub(crate) type Reply = Response<UnsyncBoxBody<Bytes, io::Error>>;
 
-/// An answer without a body.
 pub(crate) fn empty(status: StatusCode) -> Reply {
-    respond(status, Bytes::new())
+    respond(
+        status,
+        Full::new(Bytes::new()).map_err(|never: Infallible| match never {}),
+    )
 }
 
-/// An answer with a JSON body.
-pub(crate) fn json<T: Serialize + ?Sized>(status: StatusCode, value: &T) -> Reply {
+/// A server-sent event stream.
+pub(crate) fn event_stream<S>(stream: S) -> Reply
+where
+    S: Stream<Item = Result<Frame<Bytes>, io::Error>> + Send + 'static,
+{
+    let mut reply = respond(StatusCode::OK, StreamBody::new(stream));
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    reply
+}
+
+pub(crate) fn json<T: Serialize + ?Sized>(value: &T) -> Reply {
     let body = serde_json::to_vec(value).expect("answers are plain data");
-    let mut reply = respond(status, Bytes::from(body));
-    let content_type = "application/json".parse().expect("a valid header value");
-    reply.headers_mut().insert(CONTENT_TYPE, content_type);
+    let body = Full::new(Bytes::from(body)).map_err(|never: Infallible| match never {});
+    let mut reply = respond(StatusCode::OK, body);
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     reply
 }
 
@@ -35,7 +50,7 @@
     let mut reply = empty(status);
     reply
         .headers_mut()
-        .insert(OUTCOME, "not-run".parse().expect("a valid header value"));
+        .insert(OUTCOME, HeaderValue::from_static("not-run"));
     reply
 }
 
@@ -45,22 +60,11 @@
     serde_json::from_slice(&body).ok()
 }
 
-/// A server-sent event stream.
-pub(crate) fn event_stream<S>(stream: S) -> Reply
+fn respond<B>(status: StatusCode, body: B) -> Reply
 where
-    S: futures::Stream<Item = Result<Frame<Bytes>, io::Error>> + Send + 'static,
+    B: Body<Data = Bytes, Error = io::Error> + Send + 'static,
 {
-    let body = BodyExt::boxed_unsync(StreamBody::new(stream));
-    let mut reply = Response::new(body);
-    let content_type = "text/event-stream".parse().expect("a valid header value");
-    reply.headers_mut().insert(CONTENT_TYPE, content_type);
-    reply
-}
-
-fn respond(status: StatusCode, body: Bytes) -> Reply {
-    let body = Full::new(body).map_err(|never: Infallible| match never {});
-    debug_assert!(body.size_hint().exact().is_some());
-    let mut reply = Response::new(BodyExt::boxed_unsync(body));
+    let mut reply = Response::new(body.boxed_unsync());
     *reply.status_mut() = status;
     reply
 }
--- /dev/null
+++ b/crates/fakes/tests/engine_server.rs
@@ -0,0 +1,258 @@
+//! The engine behind the endpoint interface.
+
+mod support;
+
+use fakes::answer::{AnswerFault, Defect, check, generation_tag};
+use fakes::engine::EndReason;
+use fakes::http::{BookingServer, BookingSettings, EngineServer, EngineServerSettings};
+use fakes::http::{Fault, FaultOrder, LengthRule, Place};
+use hyper::{Method, StatusCode};
+use names::GenerationId;
+use serde_json::{Value, json};
+use support::{Answer, call};
+
+const PATH: &str = "/generations/0000000000000000000000000000002a";
+
+const PROMPT: &str = "Draft a syllabus on the forging of hinges.";
+
+/// An engine whose generations all have this many tokens.
+async fn engine(tokens: u32) -> EngineServer {
+    let length = LengthRule::Fixed(tokens);
+    let settings = EngineServerSettings {
+        length,
+        ..EngineServerSettings::default()
+    };
+    EngineServer::spawn(settings).await.expect("a free port")
+}
+
+/// The JSON of each event; broken ones are null.
+fn events(answer: &Answer) -> Vec<Value> {
+    let lines = answer.body.lines();
+    let data = lines.filter_map(|line| line.strip_prefix("data: "));
+    data.map(|line| serde_json::from_str(line).unwrap_or(Value::Null))
+        .collect()
+}
+
+fn start_body(max_tokens: u32) -> Value {
+    json!({"model": "fake", "prompt": PROMPT, "max_tokens": max_tokens, "priority": 0})
+}
+
+/// The text of all tokens.
+fn text(answer: &Answer) -> String {
+    let events = events(answer);
+    events
+        .iter()
+        .filter_map(|event| event["text"].as_str())
+        .collect()
+}
+
+fn once(fault: Fault) -> FaultOrder {
+    FaultOrder {
+        fault: Some(fault),
+        times: Some(1),
+    }
+}
+
+async fn start(engine: &EngineServer) -> Option<Answer> {
+    call(engine.address(), Method::POST, PATH, &start_body(64)).await
+}
+
+async fn answer_under(fault: Fault) -> Answer {
+    let engine = engine(6).await;
+    engine.faults().set(once(fault));
+    start(&engine).await.expect("an answer begins")
+}
+
+#[tokio::test]
+async fn a_generation_streams_whole_and_names_itself() {
+    let engine = engine(6).await;
+    let answer = start(&engine).await.expect("an answer");
+    let checked = check(&text(&answer), PROMPT).expect("an unmixed answer");
+    assert_eq!(checked.tokens, 6);
+    assert_eq!(checked.generation_tag, generation_tag(GenerationId(0x2a)));
+    let last = events(&answer).pop().expect("events");
+    assert_eq!((&last["end"], &last["tokens"]), (&json!("stop"), &json!(6)));
+    let ledger = engine.ledger();
+    assert_eq!(
+        (ledger.len(), ledger[0].tokens, ledger[0].end),
+        (1, 6, Some(EndReason::Stop))
+    );
+}
+
+#[tokio::test]
+async fn a_resume_goes_on_at_the_index() {
+    let engine = engine(6).await;
+    let whole = text(&start(&engine).await.expect("an answer"));
+    let path = format!("{PATH}/tokens?from=4");
+    let rest = call(engine.address(), Method::GET, &path, &Value::Null).await;
+    let rest = rest.expect("an answer");
+    assert!(!text(&rest).is_empty() && whole.ends_with(&text(&rest)));
+    assert_eq!(events(&rest)[0]["index"], 4);
+    assert_eq!(engine.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn a_number_runs_once() {
+    let engine = engine(6).await;
+    assert_eq!(
+        start(&engine).await.expect("an answer").status,
+        StatusCode::OK
+    );
+    let second = start(&engine).await.expect("an answer");
+    assert_eq!(
+        (second.status, second.not_run),
+        (StatusCode::CONFLICT, false)
+    );
+    assert_eq!(engine.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn a_cancelled_number_never_starts() {
+    let engine = engine(6).await;
+    let cancel = call(engine.address(), Method::DELETE, PATH, &Value::Null).await;
+    assert_eq!(cancel.expect("an answer").status, StatusCode::NOT_FOUND);
+    let answer = start(&engine).await.expect("an answer");
+    assert_eq!(
+        (answer.status, answer.not_run),
+        (StatusCode::CONFLICT, true)
+    );
+    assert!(engine.ledger().is_empty());
+}
+
+#[tokio::test]
+async fn a_cancel_ends_a_running_generation() {
+    let engine = engine(100_000).await;
+    let path = PATH.to_owned();
+    let address = engine.address();
+    let body = start_body(100_000);
+    let running = tokio::spawn(async move { call(address, Method::POST, &path, &body).await });
+    while engine
+        .ledger()
+        .first()
+        .is_none_or(|entry| entry.tokens == 0)
+    {
+        tokio::task::yield_now().await;
+    }
+    let cancel = call(address, Method::DELETE, PATH, &Value::Null).await;
+    assert_eq!(cancel.expect("an answer").status, StatusCode::NO_CONTENT);
+    let answer = running.await.expect("no panic").expect("an answer");
+    assert_eq!(events(&answer).pop().expect("events")["end"], "cancelled");
+    assert!(check(&text(&answer), PROMPT).is_ok());
+}
+
+#[tokio::test]
+async fn a_refusal_runs_nothing() {
+    let engine = engine(6).await;
+    engine.faults().set(once(Fault::Refuse));
+    let answer = start(&engine).await.expect("an answer");
+    assert_eq!(
+        (answer.status, answer.not_run),
+        (StatusCode::SERVICE_UNAVAILABLE, true)
+    );
+    assert!(engine.ledger().is_empty());
+    assert_eq!(
+        start(&engine).await.expect("an answer").status,
+        StatusCode::OK
+    );
+}
+
+#[tokio::test]
+async fn a_lost_answer_still_runs() {
+    let engine = engine(6).await;
+    engine.faults().set(once(Fault::LoseAnswer));
+    assert!(start(&engine).await.is_none());
+    assert_eq!(engine.ledger().len(), 1);
+}
+
+#[tokio::test]
+async fn each_stream_fault_shows() {
+    let cut = answer_under(Fault::Cut(3)).await;
+    assert!(!cut.complete);
+    assert_eq!(check(&text(&cut), PROMPT).expect("a start").tokens, 3);
+    let truncated = answer_under(Fault::Truncate(3)).await;
+    assert!(truncated.complete && events(&truncated).iter().all(|e| e["end"].is_null()));
+    let out_of_order = |position| {
+        Err(AnswerFault {
+            defect: Defect::OutOfOrder,
+            position,
+        })
+    };
+    let doubled = answer_under(Fault::DuplicateToken(3)).await;
+    assert_eq!(check(&text(&doubled), PROMPT), out_of_order(4));
+    let skipped = answer_under(Fault::WrongIndex(3)).await;
+    assert_eq!(check(&text(&skipped), PROMPT), out_of_order(3));
+    let malformed = answer_under(Fault::MalformedEvent(3)).await;
+    assert!(events(&malformed).contains(&Value::Null));
+    let foreign = answer_under(Fault::WrongId(3)).await;
+    let id = |event: &Value| event["generation"].as_str().map(str::to_owned);
+    let ids: Vec<_> = events(&foreign).iter().map(id).collect();
+    assert!(ids.iter().any(|id| *id != ids[0]));
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_unless_ignored() {
+    let engine = engine(6).await;
+    let order = |fencing, version| {
+        let load = json!({"load": {"model": "fake", "version": version, "adapter": null}});
+        json!({"order": "o", "fencing": fencing, "action": load})
+    };
+    let send = async |body| {
+        let answer = call(engine.address(), Method::POST, "/orders", &body).await;
+        answer.expect("an answer").status
+    };
+    assert_eq!(send(order(5, "2")).await, StatusCode::OK);
+    assert_eq!(send(order(4, "1")).await, StatusCode::CONFLICT);
+    assert_eq!(engine.orders().version, "2");
+    engine.faults().set(once(Fault::IgnoreFencing));
+    assert_eq!(send(order(4, "1")).await, StatusCode::OK);
+    assert_eq!(
+        (engine.orders().version.as_str(), engine.orders().fencing),
+        ("1", 5)
+    );
+}
+
+#[tokio::test]
+async fn a_dead_engine_answers_nothing() {
+    let engine = engine(6).await;
+    let body = json!({"fault": "die"});
+    call(engine.address(), Method::PUT, "/fault", &body).await;
+    engine.closed().await;
+    assert!(start(&engine).await.is_none());
+}
+
+#[tokio::test]
+async fn an_announcement_goes_to_an_instance_that_takes_it() {
+    let refusing = BookingServer::spawn(BookingSettings::default())
+        .await
+        .expect("a port");
+    refusing.faults().set(FaultOrder {
+        fault: Some(Fault::Refuse),
+        times: None,
+    });
+    let taking = BookingServer::spawn(BookingSettings::default())
+        .await
+        .expect("a port");
+    let place = Place {
+        instances: vec![refusing.address(), taking.address()],
+        name: "engine-7".to_owned(),
+        ..Place::default()
+    };
+    let settings = EngineServerSettings {
+        place,
+        ..EngineServerSettings::default()
+    };
+    let engine = EngineServer::spawn(settings).await.expect("a port");
+    while taking.ledger().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let run = taking.ledger().remove(0);
+    assert_eq!(run.path, "/v1/endpoints/engine-7/announcements");
+    let body: Value = serde_json::from_str(&run.body).expect("JSON");
+    assert_eq!(body["address"], engine.address().to_string());
+    assert_eq!(body["offer"]["engine"]["memory_tokens"], 131_072);
+    assert_eq!(
+        (&body["state"], &body["sequence"]),
+        (&json!("ready"), &json!(1))
+    );
+    assert!(refusing.ledger().is_empty());
+}
