--- /dev/null
+++ b/crates/dispatch/examples/dispatch_slopes.rs
@@ -0,0 +1,249 @@
+//! Cost of one decision and memory, against replicas, queued requests and rows.
+//!
+//! A decision is one request and one end of a permit, with all grants and refusals that follow.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use dispatch::{
+    Action, CustomerIndex, Demand, Dispatcher, End, Event, KindIndex, Limits, ModelIndex, Policy,
+    Profile, RegionIndex, Settings,
+};
+use names::{EndpointId, PermitId, RequestId};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rand_xoshiro::rand_core::{Rng, SeedableRng};
+
+const KINDS: u32 = 3;
+const PROMPT_BLOCKS: u64 = 40;
+const ROUNDS: u32 = 20_000;
+const USUAL: Size = Size {
+    customers: 37_000,
+    queued: 10_000,
+    replicas: 32,
+};
+
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    customers: u32,
+    queued: u32,
+    replicas: u32,
+}
+
+struct Bench {
+    actions: Vec<Action>,
+    dispatcher: Dispatcher,
+    now_us: u64,
+    requests: u64,
+    rng: Xoshiro256PlusPlus,
+    running: Vec<PermitId>,
+    size: Size,
+}
+
+impl Bench {
+    fn new(size: Size) -> Self {
+        let mut bench = Self {
+            actions: Vec::new(),
+            dispatcher: Dispatcher::new(Settings::default(), 1),
+            now_us: 0,
+            requests: 0,
+            rng: Xoshiro256PlusPlus::seed_from_u64(2),
+            running: Vec::new(),
+            size,
+        };
+        bench.set_limits();
+        bench.announce();
+        bench
+    }
+
+    fn announce(&mut self) {
+        let profile = Profile {
+            block_tokens: 16,
+            memory_tokens: 65_536,
+            model: ModelIndex(0),
+            region: RegionIndex(0),
+            sequences_max: 96,
+        };
+        for replica in 0..self.size.replicas {
+            let endpoint = EndpointId(u64::from(replica));
+            self.handle(Event::Announced {
+                endpoint,
+                profile: &profile,
+            });
+        }
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.rng.next_u64() % bound
+    }
+
+    fn demand(&mut self) -> Demand {
+        let customers = u64::from(self.size.customers);
+        let customer = u32::try_from(self.below(customers)).expect("few customers");
+        let template = self.below(1_000) << 32;
+        let own = self.rng.next_u64();
+        let blocks = 0..PROMPT_BLOCKS;
+        let hash = |block| template + block + if block < 32 { 0 } else { own };
+        Demand {
+            customer: CustomerIndex(customer),
+            deadline_us: u64::MAX,
+            kind: KindIndex(customer % KINDS),
+            max_tokens: 4_096,
+            model: ModelIndex(0),
+            prefix_hashes: blocks.map(hash).collect(),
+            prompt_tokens: 640,
+            region: RegionIndex(0),
+            urgent: false,
+        }
+    }
+
+    fn fill(&mut self) {
+        let full = self.size.queued as usize;
+        let mut asked = 0;
+        while self.dispatcher.queued_requests() < full && asked < 10 * full + 50_000 {
+            self.request();
+            asked += 1;
+        }
+    }
+
+    fn finish(&mut self) {
+        if self.running.is_empty() {
+            return;
+        }
+        let at = self.below(self.running.len() as u64);
+        let permit = self
+            .running
+            .swap_remove(usize::try_from(at).expect("a position"));
+        let generated_tokens = u32::try_from(self.below(800) + 1).expect("a short answer");
+        self.handle(Event::Finished {
+            end: End::Completed,
+            generated_tokens,
+            permit,
+        });
+    }
+
+    fn handle(&mut self, event: Event<'_>) {
+        self.now_us += 50;
+        self.dispatcher
+            .handle(self.now_us, event, &mut self.actions);
+        for action in self.actions.drain(..) {
+            if let Action::Grant { permit, .. } = black_box(action) {
+                self.running.push(permit);
+            }
+        }
+    }
+
+    fn request(&mut self) {
+        let demand = self.demand();
+        let request = RequestId(self.requests);
+        self.requests += 1;
+        self.handle(Event::Requested {
+            demand: &demand,
+            request,
+        });
+    }
+
+    fn round_us(&mut self) -> f64 {
+        let start = Instant::now();
+        for _ in 0..ROUNDS {
+            self.request();
+            self.finish();
+        }
+        start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+    }
+
+    fn progress_us(&mut self) -> f64 {
+        let permits = self.running.clone();
+        let start = Instant::now();
+        for (turn, &permit) in (1..=ROUNDS).zip(permits.iter().cycle()) {
+            self.handle(Event::Progressed {
+                generated_tokens: turn / 512 + 1,
+                permit,
+            });
+        }
+        start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+    }
+
+    fn set_limits(&mut self) {
+        let limits: Vec<Limits> = (0..self.size.customers)
+            .flat_map(|customer| (0..KINDS).map(move |kind| (customer, kind)))
+            .map(|(customer, kind)| Limits {
+                customer: CustomerIndex(customer),
+                kind: KindIndex(kind),
+                priority: 0,
+                queued_max: 1_000_000,
+                queueing_ms_max: 1_000_000_000,
+                running_max: 1_000_000,
+                tokens_per_second_max: None,
+                urgent_share: 0.5,
+                weight: 1.0,
+            })
+            .collect();
+        self.handle(Event::Limits { limits: &limits });
+    }
+}
+
+fn measure(size: Size) {
+    let mut bench = Bench::new(size);
+    bench.fill();
+    let decision_us = bench.round_us();
+    let progress_us = bench.progress_us();
+    println!(
+        "replicas={} queued={} rows={} running={} decision_us={decision_us:.2} progress_us={progress_us:.2}",
+        size.replicas,
+        bench.dispatcher.queued_requests(),
+        size.customers * KINDS,
+        bench.running.len(),
+    );
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("statm is readable");
+    let pages = statm.split_ascii_whitespace().nth(1).expect("two fields");
+    pages.parse::<u64>().expect("a number") * PAGE_BYTES
+}
+
+fn measure_memory() {
+    let before = resident_bytes();
+    let mut bench = Bench::new(USUAL);
+    let rows = u64::from(USUAL.customers * KINDS);
+    let with_rows = resident_bytes();
+    println!("bytes_per_row={}", (with_rows - before) / rows);
+    bench.fill();
+    bench.size.queued = 110_000;
+    let before_queue = (resident_bytes(), bench.dispatcher.queued_requests() as u64);
+    bench.fill();
+    let queued = bench.dispatcher.queued_requests() as u64 - before_queue.1;
+    println!(
+        "bytes_per_queued_request={}",
+        (resident_bytes() - before_queue.0) / queued.max(1)
+    );
+    let mut many = Bench::new(Size {
+        customers: 10,
+        queued: 0,
+        replicas: 10_000,
+    });
+    let before_permits = resident_bytes();
+    for _ in 0..100_000 {
+        many.request();
+    }
+    let permits = many.running.len() as u64;
+    println!(
+        "bytes_per_permit={} permits={permits}",
+        (resident_bytes() - before_permits) / permits
+    );
+}
+
+fn main() {
+    measure_memory();
+    for replicas in [1, 4, 16, 32, 64, 128, 256] {
+        measure(Size { replicas, ..USUAL });
+    }
+    for queued in [0, 1_000, 10_000, 100_000] {
+        measure(Size { queued, ..USUAL });
+    }
+    for customers in [10, 1_000, 10_000, 37_000] {
+        measure(Size { customers, ..USUAL });
+    }
+}
