Try no grant where nothing changed that would allow one

Each event tried five flows against all endpoints. A pool now remembers that nothing could be granted until room or the order of service changes, skips endpoints that are closed before forecasting, and compares squares instead of taking roots.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -56,6 +56,8 @@
     endpoints: Vec<EndpointId>,
     model: ModelIndex,
     queue: FairQueue,
+    /// Nothing could be granted, and nothing has changed since that would allow it.
+    stuck: bool,
     /// Engine time of one generated token, as last measured.
     token_us: f64,
 }
@@ -179,6 +181,7 @@
                 endpoints: Vec::new(),
                 model,
                 queue: FairQueue::default(),
+                stuck: false,
                 token_us: self.settings.token_us,
             };
             self.pools.insert(index, pool);
@@ -210,7 +213,11 @@
             Event::Progressed {
                 generated_tokens,
                 permit,
-            } => self.progress(now_us, permit, generated_tokens),
+            } => {
+                if !self.progress(now_us, permit, generated_tokens) {
+                    return self.grant_all(now_us, actions);
+                }
+            }
             Event::Reported {
                 age_us,
                 endpoint,
@@ -223,6 +230,7 @@
             Event::Tick => {}
             Event::Withdrawn { request } => self.withdraw(request),
         }
+        self.unstick();
         self.grant_all(now_us, actions);
     }
 
--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -26,10 +26,37 @@
             return;
         }
         for pool in 0..self.pools.len() {
-            while self.grant_one(now_us, pool, actions) {}
+            while !self.pools[pool].stuck && self.grant_one(now_us, pool, actions) {}
+            self.pools[pool].stuck = true;
         }
     }
 
+    /// Lets the next `grant_all` try again, since room or the order of service changed.
+    pub(super) fn unstick(&mut self) {
+        for pool in &mut self.pools {
+            pool.stuck = false;
+        }
+    }
+
+    /// The same, if a request is among those that would be tried.
+    pub(super) fn unstick_for(&mut self, request: RequestId) {
+        let Some(queued) = self.queued.get(&request) else {
+            return;
+        };
+        let (row, model) = (queued.work.row, queued.work.model);
+        let flows = self.settings.backfill_flows + 1;
+        let pool = self.pool_index(model);
+        let pool = &mut self.pools[pool];
+        if pool.queue.order().take(flows).any(|first| first == row) {
+            pool.stuck = false;
+        }
+    }
+
+    fn has_open_endpoint(&self, now_us: u64, pool: usize) -> bool {
+        let mut members = self.pools[pool].endpoints.iter();
+        members.any(|&id| self.endpoint(id).is_some_and(|known| known.is_open(now_us)))
+    }
+
     /// Grants nothing before a time, while permits of an earlier owner may be unknown.
     pub fn hold_until(&mut self, held_until_us: u64) {
         self.held_until_us = held_until_us;
@@ -67,8 +94,11 @@
         let best = rotated
             .filter_map(|&id| self.endpoint(id))
             .filter_map(|endpoint| {
+                if !endpoint.is_open(now_us) {
+                    return None;
+                }
                 let added = Addition::new(endpoint, work, &forecast, &matches);
-                let room = self.has_room(now_us, endpoint, &added);
+                let room = self.has_room(endpoint, &added);
                 room.then(|| self.placement_cost(endpoint, work, &added))
             })
             .min_by_key(|cost| cost.total_us)?;
@@ -83,7 +113,7 @@
     fn grant_one(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) -> bool {
         let flows = self.settings.backfill_flows + 1;
         let order: Vec<RowIndex> = self.pools[pool].queue.order().take(flows).collect();
-        if order.is_empty() {
+        if order.is_empty() || !self.has_open_endpoint(now_us, pool) {
             return false;
         }
         let rotation = self.rotation(pool);
@@ -160,16 +190,10 @@
         }
     }
 
-    fn has_room(&self, now_us: u64, endpoint: &Endpoint, added: &Addition<'_>) -> bool {
+    fn has_room(&self, endpoint: &Endpoint, added: &Addition<'_>) -> bool {
         let Some(profile) = &endpoint.profile else {
             return false;
         };
-        if !endpoint.ready
-            || now_us < endpoint.paused_until_us
-            || endpoint.running >= endpoint.running_max()
-        {
-            return false;
-        }
         if !endpoint.is_engine() || endpoint.running == 0 {
             return added.known_tokens <= profile.memory_tokens;
         }
@@ -181,8 +205,7 @@
             && self.has_prefill_room(endpoint, added.prefill_tokens)
             && endpoint
                 .forecast
-                .peak_tokens(added.forecast, deviations, shared_tokens)
-                <= limit_tokens
+                .fits(added.forecast, deviations, shared_tokens, limit_tokens)
     }
 
     fn has_prefill_room(&self, endpoint: &Endpoint, added_tokens: u64) -> bool {
@@ -217,9 +240,7 @@
         let running = f64::from(endpoint.running) / f64::from(endpoint.running_max().max(1));
         let shared_tokens = endpoint.shared_tokens() + added.shared_tokens;
         let memory = if endpoint.is_engine() {
-            endpoint
-                .forecast
-                .peak_tokens(added.forecast, 0.0, shared_tokens)
+            endpoint.forecast.peak_tokens(added.forecast, shared_tokens)
                 / real(profile.memory_tokens.max(1))
         } else {
             0.0
--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -78,14 +78,19 @@
         self.refresh_row(now_us, row);
     }
 
-    /// Takes news of a generation's length.
-    pub(super) fn progress(&mut self, now_us: u64, number: PermitId, generated_tokens: u32) {
+    /// Takes news of a generation's length; says whether it made room for others.
+    pub(super) fn progress(
+        &mut self,
+        now_us: u64,
+        number: PermitId,
+        generated_tokens: u32,
+    ) -> bool {
         let Some(permit) = self.permits.get(&number) else {
-            return;
+            return false;
         };
         let before_tokens = permit.generated_tokens;
         if generated_tokens <= before_tokens {
-            return;
+            return false;
         }
         let (row, endpoint_id) = (permit.work.row, permit.endpoint);
         let observation = Observation {
@@ -106,6 +111,7 @@
             permit.charged_us = permit.charged_us.saturating_add_signed(overrun_us);
             self.correct(row, overrun_us);
         }
+        before_tokens == 0
     }
 
     /// Puts a permit in force.
--- a/crates/dispatch/src/dispatcher/refusing.rs
+++ b/crates/dispatch/src/dispatcher/refusing.rs
@@ -23,6 +23,7 @@
             let work = self.queued[&request].work.clone();
             let retry_after_ms = self.retry_after_ms(&work);
             self.unqueue(request);
+            self.unstick();
             actions.push(Action::Refuse {
                 reason: RefusalReason::WaitedTooLong,
                 request,
@@ -41,12 +42,14 @@
     ) {
         if self.queued.contains_key(&request) || self.running.contains_key(&request) {
             self.repeat(now_us, request);
+            self.unstick();
             return self.grant_all(now_us, actions);
         }
         if let Err(refusal) = self.enqueue(now_us, request, demand) {
             actions.push(refusal);
             return;
         }
+        self.unstick_for(request);
         self.grant_all(now_us, actions);
         if let Some(reason) = self.overload(now_us, request) {
             let work = self.unqueue(request).work;
--- a/crates/dispatch/src/dispatcher/rows.rs
+++ b/crates/dispatch/src/dispatcher/rows.rs
@@ -55,6 +55,7 @@
             && at_us <= now_us
         {
             self.openings.pop_first();
+            self.unstick();
             self.refresh_row(now_us, row);
         }
     }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -66,6 +66,11 @@
             .is_some_and(|profile| profile.block_tokens > 0)
     }
 
+    /// Whether another permit may run, as far as numbers decide it.
+    pub(crate) fn is_open(&self, now_us: u64) -> bool {
+        self.ready && now_us >= self.paused_until_us && self.running < self.running_max()
+    }
+
     /// Most permits at once.
     pub(crate) fn running_max(&self) -> u32 {
         let Some(profile) = &self.profile else {
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -55,19 +55,35 @@
         }
     }
 
-    /// Greatest use over all horizons of both forecasts together, `deviations` above the mean.
+    /// Whether both forecasts together stay within `limit_tokens`, `deviations` above the mean.
+    pub(crate) fn fits(
+        &self,
+        other: &Self,
+        deviations: f64,
+        shared_tokens: u64,
+        limit_tokens: f64,
+    ) -> bool {
+        let now = real((self.alive_milli[0] + other.alive_milli[0]).max(1));
+        (0..HORIZONS.len()).all(|index| {
+            let alive = real(self.alive_milli[index] + other.alive_milli[index]) / now;
+            let mean = real(self.mean_tokens[index] + other.mean_tokens[index]);
+            let variance = real(self.variance[index] + other.variance[index]);
+            let free = limit_tokens + real(shared_tokens) * alive * alive - mean;
+            free >= 0.0 && free * free >= deviations * deviations * variance
+        })
+    }
+
+    /// Greatest expected use over all horizons of both forecasts together.
     ///
     /// `shared_tokens` is what prompts have in common now and is counted more than once in the
     /// forecasts. Both users of a block must go on for it to stay shared.
-    pub(crate) fn peak_tokens(&self, other: &Self, deviations: f64, shared_tokens: u64) -> f64 {
+    pub(crate) fn peak_tokens(&self, other: &Self, shared_tokens: u64) -> f64 {
         let now = real((self.alive_milli[0] + other.alive_milli[0]).max(1));
         (0..HORIZONS.len())
             .map(|index| {
                 let alive = real(self.alive_milli[index] + other.alive_milli[index]) / now;
                 let mean = real(self.mean_tokens[index] + other.mean_tokens[index]);
-                let variance = real(self.variance[index] + other.variance[index]);
-                let shared = real(shared_tokens) * alive * alive;
-                mean + deviations * variance.sqrt() - shared
+                mean - real(shared_tokens) * alive * alive
             })
             .fold(0.0, f64::max)
     }
--- a/crates/dispatch/src/prediction.rs
+++ b/crates/dispatch/src/prediction.rs
@@ -28,7 +28,7 @@
             if to <= from {
                 break;
             }
-            let after = alive * self.bucket_survival(index, from, to);
+            let after = alive * self.rest_survival(index, from);
             mean += (to - from) * f64::midpoint(alive, after);
             alive = after;
             from = to;
@@ -66,7 +66,7 @@
                 return 0.0;
             }
             while index < BUCKETS - 1 && end(index) <= target {
-                alive *= self.bucket_survival(index, from, end(index));
+                alive *= self.rest_survival(index, from);
                 from = end(index);
                 index += 1;
             }
@@ -84,6 +84,15 @@
         (1.0 - self.hazards[index]).powf((to - from) / width)
     }
 
+    /// Survival to the end of a bucket.
+    fn rest_survival(&self, index: usize, from: f64) -> f64 {
+        if from <= bucket_start(index) {
+            1.0 - self.hazards[index]
+        } else {
+            self.bucket_survival(index, from, end(index))
+        }
+    }
+
     fn first_bucket(&self) -> usize {
         (0..BUCKETS - 1)
             .find(|&index| self.generated_tokens < bucket_end(index))
