--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -72,7 +72,7 @@
             self.endpoint_mut(permit.endpoint).paused_until_us = until_us;
         }
         let row = permit.work.row;
-        if permit.cancelling && end != End::Completed && !permit.withdrawn {
+        if permit.cancelling && end == End::Cancelled && !permit.withdrawn {
             self.queue_again(now_us, permit);
         }
         self.refresh_row(now_us, row);
