--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -72,20 +72,25 @@
             self.endpoint_mut(permit.endpoint).paused_until_us = until_us;
         }
         let row = permit.work.row;
-        if permit.cancelling && end != End::Completed && !permit.withdrawn {
+        if permit.cancelling && end == End::Cancelled && !permit.withdrawn {
             self.queue_again(now_us, permit);
         }
         self.refresh_row(now_us, row);
     }
 
-    /// Takes news of a generation's length.
-    pub(super) fn progress(&mut self, now_us: u64, number: PermitId, generated_tokens: u32) {
+    /// Takes news of a generation's length; says whether it made room for others.
+    pub(super) fn progress(
+        &mut self,
+        now_us: u64,
+        number: PermitId,
+        generated_tokens: u32,
+    ) -> bool {
         let Some(permit) = self.permits.get(&number) else {
-            return;
+            return false;
         };
         let before_tokens = permit.generated_tokens;
         if generated_tokens <= before_tokens {
-            return;
+            return false;
         }
         let (row, endpoint_id) = (permit.work.row, permit.endpoint);
         let observation = Observation {
@@ -106,6 +111,7 @@
             permit.charged_us = permit.charged_us.saturating_add_signed(overrun_us);
             self.correct(row, overrun_us);
         }
+        before_tokens == 0
     }
 
     /// Puts a permit in force.
@@ -197,6 +203,8 @@
         endpoint.forecast.add(&permit.forecast);
         endpoint.prefill_tokens += permit.prefill_tokens;
         endpoint.unstarted.push(number);
+        let shared_blocks = self.placement.retain(permit.endpoint, &permit.work.prefix);
+        endpoint.shared_blocks += shared_blocks;
         let capacity_tokens = endpoint
             .profile
             .as_ref()
@@ -222,6 +230,8 @@
             endpoint.prefill_tokens -= permit.prefill_tokens;
             endpoint.unstarted.retain(|&unstarted| unstarted != number);
         }
+        let shared_blocks = self.placement.release(permit.endpoint, &permit.work.prefix);
+        endpoint.shared_blocks -= shared_blocks;
         endpoint.retention.clock_tokens += u64::from(permit.generated_tokens);
     }
 
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -25,6 +25,8 @@
     pub(crate) report: Report,
     pub(crate) retention: Retention,
     pub(crate) running: u32,
+    /// Blocks that the known sizes of permits count more than once.
+    pub(crate) shared_blocks: usize,
     sequences_limit: f64,
     token_interval_us: Option<f64>,
     /// Permits without a first token, in the order of their grant.
@@ -44,12 +46,19 @@
             report: Report::default(),
             retention: Retention::default(),
             running: 0,
+            shared_blocks: 0,
             sequences_limit: f64::from(settings.sequences_start),
             token_interval_us: None,
             unstarted: Vec::new(),
         }
     }
 
+    /// Whether the known sizes of permits fit the memory.
+    pub(crate) fn fits(&self) -> bool {
+        let memory_tokens = self.profile.as_ref().map(|profile| profile.memory_tokens);
+        memory_tokens.is_some_and(|tokens| self.known_tokens - self.shared_tokens() <= tokens)
+    }
+
     /// Whether the endpoint decodes token by token; a plain service does not.
     pub(crate) fn is_engine(&self) -> bool {
         self.profile
@@ -57,6 +66,11 @@
             .is_some_and(|profile| profile.block_tokens > 0)
     }
 
+    /// Whether another permit may run, as far as numbers decide it.
+    pub(crate) fn is_open(&self, now_us: u64) -> bool {
+        self.ready && now_us >= self.paused_until_us && self.running < self.running_max()
+    }
+
     /// Most permits at once.
     pub(crate) fn running_max(&self) -> u32 {
         let Some(profile) = &self.profile else {
@@ -76,6 +90,15 @@
         Some(interval_us / f64::from(self.report.running.max(1)))
     }
 
+    /// Tokens in a number of blocks.
+    pub(crate) fn block_tokens(&self, blocks: usize) -> u64 {
+        let block_tokens = self
+            .profile
+            .as_ref()
+            .map_or(0, |profile| profile.block_tokens);
+        blocks as u64 * u64::from(block_tokens)
+    }
+
     /// Tokens that a sequence occupies in whole blocks.
     pub(crate) fn occupied_tokens(&self, tokens: u64) -> u64 {
         match &self.profile {
@@ -86,6 +109,11 @@
         }
     }
 
+    /// Tokens that the known sizes of permits count more than once.
+    pub(crate) fn shared_tokens(&self) -> u64 {
+        self.block_tokens(self.shared_blocks)
+    }
+
     /// Takes a load report and moves the limit of sequences towards the goal.
     pub(crate) fn observe(&mut self, report: &Report, goal_us: u64) {
         self.report = report.clone();
@@ -102,13 +130,14 @@
 
     fn follow_goal(&mut self, interval_us: f64, goal_us: f64) {
         const DECREASE_MIN: f64 = 0.9;
+        const INCREASE: f64 = 0.05;
         const MARGIN: f64 = 0.95;
         let running = f64::from(self.report.running);
         if interval_us > goal_us {
             let towards = running * (goal_us / interval_us).max(DECREASE_MIN);
             self.sequences_limit = self.sequences_limit.min(towards).max(1.0);
         } else if interval_us < goal_us * MARGIN && running + 2.0 >= self.sequences_limit {
-            self.sequences_limit += 1.0;
+            self.sequences_limit += (self.sequences_limit * INCREASE).max(1.0);
         }
         if let Some(profile) = &self.profile {
             let most = f64::from(profile.sequences_max);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses part of it")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dispatch::{
     Action, CustomerIndex, Demand, Dispatcher, End, Event, KindIndex, Limits, ModelIndex, Policy,
@@ -40,6 +40,7 @@
     pub next_request: u64,
     pub now_us: u64,
     pub profiles: BTreeMap<EndpointId, Profile>,
+    pub refused_us: BTreeMap<EndpointId, u64>,
     pub running: BTreeMap<PermitId, Running>,
 }
 
@@ -96,10 +97,24 @@
             next_request: 0,
             now_us: 0,
             profiles: BTreeMap::new(),
+            refused_us: BTreeMap::new(),
             running: BTreeMap::new(),
         }
     }
 
+    /// Lets the host know a permit that the dispatcher adopted.
+    pub fn adopted(&mut self, permit: PermitId, demand: Demand) {
+        let running = Running {
+            cancelling: false,
+            demand,
+            endpoint: EndpointId(0),
+            generated_tokens: 60,
+            priority: 0,
+            request: RequestId(100 + permit.0),
+        };
+        self.running.insert(permit, running);
+    }
+
     pub fn announce(&mut self, endpoint: u64, profile: &Profile) {
         let endpoint = EndpointId(endpoint);
         self.profiles.insert(endpoint, profile.clone());
@@ -110,12 +125,15 @@
         let Some(running) = self.running.remove(&permit) else {
             return;
         };
-        let fate = if running.cancelling && end != End::Completed {
+        let fate = if running.cancelling && end == End::Cancelled {
             Fate::Waiting
         } else {
             Fate::Ended
         };
         self.fates.insert(running.request, fate);
+        if end == End::Refused {
+            self.refused_us.insert(running.endpoint, self.now_us);
+        }
         self.handle(Event::Finished {
             end,
             generated_tokens: running.generated_tokens,
@@ -127,18 +145,14 @@
         let endpoint = EndpointId(endpoint);
         self.profiles.remove(&endpoint);
         for running in self.running.values().filter(|r| r.endpoint == endpoint) {
-            let fate = if running.cancelling {
-                Fate::Waiting
-            } else {
-                Fate::Ended
-            };
-            self.fates.insert(running.request, fate);
+            self.fates.insert(running.request, Fate::Ended);
         }
         self.running.retain(|_, r| r.endpoint != endpoint);
         self.handle(Event::Lapsed { endpoint });
     }
 
     pub fn leave(&mut self, endpoint: u64) {
+        self.profiles.remove(&EndpointId(endpoint));
         self.handle(Event::Leaving {
             endpoint: EndpointId(endpoint),
         });
@@ -213,14 +227,41 @@
 
     pub fn known_tokens(&self, endpoint: EndpointId) -> u64 {
         let block = u64::from(self.profiles[&endpoint].block_tokens.max(1));
-        self.running
-            .values()
-            .filter(|running| running.endpoint == endpoint)
-            .map(|running| {
-                let tokens = running.demand.prompt_tokens + running.generated_tokens;
-                u64::from(tokens).next_multiple_of(block)
-            })
-            .sum()
+        let mut shared: BTreeSet<u64> = BTreeSet::new();
+        let mut private_tokens = 0;
+        for running in self.running.values().filter(|r| r.endpoint == endpoint) {
+            let tokens = running.demand.prompt_tokens + running.generated_tokens;
+            let hashes = &running.demand.prefix_hashes;
+            private_tokens += u64::from(tokens).next_multiple_of(block);
+            private_tokens -= hashes.len() as u64 * block;
+            shared.extend(hashes);
+        }
+        private_tokens + shared.len() as u64 * block
+    }
+
+    /// Whether an endpoint stands idle although it could serve all that waits.
+    pub fn idles(&self) -> bool {
+        let waiting: Vec<&Demand> = self
+            .fates
+            .iter()
+            .filter(|&(_, &fate)| fate == Fate::Waiting)
+            .map(|(request, _)| &self.demands[request])
+            .collect();
+        let open = |demand: &&&Demand| {
+            let row = &self.limits[&(demand.customer.0, demand.kind.0)];
+            self.running_of(demand.customer.0) < row.running_max as usize
+        };
+        let serves_all = |profile: &Profile| {
+            let fits = |d: &&Demand| u64::from(d.prompt_tokens) + 16 <= profile.memory_tokens;
+            waiting.iter().all(fits)
+        };
+        let idle = self.profiles.iter().any(|(endpoint, profile)| {
+            let busy = self.running.values().any(|r| r.endpoint == *endpoint);
+            let refused_us = self.refused_us.get(endpoint);
+            let paused = refused_us.is_some_and(|&at| self.now_us < at + 1_000_000);
+            !busy && !paused && serves_all(profile)
+        });
+        idle && waiting.iter().any(|demand| open(&demand))
     }
 
     fn handle(&mut self, event: Event<'_>) {
