Let the fakes announce that they leave, and run on a paused clock

Leaving was a flag of the handle, out of reach for a fake in a process of its own; it is a fault now, with the time until the endpoint is reclaimed. A test passes a generation of 20,000 tokens, more than 200 s, on a paused clock.

--- a/crates/fakes/src/http/announcer.rs
+++ b/crates/fakes/src/http/announcer.rs
@@ -60,17 +60,21 @@
 }
 
 fn announcement<H: Handler>(place: &Place, handle: &Handle, handler: &H, sequence: u64) -> Bytes {
+    let (state, reclaim_in_ms) = match handle.faults().current() {
+        Some(Fault::Leaving(reclaim_in_ms)) => ("leaving", reclaim_in_ms),
+        _ => ("ready", None),
+    };
     let body = json!({
         "address": handle.address(),
         "cache": handler.cache(),
         "data_centre": place.data_centre,
         "incarnation": place.incarnation,
         "offer": handler.offer(),
-        "reclaim_in_ms": null,
+        "reclaim_in_ms": reclaim_in_ms,
         "region": place.region,
         "report": handler.report(),
         "sequence": sequence,
-        "state": if handle.is_leaving() { "leaving" } else { "ready" },
+        "state": state,
     });
     Bytes::from(body.to_string())
 }
--- a/crates/fakes/src/http/fault.rs
+++ b/crates/fakes/src/http/fault.rs
@@ -16,6 +16,8 @@
     FailAfterRun,
     /// Takes orders with an old fencing number.
     IgnoreFencing,
+    /// Announces that it takes no new work, and when it will be taken away, in milliseconds.
+    Leaving(Option<u64>),
     /// Runs the call, then closes the connection without an answer.
     LoseAnswer,
     /// Sends a broken event in place of the token.
--- a/crates/fakes/src/http/handle.rs
+++ b/crates/fakes/src/http/handle.rs
@@ -2,7 +2,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -48,7 +47,6 @@
 pub struct Handle {
     address: SocketAddr,
     faults: FaultSwitch,
-    leaving: Arc<AtomicBool>,
     stop: CancellationToken,
 }
 
@@ -64,7 +62,6 @@
         let handle = Self {
             address: listener.local_addr()?,
             faults,
-            leaving: Arc::new(AtomicBool::new(false)),
             stop: CancellationToken::new(),
         };
         handle.run(announcer::run(place, handle.clone(), Arc::clone(&handler)));
@@ -96,11 +93,8 @@
 
     /// Announces from now on that it takes no new work.
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
-    }
-
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        let fault = Some(Fault::Leaving(None));
+        self.faults.set(FaultOrder { fault, times: None });
     }
 
     /// Runs a task until the fake is killed.
--- a/crates/fakes/tests/engine_server.rs
+++ b/crates/fakes/tests/engine_server.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use fakes::answer::{AnswerFault, Defect, check, generation_tag};
 use fakes::engine::EndReason;
 use fakes::http::{BookingServer, BookingSettings, EngineServer, EngineServerSettings};
@@ -10,6 +12,7 @@
 use names::GenerationId;
 use serde_json::{Value, json};
 use support::{Answer, call};
+use tokio::time::{Instant, sleep};
 
 const PATH: &str = "/generations/0000000000000000000000000000002a";
 
@@ -131,7 +134,7 @@
         .first()
         .is_none_or(|entry| entry.tokens == 0)
     {
-        tokio::task::yield_now().await;
+        sleep(Duration::from_millis(1)).await;
     }
     let cancel = call(address, Method::DELETE, PATH, &Value::Null).await;
     assert_eq!(cancel.expect("an answer").status, StatusCode::NO_CONTENT);
@@ -243,7 +246,7 @@
     };
     let engine = EngineServer::spawn(settings).await.expect("a port");
     while taking.ledger().is_empty() {
-        tokio::task::yield_now().await;
+        sleep(Duration::from_millis(1)).await;
     }
     let run = taking.ledger().remove(0);
     assert_eq!(run.path, "/v1/endpoints/engine-7/announcements");
@@ -255,4 +258,30 @@
         (&json!("ready"), &json!(1))
     );
     assert!(refusing.ledger().is_empty());
+    engine.leave();
+    while taking.ledger().len() < 2 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let body: Value = serde_json::from_str(&taking.ledger()[1].body).expect("JSON");
+    assert_eq!(
+        (&body["state"], &body["sequence"]),
+        (&json!("leaving"), &json!(2))
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_long_generation_passes_at_once_on_a_paused_clock() {
+    let engine = engine(20_000).await;
+    let started = Instant::now();
+    let body = start_body(20_000);
+    let answer = call(engine.address(), Method::POST, PATH, &body)
+        .await
+        .expect("an answer");
+    assert_eq!(
+        check(&text(&answer), PROMPT)
+            .expect("an unmixed answer")
+            .tokens,
+        20_000
+    );
+    assert!(started.elapsed().as_secs() > 200);
 }
