--- a/crates/fakes/src/experiment/mod.rs
+++ b/crates/fakes/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 
 mod capacity;
 mod columns;
+mod comparison;
 mod draw;
 mod load_file;
 mod metrics;
--- a/crates/fakes/src/experiment/report.rs
+++ b/crates/fakes/src/experiment/report.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 
 use crate::experiment::columns::{COLUMNS, Outcome};
-use crate::experiment::plot;
 use crate::experiment::scenario::Scenario;
+use crate::experiment::{comparison, plot};
 
 /// Figures of one policy in one run.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,7 +26,7 @@
 }
 
 impl Report {
-    /// The most telling columns, aligned.
+    /// The most telling columns, aligned, and a comparison with the best baseline.
     #[must_use]
     pub fn table(&self) -> String {
         let mut text = format!("{:<32} {:<15}", "run", "policy");
@@ -35,13 +35,7 @@
         }
         text.push('\n');
         for summary in &self.summaries {
-            let Summary {
-                fault,
-                load,
-                load_factor,
-                ..
-            } = summary;
-            let run = format!("{load} x{load_factor} {fault} #{}", summary.seed);
+            let run = format!("{} #{}", summary.run(), summary.seed);
             let _ = write!(text, "{run:<32} {:<15}", summary.policy);
             for (column, value) in COLUMNS.iter().zip(&summary.values) {
                 if column.is_printed() {
@@ -50,7 +44,7 @@
             }
             text.push('\n');
         }
-        text
+        text + "\n" + &comparison::write(&self.summaries)
     }
 
     /// Writes `table.txt`, `summary.csv` and a plot of each load.
@@ -94,6 +88,11 @@
         }
     }
 
+    /// Load and fault, without the seed.
+    pub(crate) fn run(&self) -> String {
+        format!("{} x{} {}", self.load, self.load_factor, self.fault)
+    }
+
     fn record(&self) -> Vec<String> {
         let (load_factor, seed) = (self.load_factor.to_string(), self.seed.to_string());
         let keys = [
