--- a/crates/fakes/src/http/announcer.rs
+++ b/crates/fakes/src/http/announcer.rs
@@ -45,17 +45,14 @@
             continue;
         }
         let body = announcement(&place, &handle, handler.as_ref(), sequence);
-        let mut taken = false;
         for offset in 0..place.instances.len() {
             let position = (first + offset) % place.instances.len();
             let instance = place.instances[position];
             if post(&client, instance, &place.name, body.clone()).await {
                 first = position;
-                taken = true;
                 break;
             }
         }
-        handler.announced(taken);
     }
 }
 
--- a/crates/fakes/src/http/booking_server.rs
+++ b/crates/fakes/src/http/booking_server.rs
@@ -172,8 +172,6 @@
 }
 
 impl Handler for Shared {
-    fn announced(&self, _taken: bool) {}
-
     fn cache(&self) -> Value {
         Value::Null
     }
--- a/crates/fakes/src/http/engine_server.rs
+++ b/crates/fakes/src/http/engine_server.rs
@@ -208,14 +208,14 @@
 }
 
 impl Handler for Shared {
-    fn announced(&self, taken: bool) {
-        if taken {
-            self.lock().cache_taken();
-        }
-    }
-
     fn cache(&self) -> Value {
-        self.lock().cache()
+        let news = self.lock().cache();
+        let lost = |fault| fault == Fault::LoseCacheNews && !news.is_null();
+        if self.faults.take(lost).is_some() {
+            Value::Null
+        } else {
+            news
+        }
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Result<Reply, Dropped> {
--- a/crates/fakes/src/http/engine_state.rs
+++ b/crates/fakes/src/http/engine_state.rs
@@ -104,8 +104,7 @@
     cancelled: BTreeSet<GenerationId>,
     generations: BTreeMap<GenerationId, Generation>,
     length: LengthRule,
-    /// Cache news that no instance has taken yet, and the number of the first.
-    news: CacheNews,
+    /// Number of the next change of the prefix cache.
     news_sequence: u64,
     outputs: Vec<Output>,
     reports: VecDeque<(u64, Report)>,
@@ -119,7 +118,6 @@
             generations: BTreeMap::new(),
             length,
             model,
-            news: CacheNews::default(),
             news_sequence: 0,
             orders: EngineOrders::default(),
             outputs: Vec::new(),
@@ -132,29 +130,24 @@
         self.publish();
     }
 
+    /// News of the prefix cache since the last call.
     pub(crate) fn cache(&mut self) -> Value {
-        let mut news = self.model.take_cache_news();
-        self.news.added.append(&mut news.added);
-        self.news.evicted.append(&mut news.evicted);
-        if self.news.added.is_empty() && self.news.evicted.is_empty() {
+        let CacheNews { added, evicted } = self.model.take_cache_news();
+        let first_sequence = self.news_sequence;
+        self.news_sequence += (added.len() + evicted.len()) as u64;
+        if first_sequence == self.news_sequence {
             return Value::Null;
         }
         let hexadecimal = |hashes: &[u64]| -> Vec<String> {
             hashes.iter().map(|hash| format!("{hash:016x}")).collect()
         };
         json!({
-            "added": hexadecimal(&self.news.added),
-            "evicted": hexadecimal(&self.news.evicted),
-            "first_sequence": self.news_sequence,
+            "added": hexadecimal(&added),
+            "evicted": hexadecimal(&evicted),
+            "first_sequence": first_sequence,
         })
     }
 
-    /// Forgets the cache news that an instance has taken.
-    pub(crate) fn cache_taken(&mut self) {
-        let news = std::mem::take(&mut self.news);
-        self.news_sequence += (news.added.len() + news.evicted.len()) as u64;
-    }
-
     /// Cancels, and refuses the number from now on; false if it was never started here.
     pub(crate) fn cancel(&mut self, now_us: u64, id: GenerationId) -> bool {
         self.cancelled.insert(id);
--- a/crates/fakes/src/http/fault.rs
+++ b/crates/fakes/src/http/fault.rs
@@ -20,6 +20,8 @@
     Leaving(Option<u64>),
     /// Runs the call, then closes the connection without an answer.
     LoseAnswer,
+    /// Leaves a gap in the news of the prefix cache.
+    LoseCacheNews,
     /// Sends a broken event in place of the token.
     MalformedEvent(u32),
     /// Refuses new calls without running them.
--- a/crates/fakes/src/http/handle.rs
+++ b/crates/fakes/src/http/handle.rs
@@ -23,9 +23,6 @@
 
 /// Answers the calls of one fake and describes it.
 pub(crate) trait Handler: Send + Sync + 'static {
-    /// Whether the last announcement was taken.
-    fn announced(&self, taken: bool);
-
     /// News of the prefix cache.
     fn cache(&self) -> Value;
 
--- a/crates/fakes/tests/engine_server.rs
+++ b/crates/fakes/tests/engine_server.rs
@@ -285,3 +285,46 @@
     );
     assert!(started.elapsed().as_secs() > 200);
 }
+
+#[tokio::test]
+async fn lost_cache_news_leave_a_gap_in_the_sequence() {
+    let taking = BookingServer::spawn(BookingSettings::default())
+        .await
+        .expect("a port");
+    let place = Place {
+        instances: vec![taking.address()],
+        name: "engine".to_owned(),
+        ..Place::default()
+    };
+    let settings = EngineServerSettings {
+        place,
+        ..EngineServerSettings::default()
+    };
+    let engine = EngineServer::spawn(settings).await.expect("a port");
+    let prompt = |letter: &str| {
+        let prompt = letter.repeat(130);
+        json!({"model": "fake", "prompt": prompt, "max_tokens": 1, "priority": 0})
+    };
+    engine.faults().set(once(Fault::LoseCacheNews));
+    call(engine.address(), Method::POST, PATH, &prompt("a"))
+        .await
+        .expect("an answer");
+    while engine.faults().current().is_some() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let other = PATH.replace("2a", "2b");
+    call(engine.address(), Method::POST, &other, &prompt("b"))
+        .await
+        .expect("an answer");
+    let news = || {
+        let bodies = taking.ledger().into_iter().map(|run| run.body);
+        let mut news = bodies.map(|body| serde_json::from_str::<Value>(&body).expect("JSON"));
+        news.find_map(|body| body.get("cache").filter(|cache| !cache.is_null()).cloned())
+    };
+    while news().is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let news = news().expect("seen above");
+    assert_eq!(news["first_sequence"], 2);
+    assert_eq!(news["added"].as_array().map(Vec::len), Some(2));
+}
