--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -146,7 +146,7 @@
         let number = PermitId(self.next_permit);
         self.next_permit += 1;
         let permit = self.permit_for(now_us, pool, request, &queued, place);
-        self.pools[pool].queue.serve(queued.work.row);
+        self.pools[pool].queue.serve(now_us, queued.work.row);
         actions.push(Action::Grant {
             endpoint: place.endpoint,
             permit: number,
--- a/crates/dispatch/src/dispatcher/refusing.rs
+++ b/crates/dispatch/src/dispatcher/refusing.rs
@@ -135,7 +135,7 @@
         let position = queued.position();
         self.pools[pool]
             .queue
-            .push(request, position, weight_milli, open);
+            .push(now_us, request, position, weight_milli, open);
         self.expiries.insert((expires_us, request));
         self.queued.insert(request, queued);
         self.row_mut(row).queued += 1;
@@ -161,8 +161,10 @@
         if row.queued > limits.queued_max {
             return Some(RefusalReason::QueueFull);
         }
-        let predicted_us = now_us.saturating_add(self.predicted_wait_us(&queued.work));
-        (predicted_us > queued.expires_us).then_some(RefusalReason::Overload)
+        let allowed_us = real(queued.expires_us.saturating_sub(now_us));
+        let predicted_us = real(self.predicted_wait_us(&queued.work));
+        let part = self.settings.wait_part_max;
+        (predicted_us > allowed_us * part).then_some(RefusalReason::Overload)
     }
 
     /// Predicted wait of the last request of a flow.
@@ -180,7 +182,9 @@
         let all_us = real(backlog.total_us) / ready;
         let part = real(backlog.flow_weight_milli) / real(backlog.total_weight_milli.max(1));
         let own_us = real(backlog.flow_us) / (ready * part);
-        let shared_us = all_us.min(own_us);
+        let paced_us = backlog.pace.filter(|&pace| pace > 0.0);
+        let paced_us = paced_us.map(|pace| real(backlog.ahead_virtual_us) / pace);
+        let shared_us = all_us.max(paced_us.unwrap_or(0.0)).min(own_us);
         whole(shared_us.max(self.limited_wait_us(work.row, backlog.flow_us)))
     }
 
--- a/crates/dispatch/src/fair_queue.rs
+++ b/crates/dispatch/src/fair_queue.rs
@@ -10,8 +10,11 @@
 
 use names::RequestId;
 
+use crate::pace::Pace;
 use crate::work::RowIndex;
 
+const MILLI: u64 = 1_000;
+
 /// Requests for one model, by row.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
@@ -24,6 +27,7 @@
     flows: BTreeMap<RowIndex, Flow>,
     /// Flows without requests that still owe engine time, by virtual time.
     indebted: BTreeSet<(u64, RowIndex)>,
+    pace: Pace,
     virtual_us: u64,
 }
 
@@ -50,8 +54,11 @@
 /// How much is waiting, as one flow sees it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Backlog {
+    /// Virtual time until the flow's last request is served.
+    pub(crate) ahead_virtual_us: u64,
     pub(crate) flow_us: u64,
     pub(crate) flow_weight_milli: u64,
+    pub(crate) pace: Option<f64>,
     pub(crate) total_us: u64,
     pub(crate) total_weight_milli: u64,
 }
@@ -77,9 +84,13 @@
     /// Backlog of a row's flow.
     pub(crate) fn backlog(&self, row: RowIndex) -> Option<Backlog> {
         let flow = self.flows.get(&row)?;
+        let weighted_us = flow.backlog_us.saturating_mul(MILLI) / flow.weight_milli.max(1);
+        let last_virtual_us = flow.virtual_us.saturating_add(weighted_us);
         Some(Backlog {
+            ahead_virtual_us: last_virtual_us.saturating_sub(self.virtual_us),
             flow_us: flow.backlog_us,
             flow_weight_milli: flow.weight_milli,
+            pace: self.pace.average(),
             total_us: self.backlog_us,
             total_weight_milli: self.backlog_weight_milli,
         })
@@ -125,19 +136,23 @@
     /// Adds a request.
     pub(crate) fn push(
         &mut self,
+        now_us: u64,
         request: RequestId,
         position: Position,
         weight_milli: u64,
         open: bool,
     ) {
-        let now_us = self.virtual_us;
+        if self.backlog_us == 0 {
+            self.pace.restart(now_us, self.virtual_us);
+        }
+        let virtual_us = self.virtual_us;
         let flow = self
             .flows
             .entry(position.row)
-            .or_insert_with(|| Flow::new(now_us));
+            .or_insert_with(|| Flow::new(virtual_us));
         if flow.is_empty() {
             self.indebted.remove(&(flow.virtual_us, position.row));
-            flow.virtual_us = flow.virtual_us.max(now_us);
+            flow.virtual_us = flow.virtual_us.max(virtual_us);
             flow.weight_milli = weight_milli;
             flow.open = open;
             self.backlog_weight_milli += weight_milli;
@@ -186,10 +201,11 @@
     }
 
     /// Notes that a flow is being served, before it is charged.
-    pub(crate) fn serve(&mut self, row: RowIndex) {
+    pub(crate) fn serve(&mut self, now_us: u64, row: RowIndex) {
         if let Some(flow) = self.flows.get(&row) {
             self.virtual_us = self.virtual_us.max(flow.virtual_us);
         }
+        self.pace.sample(now_us, self.virtual_us);
         while let Some(&(virtual_us, paid)) = self.indebted.first()
             && virtual_us <= self.virtual_us
         {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod forecast;
 mod lengths;
 mod number;
+mod pace;
 mod permit;
 mod policy;
 mod prediction;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -35,6 +35,8 @@
     pub token_interval_goal_us: u64,
     /// Engine time of one generated token before it is measured.
     pub token_us: f64,
+    /// Part of the longest wait that a row allows beyond which a predicted wait is refused.
+    pub wait_part_max: f64,
 }
 
 impl Default for Settings {
@@ -57,6 +59,7 @@
             sequences_start: 48,
             token_interval_goal_us: 34_000,
             token_us: 1_000.0,
+            wait_part_max: 0.8,
         }
     }
 }
