--- a/crates/gentiancleat/src/options.rs
+++ b/crates/gentiancleat/src/options.rs
@@ -15,6 +15,10 @@
 
 /// What to do.
 #[derive(Debug, Options)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "one value exists in a call, and the derive takes no boxed flags"
+)]
 pub(crate) enum Command {
     #[options(help = "check settings and a table file without serving")]
     Check(CheckOptions),
@@ -24,6 +28,8 @@
     Endpoints(ClientOptions),
     #[options(help = "list instances and voters")]
     Instances(ClientOptions),
+    #[options(help = "make a key of a customer or operator")]
+    Key(KeyTopOptions),
     #[options(help = "run an instance")]
     Serve(ServeOptions),
     #[options(help = "show the state of an instance")]
@@ -56,6 +62,39 @@
     pub(crate) operator_key: Option<String>,
 }
 
+/// Flags of `key`.
+#[derive(Debug, Options)]
+pub(crate) struct KeyTopOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<KeyCommand>,
+}
+
+/// Whose key to make.
+#[derive(Debug, Options)]
+pub(crate) enum KeyCommand {
+    #[options(help = "key of a customer: NAME")]
+    Customer(ArgumentOptions),
+    #[options(help = "key of an operator: NAME ROLE, with ROLE read, edit or operate")]
+    Operator(ArgumentOptions),
+}
+
+/// Flags of commands that take plain arguments.
+#[derive(Debug, Default, Options)]
+pub(crate) struct ArgumentOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "admin address of an instance", meta = "IP:PORT", no_short)]
+    pub(crate) admin_address: Option<String>,
+    #[options(free, help = "names")]
+    pub(crate) arguments: Vec<String>,
+    #[options(help = "print JSON instead of aligned text", no_short)]
+    pub(crate) json: bool,
+    #[options(help = "operator's key", meta = "KEY", no_short)]
+    pub(crate) operator_key: Option<String>,
+}
+
 /// Flags of `serve`.
 #[derive(Debug, Default, Options)]
 pub(crate) struct ServeOptions {
@@ -139,8 +178,10 @@
     Diff(FileOptions),
     #[options(help = "show who changed what and when")]
     History(ClientOptions),
+    #[options(help = "add a kind of work: NAME")]
+    Kind(ArgumentOptions),
     #[options(help = "change columns of one row: CUSTOMER KIND COLUMN=VALUE...")]
-    Set(SetOptions),
+    Set(ArgumentOptions),
     #[options(help = "show all rows")]
     Show(ClientOptions),
 }
@@ -160,17 +201,24 @@
     pub(crate) operator_key: Option<String>,
 }
 
-/// Flags of `table set`.
-#[derive(Debug, Default, Options)]
-pub(crate) struct SetOptions {
-    #[options(help = "print this text")]
-    pub(crate) help: bool,
-    #[options(help = "admin address of an instance", meta = "IP:PORT", no_short)]
-    pub(crate) admin_address: Option<String>,
-    #[options(free, help = "CUSTOMER KIND COLUMN=VALUE...")]
-    pub(crate) arguments: Vec<String>,
-    #[options(help = "print JSON instead of aligned text", no_short)]
-    pub(crate) json: bool,
-    #[options(help = "operator's key", meta = "KEY", no_short)]
-    pub(crate) operator_key: Option<String>,
+impl ArgumentOptions {
+    pub(crate) fn client(&self) -> ClientOptions {
+        ClientOptions {
+            admin_address: self.admin_address.clone(),
+            help: self.help,
+            json: self.json,
+            operator_key: self.operator_key.clone(),
+        }
+    }
+}
+
+impl FileOptions {
+    pub(crate) fn client(&self) -> ClientOptions {
+        ClientOptions {
+            admin_address: self.admin_address.clone(),
+            help: self.help,
+            json: self.json,
+            operator_key: self.operator_key.clone(),
+        }
+    }
 }
--- a/crates/gentiancleat/src/serve_settings.rs
+++ b/crates/gentiancleat/src/serve_settings.rs
@@ -1,7 +1,6 @@
 //! Checks the settings of `serve` and names every problem at once.
 
 use std::fmt::Display;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::str::FromStr;
 
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -161,12 +161,12 @@
         let server = Arc::clone(&server);
         async move { Ok::<_, Infallible>(server.answer(request).await) }
     });
-    let served = http1::Builder::new()
+    let result = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
         .serve_connection(TokioIo::new(stream), service)
         .await;
-    if let Err(error) = served {
+    if let Err(error) = result {
         debug!(server.log, "endpoint connection ended"; "error" => %error);
     }
 }
--- a/crates/node/src/claiming.rs
+++ b/crates/node/src/claiming.rs
@@ -9,10 +9,11 @@
     Attempt, ClaimAnswer, ClaimKey, Claimant, IdempotencyKey, RequestDigest, SettleAnswer,
     StoredBody, StoredOutcome,
 };
-use entry::{ClaimError, ClaimRequest, Claimed, Claims, StoredAnswer, StoredHeader};
+use entry::border::{ClaimError, ClaimRequest, Claimed, Claims, StoredAnswer, StoredHeader};
 use names::RequestId;
 
-use crate::proposer::{Committed, Failure, Proposer};
+use crate::leader::Failure;
+use crate::proposer::Proposer;
 use crate::state::{Answer, Command};
 
 /// Time after which a claim that could not be committed may be repeated.
@@ -65,10 +66,7 @@
 
     async fn settle(&self, command: claims::Command) -> Result<SettleAnswer, ClaimError> {
         match self.proposer.propose(&Command::Claim(command)).await {
-            Ok(Committed {
-                answer: Answer::Claim(claims::Answer::Settle(answer)),
-                ..
-            }) => Ok(answer),
+            Ok(Answer::Claim(claims::Answer::Settle(answer))) => Ok(answer),
             Ok(_) | Err(_) => Err(ClaimError::NoQuorum),
         }
     }
@@ -89,17 +87,14 @@
             key: key.clone(),
         };
         match self.proposer.propose(&Command::Claim(command)).await {
-            Ok(Committed {
-                answer: Answer::Claim(claims::Answer::Claim(answer)),
-                ..
-            }) => {
+            Ok(Answer::Claim(claims::Answer::Claim(answer))) => {
                 if answer == ClaimAnswer::Granted {
                     self.hold(&key, number);
                 }
                 claimed(answer)
             }
             Ok(_) | Err(Failure::Unknown) => Claimed::Unknown,
-            Err(Failure::NotCommitted) => Claimed::Unavailable {
+            Err(Failure::NotDone) => Claimed::Unavailable {
                 retry_after_ms: RETRY_AFTER_MS,
             },
         }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use entry::{Directory, Row, Work};
+use entry::border::{Directory, Row, Work};
 use names::{CustomerName, KindName, ModelName};
 use session::OfferName;
 use table::RowKey;
--- /dev/null
+++ b/crates/node/src/drainer.rs
@@ -0,0 +1,107 @@
+//! Carries out a planned stop without cutting off a request.
+//!
+//! The instance first reports that it is not ready and keeps serving while the balancer notices.
+//! Then it grants and admits nothing new, its shards move to other owners, its running requests
+//! end, however long they take, and last it hands over leadership.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use control::Control;
+use entry::Entry;
+use names::InstanceName;
+use session::Member;
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::holdings::Holdings;
+use crate::permit_book::PermitBook;
+
+/// Longest time for the shards to move and for the ends of permits to be reported.
+const HAND_OVER_MS: u64 = 10_000;
+
+/// Time between two looks at what is left.
+const LOOK_MS: u64 = 50;
+
+/// What the draining task works on.
+pub(crate) struct Drainer {
+    pub(crate) book: Arc<PermitBook>,
+    pub(crate) control: Option<Arc<Control>>,
+    pub(crate) drain: watch::Receiver<bool>,
+    pub(crate) drain_wait_ms: u64,
+    pub(crate) drained: watch::Sender<bool>,
+    pub(crate) draining: Arc<AtomicBool>,
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) holdings: Arc<Holdings>,
+    pub(crate) log: Logger,
+    pub(crate) member: Member,
+    pub(crate) voters: Vec<InstanceName>,
+}
+
+impl Drainer {
+    /// Waits for the stop to be asked for, and carries it out.
+    pub(crate) async fn run(mut self) {
+        if self.drain.wait_for(|drain| *drain).await.is_err() {
+            return;
+        }
+        info!(self.log, "draining"; "wait_ms" => self.drain_wait_ms);
+        self.holdings.set_unready();
+        sleep(Duration::from_millis(self.drain_wait_ms)).await;
+        self.entry.begin_drain();
+        self.draining.store(true, Ordering::SeqCst);
+        self.entry.drain().await;
+        self.wait_until("shards moved", || !self.owns_shards())
+            .await;
+        self.wait_until("permits reported", || self.book.reports().is_empty())
+            .await;
+        self.hand_over().await;
+        info!(self.log, "drained");
+        self.drained.send_replace(true);
+    }
+
+    /// Hands leadership to the first voter that takes it.
+    async fn hand_over(&self) {
+        let Some(control) = &self.control else {
+            return;
+        };
+        if !control.role().borrow().is_leader {
+            return;
+        }
+        for voter in self
+            .voters
+            .iter()
+            .filter(|voter| **voter != self.member.name)
+        {
+            if control.hand_over(voter.clone()).await.is_err() {
+                continue;
+            }
+            self.wait_until("leadership handed over", || {
+                !control.role().borrow().is_leader
+            })
+            .await;
+            if !control.role().borrow().is_leader {
+                return;
+            }
+        }
+    }
+
+    fn owns_shards(&self) -> bool {
+        self.holdings.lock().assignments.iter().any(|assignment| {
+            assignment.owner == self.member.name
+                && assignment.incarnation == self.member.incarnation
+        })
+    }
+
+    async fn wait_until(&self, what: &'static str, done: impl Fn() -> bool) {
+        let give_up = Instant::now() + Duration::from_millis(HAND_OVER_MS);
+        while !done() {
+            if Instant::now() >= give_up {
+                warn!(self.log, "drain goes on without"; "what" => what);
+                return;
+            }
+            sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+}
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -44,10 +44,10 @@
         if revision >= self.revision() {
             return None;
         }
-        Some(
-            self.delta_since(revision)
-                .map_or_else(|| Publication::Snapshot(self.view.publish()), Publication::Delta),
-        )
+        Some(self.delta_since(revision).map_or_else(
+            || Publication::Snapshot(self.view.publish()),
+            Publication::Delta,
+        ))
     }
 
     fn delta_since(&self, revision: Revision) -> Option<Delta> {
--- a/crates/node/src/holdings.rs
+++ b/crates/node/src/holdings.rs
@@ -3,10 +3,11 @@
 //! Table, assignments and lease change together under one lock: whoever sees a live lease also sees
 //! every change that was accepted before the lease was asked for.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use names::{Incarnation, InstanceName, LogIndex};
-use protocol::{SyncUpdate};
+use protocol::SyncUpdate;
 use session::{Assignment, Assignments, ConfigurationLease, Roster, Shard};
 use table::{Items, Publication, Revision, ViewOutcome};
 use tokio::sync::watch;
@@ -20,6 +21,7 @@
     changed: watch::Sender<u64>,
     clock: Clock,
     held: Mutex<Held>,
+    unready: AtomicBool,
 }
 
 /// The parts that change together.
@@ -41,6 +43,7 @@
             changed: watch::Sender::new(0),
             clock,
             held: Mutex::new(Held::default()),
+            unready: AtomicBool::new(false),
         }
     }
 
@@ -87,6 +90,11 @@
         self.changed.subscribe()
     }
 
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_unready(&self) -> bool {
+        self.unready.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn lease_live(&self) -> bool {
         self.lock().lease.is_live(self.clock.now_ms())
     }
@@ -111,6 +119,11 @@
                 .is_some_and(|held| held.owner == *owner && held.incarnation == run)
     }
 
+    /// Notes that a planned stop has begun.
+    pub(crate) fn set_unready(&self) {
+        self.unready.store(true, Ordering::SeqCst);
+    }
+
     /// Looks at the table.
     pub(crate) fn table<T>(&self, look: impl FnOnce(&Items) -> T) -> T {
         look(self.lock().feed.items())
--- a/crates/node/src/inner_server.rs
+++ b/crates/node/src/inner_server.rs
@@ -2,18 +2,23 @@
 
 use std::sync::Arc;
 
+use agreement::Envelope;
 use control::Control;
 use futures::StreamExt;
 use names::InstanceName;
 use protocol::{
-    AcquireAnswer, AcquireRequest, AnnounceAnswer, AnnounceRequest, Inner, Listener, Pending,
-    ProgressAnswer, ProgressReport, ProposeError, Proposed, SyncAnswer, SyncRequest,
+    AcquireAnswer, AcquireRequest, AnnounceAnswer, AnnounceRequest, EndpointReport, HistoryRequest,
+    Inner, Listener, Pending, ProgressAnswer, ProgressReport, ProposeError, Proposed, SyncAnswer,
+    SyncRequest,
 };
+use session::Heartbeat;
 use slog::{Logger, warn};
+use table::{Edit, EditOutcome, Revised};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::task::JoinSet;
 
+use crate::owners::Owners;
 use crate::proposer::Proposer;
 use crate::publication::Publication;
 use crate::router::Router;
@@ -24,8 +29,9 @@
 /// What the calls of other instances reach.
 #[derive(Debug, Clone)]
 pub(crate) struct InnerServer {
-    pub(crate) control: Option<Control>,
+    pub(crate) control: Option<Arc<Control>>,
     pub(crate) log: Logger,
+    pub(crate) owners: Arc<Owners>,
     pub(crate) proposer: Arc<Proposer>,
     pub(crate) publication: Arc<Publication>,
     pub(crate) router: Arc<Router>,
@@ -64,8 +70,12 @@
     }
 
     async fn agree(self, _: Context, from: InstanceName, message: Vec<u8>) {
-        if let Some(control) = &self.control {
-            control.deliver(&from, &message);
+        let Some(control) = &self.control else {
+            return;
+        };
+        match postcard::from_bytes::<Envelope>(&message) {
+            Ok(envelope) if envelope.from.name == from => control.deliver(envelope).await,
+            Ok(_) | Err(_) => warn!(self.log, "malformed message"; "from" => %from),
         }
     }
 
@@ -73,6 +83,26 @@
         self.router.announce_here(request).await
     }
 
+    async fn edit(self, _: Context, edit: Edit) -> Result<EditOutcome, ProposeError> {
+        self.proposer.edit_here(edit).await
+    }
+
+    async fn endpoints(self, _: Context) -> Vec<EndpointReport> {
+        self.owners.endpoints().await
+    }
+
+    async fn history(
+        self,
+        _: Context,
+        request: HistoryRequest,
+    ) -> Result<Vec<Revised>, ProposeError> {
+        self.proposer.history_here(request).await
+    }
+
+    async fn instances(self, _: Context) -> Result<Vec<Heartbeat>, ProposeError> {
+        self.proposer.instances_here().await
+    }
+
     async fn progress(self, _: Context, report: ProgressReport) -> ProgressAnswer {
         self.router.progress_here(report).await
     }
--- a/crates/node/src/observer.rs
+++ b/crates/node/src/observer.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use entry::{ClassObserver, Observer, RefusalReason};
+use entry::border::{ClassObserver, Observer, RefusalReason};
 use names::{CustomerName, KindName, RegionName};
 use telemetry::{Class, Metrics};
 
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,292 @@
+//! What operators see and change through this instance.
+
+use std::sync::Arc;
+
+use admin::{
+    Backend, BackendError, EndpointStatus, InstanceStatus, MetricsSource, Operator, Readiness,
+    Status, TableVisitor,
+};
+use async_trait::async_trait;
+use entry::Entry;
+use futures::future::join_all;
+use names::{InstanceName, LogIndex};
+use protocol::{EndpointReport, HistoryRequest, Traffic};
+use session::{Heartbeat, MemberState, Offer, Role};
+use subtle::ConstantTimeEq;
+use table::{Edit, EditOutcome, KeyHash, OperatorName, Revised, Revision};
+use telemetry::Metrics;
+use tokio::sync::watch;
+
+use crate::holdings::Holdings;
+use crate::leader::Failure;
+use crate::owners::Owners;
+use crate::peers::{Peers, within};
+use crate::proposer::Proposer;
+use crate::settings::Access;
+
+/// Longest time for one instance to list its endpoints.
+const ENDPOINTS_TIMEOUT_MS: u64 = 1_000;
+
+/// Name with which edits of the operator from the settings are signed.
+const SETTINGS_OPERATOR: &str = "operator";
+
+/// Time after which a refused call may succeed.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// The instance as operators see it.
+pub(crate) struct Operators {
+    pub(crate) access: Access,
+    pub(crate) drain: watch::Sender<bool>,
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) holdings: Arc<Holdings>,
+    pub(crate) instance: InstanceName,
+    pub(crate) owners: Arc<Owners>,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) proposer: Arc<Proposer>,
+    pub(crate) voters: Vec<InstanceName>,
+}
+
+/// The metrics of the instance.
+pub(crate) struct Scrape {
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) traffic: Arc<Traffic>,
+}
+
+#[async_trait]
+impl Backend for Operators {
+    async fn answer(&self, _: &Edit) -> Result<Option<EditOutcome>, BackendError> {
+        // The leader gives the first answer when the edit reaches it.
+        Ok(None)
+    }
+
+    async fn authorise(&self, key: Option<&str>) -> Option<Operator> {
+        if let Some(operator) = key.and_then(|key| self.known_operator(key)) {
+            return Some(operator);
+        }
+        let permitted = match &self.access {
+            Access::Insecure => true,
+            Access::Keys { operator_key } => key.is_some_and(|key| is_same(key, operator_key)),
+        };
+        permitted.then(settings_operator)
+    }
+
+    async fn drain(&self) -> Result<(), BackendError> {
+        self.drain.send_replace(true);
+        Ok(())
+    }
+
+    async fn edit(&self, edit: Edit) -> Result<EditOutcome, BackendError> {
+        self.proposer.edit(&edit).await.map_err(backend_error)
+    }
+
+    async fn endpoints(&self) -> Result<Vec<EndpointStatus>, BackendError> {
+        let names: Vec<InstanceName> = {
+            let held = self.holdings.lock();
+            held.roster
+                .members()
+                .map(|member| member.name.clone())
+                .collect()
+        };
+        let listed = join_all(names.iter().map(|name| self.endpoints_of(name))).await;
+        let mut endpoints: Vec<EndpointStatus> = listed.into_iter().flatten().collect();
+        endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(endpoints)
+    }
+
+    async fn history(&self, before: Revision, limit: usize) -> Result<Vec<Revised>, BackendError> {
+        let request = HistoryRequest {
+            before: LogIndex(before.0),
+            limit: u32::try_from(limit).unwrap_or(u32::MAX),
+        };
+        self.proposer.history(request).await.map_err(backend_error)
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceStatus>, BackendError> {
+        let mut instances = self.proposer.instances().await.map_err(backend_error)?;
+        instances.sort_by(|a, b| a.member.name.cmp(&b.member.name));
+        Ok(instances
+            .iter()
+            .map(|beat| self.instance_status(beat))
+            .collect())
+    }
+
+    fn readiness(&self) -> Readiness {
+        match self.not_ready() {
+            Some(reason) => Readiness::NotReady {
+                reason: reason.to_owned(),
+            },
+            None => Readiness::Ready,
+        }
+    }
+
+    async fn status(&self) -> Result<Status, BackendError> {
+        let not_ready = self.not_ready();
+        let held = self.holdings.lock();
+        Ok(Status {
+            draining: self.holdings.is_unready(),
+            in_force_revision: held.in_force.0,
+            instance: self.instance.to_string(),
+            leader: held.leader.as_ref().map(ToString::to_string),
+            queued_requests: 0,
+            ready: not_ready.is_none(),
+            ready_reason: not_ready.map(str::to_owned),
+            revision: held.feed.revision().0,
+            running_requests: self.entry.running() as u64,
+            term: held.roster.epoch(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+        })
+    }
+
+    async fn visit_table(&self, visitor: &mut dyn TableVisitor) -> Result<(), BackendError> {
+        let held = self.holdings.lock();
+        visitor.visit(held.feed.items(), held.feed.revision());
+        Ok(())
+    }
+
+    async fn wait_in_force(&self, revision: Revision) -> Result<(), BackendError> {
+        let mut changes = self.holdings.changes();
+        while self.holdings.lock().in_force.0 < revision.0 {
+            changes
+                .changed()
+                .await
+                .expect("the holdings outlive their receiver");
+        }
+        Ok(())
+    }
+}
+
+impl Operators {
+    async fn endpoints_of(&self, name: &InstanceName) -> Vec<EndpointStatus> {
+        let reports = if *name == self.instance {
+            self.owners.endpoints().await
+        } else {
+            let Ok(client) = self.peers.client(name).await else {
+                return Vec::new();
+            };
+            // An instance that does not answer in time is left out of the list.
+            let listed = client.endpoints(within(ENDPOINTS_TIMEOUT_MS)).await;
+            listed.unwrap_or_default()
+        };
+        reports
+            .iter()
+            .map(|report| endpoint_status(name, report))
+            .collect()
+    }
+
+    fn instance_status(&self, heartbeat: &Heartbeat) -> InstanceStatus {
+        let member = &heartbeat.member;
+        let voting = if self.voters.contains(&member.name) {
+            "voter"
+        } else {
+            "none"
+        };
+        let state = match member.state {
+            MemberState::Draining => "draining",
+            MemberState::Serving => "ready",
+        };
+        InstanceStatus {
+            address: member.inner_address.to_string(),
+            data_centre: member.data_centre.to_string(),
+            heard_ms_ago: heartbeat.age_ms,
+            incarnation: member.incarnation.0,
+            name: member.name.to_string(),
+            region: member.region.to_string(),
+            revision: heartbeat.applied.0,
+            roles: member
+                .roles
+                .iter()
+                .map(|role| role_name(*role).to_owned())
+                .collect(),
+            state: state.to_owned(),
+            voting: voting.to_owned(),
+        }
+    }
+
+    fn known_operator(&self, key: &str) -> Option<Operator> {
+        self.holdings.table(|items| {
+            items.operator(key).map(|held| Operator {
+                name: held.operator.clone(),
+                role: held.role,
+            })
+        })
+    }
+
+    fn not_ready(&self) -> Option<&'static str> {
+        if self.holdings.is_unready() || !self.entry.is_ready() {
+            return Some("draining");
+        }
+        (!self.holdings.lease_live()).then_some("no live configuration lease")
+    }
+}
+
+impl MetricsSource for Scrape {
+    fn text(&self) -> String {
+        self.metrics
+            .traffic_between_instances(self.traffic.received_bytes(), self.traffic.sent_bytes());
+        self.metrics
+            .scrape()
+            .unwrap_or_else(|error| format!("# {error}\n"))
+    }
+}
+
+fn backend_error(failure: Failure) -> BackendError {
+    let reason = failure.to_string();
+    match failure {
+        Failure::NotDone => BackendError::Unavailable {
+            reason,
+            retry_after_ms: RETRY_AFTER_MS,
+        },
+        Failure::Unknown => BackendError::Unknown { reason },
+    }
+}
+
+fn endpoint_status(owner: &InstanceName, report: &EndpointReport) -> EndpointStatus {
+    let announcement = &report.announcement;
+    let load = announcement.report.clone().unwrap_or_default();
+    let (memory_tokens, offer) = match &announcement.offer {
+        Offer::Engine(engine) => (
+            engine.memory_tokens,
+            format!("{} {}", engine.model, engine.version),
+        ),
+        Offer::Service(service) => (0, service.name.to_string()),
+    };
+    let state = if announcement.takes_work() {
+        "ready"
+    } else {
+        "leaving"
+    };
+    EndpointStatus {
+        address: announcement.address.to_string(),
+        data_centre: announcement.data_centre.to_string(),
+        heard_ms_ago: report.age_ms,
+        memory_tokens,
+        memory_used_tokens: load.memory_used_tokens,
+        name: report.endpoint.to_string(),
+        offer,
+        owner: owner.to_string(),
+        region: announcement.region.to_string(),
+        running: u64::from(load.running),
+        state: state.to_owned(),
+        waiting: u64::from(load.waiting),
+    }
+}
+
+/// Compares hashes, so that the time taken tells nothing of the key.
+fn is_same(key: &str, expected: &str) -> bool {
+    KeyHash::of(key).0.ct_eq(&KeyHash::of(expected).0).into()
+}
+
+fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Control => "control",
+        Role::Dispatch => "dispatch",
+        Role::Entry => "entry",
+    }
+}
+
+fn settings_operator() -> Operator {
+    Operator {
+        name: OperatorName::new(SETTINGS_OPERATOR).expect("the constant is a name"),
+        role: table::Role::Operate,
+    }
+}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,5 +11,4 @@
 mod waiting;
 
 pub(crate) use actor::{Identity, ShardOwner, spawn};
-pub(crate) use messages::{Acquire, Announce, Overview, Progress, Published, Withdraw};
-pub(crate) use waiting::Answer;
+pub(crate) use messages::{Acquire, Announce, Overview, Progress, Withdraw};
--- a/crates/node/src/owner/actor.rs
+++ b/crates/node/src/owner/actor.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use dispatch::{
@@ -7,8 +8,8 @@
 };
 use names::{EndpointId, Epoch, InstanceName, PermitId, RegionName, RequestId};
 use protocol::{
-    AcquireAnswer, AcquireRequest, AnnounceAnswer, PermitKey, ProgressAnswer, ProgressReport,
-    RunningPermit,
+    AcquireAnswer, AcquireRequest, AnnounceAnswer, EndpointReport, PermitKey, ProgressAnswer,
+    ProgressReport, RunningPermit,
 };
 use session::{
     Announcement, ENDPOINT_LEASE_MS, EndpointEvent, Endpoints, LoadReport, Offer, Predecessor,
@@ -27,7 +28,6 @@
 use crate::holdings::Holdings;
 use crate::interner::Interner;
 use crate::interval::ADOPTION_MS;
-use crate::view::EndpointView;
 
 /// Longest time between two looks at leases.
 const WAKE_MS_MAX: u64 = 100;
@@ -50,6 +50,8 @@
     actions: Vec<Action>,
     clock: Clock,
     dispatcher: Dispatcher,
+    /// Set when the instance must not grant any more.
+    draining: Arc<AtomicBool>,
     endpoints: Endpoints,
     holders: Holders,
     holdings: Arc<Holdings>,
@@ -66,12 +68,13 @@
 pub(crate) fn spawn(
     identity: Identity,
     holdings: &Arc<Holdings>,
+    draining: &Arc<AtomicBool>,
     clock: Clock,
     log: &Logger,
 ) -> Address<ShardOwner> {
     let (address, mailbox) = Mailbox::unbounded();
     let (wake, wakes) = watch::channel(0);
-    let owner = ShardOwner::new(identity, holdings, clock, log, wake);
+    let owner = ShardOwner::new(identity, holdings, draining, clock, log, wake);
     tokio::spawn(xtra::run(mailbox, owner));
     tokio::spawn(run_timer(address.downgrade(), clock, wakes));
     tokio::spawn(follow(address.downgrade(), Arc::clone(holdings)));
@@ -111,6 +114,7 @@
     fn new(
         identity: Identity,
         holdings: &Arc<Holdings>,
+        draining: &Arc<AtomicBool>,
         clock: Clock,
         log: &Logger,
         wake: watch::Sender<u64>,
@@ -127,6 +131,7 @@
             actions: Vec::new(),
             clock,
             dispatcher,
+            draining: Arc::clone(draining),
             endpoints: Endpoints::default(),
             holders: Holders::default(),
             holdings: Arc::clone(holdings),
@@ -362,7 +367,7 @@
             shard,
             ..
         } = &self.identity;
-        self.holdings.owns(shard, instance, *incarnation)
+        !self.draining.load(Ordering::SeqCst) && self.holdings.owns(shard, instance, *incarnation)
     }
 
     fn profile(&mut self, id: EndpointId) -> Option<Profile> {
@@ -400,7 +405,11 @@
 
     /// Ends permits whose grant never reached the instance that asked.
     fn finish_unconfirmed(&mut self, now_ms: u64, report: &ProgressReport) {
-        let named: Vec<PermitKey> = report.running.iter().map(|running| running.permit).collect();
+        let named: Vec<PermitKey> = report
+            .running
+            .iter()
+            .map(|running| running.permit)
+            .collect();
         let unconfirmed = self.holders.unconfirmed(now_ms, &report.instance, &named);
         for permit in unconfirmed {
             self.holders.remove(permit);
@@ -453,7 +462,10 @@
 
     fn schedule(&self) {
         let latest_us = self.clock.now_us() + WAKE_MS_MAX * MICROSECONDS_PER_MILLISECOND;
-        let wake_us = self.dispatcher.wake_us().map_or(latest_us, |us| us.min(latest_us));
+        let wake_us = self
+            .dispatcher
+            .wake_us()
+            .map_or(latest_us, |us| us.min(latest_us));
         self.wake.send_replace(wake_us);
     }
 
@@ -469,11 +481,19 @@
         self.decide(Event::Limits { limits: &limits });
     }
 
-    fn views(&self) -> Vec<EndpointView> {
+    fn reports(&self) -> Vec<EndpointReport> {
         let now_ms = self.clock.now_ms();
         self.endpoints
             .iter()
-            .map(|endpoint| EndpointView::new(now_ms, &self.identity.shard, endpoint))
+            .map(|endpoint| EndpointReport {
+                age_ms: now_ms.saturating_sub(endpoint.heard_ms),
+                announcement: Announcement {
+                    cache: None,
+                    ..endpoint.announcement.clone()
+                },
+                endpoint: endpoint.name.clone(),
+                shard: self.identity.shard.clone(),
+            })
             .collect()
     }
 }
@@ -499,10 +519,10 @@
 }
 
 impl Handler<Overview> for ShardOwner {
-    type Return = Vec<EndpointView>;
+    type Return = Vec<EndpointReport>;
 
     async fn handle(&mut self, _: Overview, _: &mut Context<Self>) -> Self::Return {
-        self.views()
+        self.reports()
     }
 }
 
--- a/crates/node/src/owner/holders.rs
+++ b/crates/node/src/owner/holders.rs
@@ -38,7 +38,10 @@
 
     /// Notes a sign of life of an instance.
     pub(super) fn heard(&mut self, now_ms: u64, instance: &InstanceName) {
-        match self.heard.binary_search_by(|(known, _)| known.cmp(instance)) {
+        match self
+            .heard
+            .binary_search_by(|(known, _)| known.cmp(instance))
+        {
             Ok(position) => self.heard[position].1 = now_ms,
             Err(position) => self.heard.insert(position, (instance.clone(), now_ms)),
         }
--- a/crates/node/src/owner/limits.rs
+++ b/crates/node/src/owner/limits.rs
@@ -43,17 +43,14 @@
         items: &Items,
         publication: &Publication,
     ) -> Vec<Limits> {
-        let targets: Vec<&Target> = match publication {
-            Publication::Delta(delta) => delta.changes.iter().map(|c| &c.target).collect(),
-            Publication::Snapshot(snapshot) => snapshot.items.iter().map(|i| &i.target).collect(),
+        let keys: Vec<&RowKey> = match publication {
+            Publication::Delta(delta) => delta
+                .changes
+                .iter()
+                .filter_map(|change| row_key(&change.target))
+                .collect(),
+            Publication::Snapshot(snapshot) => snapshot.items.rows().map(|(key, ..)| key).collect(),
         };
-        let keys: Vec<&RowKey> = targets
-            .into_iter()
-            .filter_map(|target| match target {
-                Target::Row(key) => Some(key),
-                _ => None,
-            })
-            .collect();
         keys.into_iter()
             .filter_map(|key| Some(self.limits(unix_ms, key, items.row(key)?.0)))
             .collect()
@@ -91,3 +88,10 @@
         }
     }
 }
+
+fn row_key(target: &Target) -> Option<&RowKey> {
+    match target {
+        Target::Row(key) => Some(key),
+        _ => None,
+    }
+}
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -1,8 +1,10 @@
 //! The shards that this instance owns.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use names::{Epoch, Incarnation, InstanceName};
+use protocol::EndpointReport;
 use session::Shard;
 use slog::Logger;
 use xtra::Address;
@@ -10,17 +12,17 @@
 use crate::clock::Clock;
 use crate::holdings::Holdings;
 use crate::owner::{Identity, Overview, ShardOwner, spawn};
-use crate::view::EndpointView;
 
 /// Running owners, sorted by shard.
 #[derive(Debug)]
 pub(crate) struct Owners {
     clock: Clock,
+    draining: Arc<AtomicBool>,
     holdings: Arc<Holdings>,
     incarnation: Incarnation,
     instance: InstanceName,
     log: Logger,
-    owners: Mutex<Vec<Owned>>,
+    running: Mutex<Vec<Owned>>,
 }
 
 #[derive(Debug)]
@@ -36,16 +38,18 @@
         instance: &InstanceName,
         incarnation: Incarnation,
         holdings: &Arc<Holdings>,
+        draining: &Arc<AtomicBool>,
         clock: Clock,
         log: &Logger,
     ) -> Arc<Self> {
         let owners = Arc::new(Self {
             clock,
+            draining: Arc::clone(draining),
             holdings: Arc::clone(holdings),
             incarnation,
             instance: instance.clone(),
             log: log.clone(),
-            owners: Mutex::new(Vec::new()),
+            running: Mutex::new(Vec::new()),
         });
         tokio::spawn(follow(Arc::clone(&owners)));
         owners
@@ -54,13 +58,15 @@
     /// The owner of a shard, if it runs here under that epoch.
     pub(crate) fn get(&self, shard: &Shard, epoch: Epoch) -> Option<Address<ShardOwner>> {
         let owners = self.lock();
-        let position = owners.binary_search_by(|owned| owned.shard.cmp(shard)).ok()?;
+        let position = owners
+            .binary_search_by(|owned| owned.shard.cmp(shard))
+            .ok()?;
         let owned = &owners[position];
         (owned.epoch == epoch).then(|| owned.address.clone())
     }
 
     /// Endpoints under lease here.
-    pub(crate) async fn endpoints(&self) -> Vec<EndpointView> {
+    pub(crate) async fn endpoints(&self) -> Vec<EndpointReport> {
         let addresses: Vec<_> = self.lock().iter().map(|o| o.address.clone()).collect();
         let mut endpoints = Vec::new();
         for address in addresses {
@@ -71,7 +77,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Owned>> {
-        self.owners.lock().unwrap_or_else(PoisonError::into_inner)
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn own(&self) -> Vec<Identity> {
@@ -105,7 +111,13 @@
             let owned = Owned {
                 epoch: identity.epoch,
                 shard: identity.shard.clone(),
-                address: spawn(identity, &self.holdings, self.clock, &self.log),
+                address: spawn(
+                    identity,
+                    &self.holdings,
+                    &self.draining,
+                    self.clock,
+                    &self.log,
+                ),
             };
             owners.insert(position, owned);
         }
--- a/crates/node/src/permit_book.rs
+++ b/crates/node/src/permit_book.rs
@@ -3,10 +3,10 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use entry::CancellationToken;
 use protocol::{EndedPermit, PermitKey, ProgressReport, RunningPermit};
 use session::Shard;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 /// Most ended permits kept for an owner that cannot be reached.
 const ENDED_MAX: usize = 65_536;
@@ -112,7 +112,10 @@
         let mut book = self.lock();
         if let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(&report.shard)) {
             let is_taken = |ended: &EndedPermit| {
-                report.ended.iter().any(|taken| taken.permit == ended.permit)
+                report
+                    .ended
+                    .iter()
+                    .any(|taken| taken.permit == ended.permit)
             };
             book[position].ended.retain(|ended| !is_taken(ended));
         }
--- a/crates/node/src/permits.rs
+++ b/crates/node/src/permits.rs
@@ -6,14 +6,13 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use entry::{
-    CancellationToken, End, Permit, PermitRequest, Permits, Refusal, RefusalReason, Target,
-};
+use entry::border::{End, Permit, PermitRequest, Permits, Refusal, RefusalReason, Target};
 use names::{CustomerName, EndpointName, InstanceName, KindName, RegionName};
 use protocol::{AcquireAnswer, AcquireRequest, EndedPermit, PermitKey, RunningPermit};
 use session::{Assignment, OfferName};
 use table::RowKey;
 use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
 
 use crate::holdings::Holdings;
 use crate::permit_book::PermitBook;
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use claims::Claimant;
 use session::{AssignCommand, plan_missing, plan_moves};
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
@@ -31,10 +32,37 @@
             sleep(Duration::from_millis(PLAN_INTERVAL_MS)).await;
             if self.proposer.leads() {
                 self.plan().await;
+                self.abandon_lost_claims().await;
             }
         }
     }
 
+    /// Ends the claims of runs that are gone; what they had in progress is unknown.
+    async fn abandon_lost_claims(&self) {
+        for claimant in self.lost_claimants() {
+            info!(self.log, "abandoning claims"; "instance" => %claimant.instance, "incarnation" => claimant.incarnation.0);
+            let command = claims::Command::Abandon { claimant };
+            if let Err(error) = self.proposer.propose(&Command::Claim(command)).await {
+                warn!(self.log, "claims not abandoned"; "error" => %error);
+                return;
+            }
+        }
+    }
+
+    fn lost_claimants(&self) -> Vec<Claimant> {
+        if !self.publication.is_settled() {
+            return Vec::new();
+        }
+        let claimants = self.proposer.claimants();
+        let held = self.holdings.lock();
+        let is_lost = |claimant: &Claimant| {
+            held.roster
+                .get(&claimant.instance)
+                .is_none_or(|member| member.incarnation > claimant.incarnation)
+        };
+        claimants.into_iter().filter(is_lost).collect()
+    }
+
     async fn plan(&self) {
         for command in self.commands() {
             info!(self.log, "assigning shard"; "shard" => %command.shard, "owner" => %command.owner);
--- a/crates/node/src/proposer.rs
+++ b/crates/node/src/proposer.rs
@@ -1,167 +1,217 @@
-//! Gets commands committed: finds the leader and repeats where that is safe.
+//! Gets commands into the replicated log.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use control::Control;
-use names::{InstanceName, LogIndex};
 use protocol::{ProposeError, Proposed};
-use thiserror::Error;
-use tokio::time::{Instant, sleep};
+use session::Heartbeat;
+use table::{Edit, EditOutcome, Revised, Revision};
 
-use crate::holdings::Holdings;
-use crate::peers::{Peers, within};
-use crate::state::{Answer, Command, encode};
+use crate::leader::{Asked, Failure, Leader, TRY_TIMEOUT_MS};
+use crate::peers::within;
+use crate::publication::Publication;
+use crate::state::{Answer, Command, SharedState, encode};
 
-/// Longest time for one try.
-const TRY_TIMEOUT_MS: u64 = 2_000;
-
-/// Longest time for all tries.
-const PROPOSE_TIMEOUT_MS: u64 = 5_000;
-
-/// Time between two tries.
-const RETRY_MS: u64 = 50;
-
-/// Way of commands into the replicated log.
+/// Way of commands and of questions about the replicated state to the leader.
 #[derive(Debug)]
 pub(crate) struct Proposer {
-    control: Option<Control>,
-    holdings: Arc<Holdings>,
-    instance: InstanceName,
-    peers: Arc<Peers>,
-    voters: Vec<InstanceName>,
-}
-
-/// A command that is committed and applied.
-#[derive(Debug)]
-pub(crate) struct Committed {
-    pub(crate) answer: Answer,
-    pub(crate) index: LogIndex,
-}
-
-/// Why a command is not known to be committed.
-#[derive(Debug, Clone, Copy, Eq, Error, PartialEq)]
-pub(crate) enum Failure {
-    /// The command is certainly not in the log.
-    #[error("no leader of the voters could be reached; the command was not accepted")]
-    NotCommitted,
-    /// The command may be in the log.
-    #[error("the command may or may not have been accepted")]
-    Unknown,
+    control: Option<Arc<Control>>,
+    leader: Leader,
+    publication: Arc<Publication>,
+    state: SharedState,
 }
 
 impl Proposer {
     pub(crate) fn new(
-        instance: &InstanceName,
-        control: Option<Control>,
-        holdings: &Arc<Holdings>,
-        peers: &Arc<Peers>,
-        voters: &[InstanceName],
+        control: Option<Arc<Control>>,
+        leader: Leader,
+        publication: &Arc<Publication>,
+        state: &SharedState,
     ) -> Self {
         Self {
             control,
-            holdings: Arc::clone(holdings),
-            instance: instance.clone(),
-            peers: Arc::clone(peers),
-            voters: voters.to_vec(),
+            leader,
+            publication: Arc::clone(publication),
+            state: state.clone(),
+        }
+    }
+
+    /// Runs of instances that hold claims in progress, as far as this voter has applied the log.
+    pub(crate) fn claimants(&self) -> Vec<claims::Claimant> {
+        self.state.lock().claims.claimants()
+    }
+
+    /// Checks and commits an edit; the same edit may be sent again.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the edit may have been committed.
+    pub(crate) async fn edit(&self, edit: &Edit) -> Result<EditOutcome, Failure> {
+        self.leader
+            .ask(|asked| async {
+                match asked {
+                    Asked::Here => Ok(self.edit_here(edit.clone()).await),
+                    Asked::There(client) => client.edit(within(TRY_TIMEOUT_MS), edit.clone()).await,
+                }
+            })
+            .await
+    }
+
+    /// Checks and commits an edit where this instance leads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance does not lead.
+    pub(crate) async fn edit_here(&self, edit: Edit) -> Result<EditOutcome, ProposeError> {
+        self.confirm().await?;
+        {
+            let state = self.state.lock();
+            if let Some(outcome) = state.table.answer(&edit) {
+                return Ok(outcome);
+            }
+            let problems = state.table.check(&edit);
+            if !problems.is_empty() {
+                return Ok(EditOutcome::Invalid { problems });
+            }
+        }
+        let proposed = self.propose_here(encode(&Command::Edit(edit))).await?;
+        match postcard::from_bytes(&proposed.answer) {
+            Ok(Answer::Edit(outcome)) => Ok(outcome),
+            Ok(_) | Err(_) => Err(ProposeError::Unknown),
         }
     }
 
-    /// Whether a quorum confirms this instance as leader.
+    /// Accepted edits, newest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader answers.
+    pub(crate) async fn history(
+        &self,
+        request: protocol::HistoryRequest,
+    ) -> Result<Vec<Revised>, Failure> {
+        self.leader
+            .ask(|asked| async {
+                match asked {
+                    Asked::Here => Ok(self.history_here(request).await),
+                    Asked::There(client) => client.history(within(TRY_TIMEOUT_MS), request).await,
+                }
+            })
+            .await
+    }
+
+    /// Accepted edits, newest first, where this instance leads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance does not lead.
+    pub(crate) async fn history_here(
+        &self,
+        request: protocol::HistoryRequest,
+    ) -> Result<Vec<Revised>, ProposeError> {
+        self.confirm().await?;
+        let state = self.state.lock();
+        let before = Revision(request.before.0);
+        let mut revised: Vec<Revised> = state.table.history().cloned().collect();
+        revised.sort_by_key(|revised| std::cmp::Reverse(revised.revision));
+        revised.retain(|revised| revised.revision < before);
+        revised.truncate(request.limit as usize);
+        Ok(revised)
+    }
+
+    /// The live instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader answers.
+    pub(crate) async fn instances(&self) -> Result<Vec<Heartbeat>, Failure> {
+        self.leader
+            .ask(|asked| async {
+                match asked {
+                    Asked::Here => Ok(self.instances_here().await),
+                    Asked::There(client) => client.instances(within(TRY_TIMEOUT_MS)).await,
+                }
+            })
+            .await
+    }
+
+    /// The live instances, where this instance leads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this instance does not lead.
+    pub(crate) async fn instances_here(&self) -> Result<Vec<Heartbeat>, ProposeError> {
+        self.confirm().await?;
+        Ok(self.publication.heartbeats())
+    }
+
+    /// Whether this instance leads the voters, as far as it knows.
     pub(crate) fn leads(&self) -> bool {
         self.control
             .as_ref()
-            .is_some_and(|control| control.confirmed_term().is_some())
+            .is_some_and(|control| control.role().borrow().is_leader)
     }
 
-    /// Commits a command that is idempotent; repeats it until it is answered or time runs out.
+    /// Commits an idempotent command.
     ///
     /// # Errors
     ///
     /// Says whether the command may have been committed.
-    pub(crate) async fn propose(&self, command: &Command) -> Result<Committed, Failure> {
+    pub(crate) async fn propose(&self, command: &Command) -> Result<Answer, Failure> {
         let command = encode(command);
-        let give_up = Instant::now() + Duration::from_millis(PROPOSE_TIMEOUT_MS);
-        let mut failure = Failure::NotCommitted;
-        let mut turn = 0;
-        while Instant::now() < give_up {
-            let Some(leader) = self.candidate(turn) else {
-                break;
-            };
-            match self.propose_to(&leader, &command).await {
-                Ok(proposed) => return committed(&proposed),
-                Err(ProposeError::NotLeader { leader }) => self.learn(leader),
-                Err(ProposeError::Unavailable) => {}
-                Err(ProposeError::Unknown) => failure = Failure::Unknown,
-            }
-            turn += 1;
-            sleep(Duration::from_millis(RETRY_MS)).await;
-        }
-        Err(failure)
+        let proposed: Proposed = self
+            .leader
+            .ask(|asked| async {
+                match asked {
+                    Asked::Here => Ok(self.propose_here(command.clone()).await),
+                    Asked::There(client) => {
+                        client
+                            .propose(within(TRY_TIMEOUT_MS), command.clone())
+                            .await
+                    }
+                }
+            })
+            .await?;
+        postcard::from_bytes(&proposed.answer).map_err(|_| Failure::Unknown)
     }
 
-    /// Commits an encoded command on this instance.
+    /// Commits an encoded command where this instance leads.
     ///
     /// # Errors
     ///
-    /// Fails if this instance does not lead.
+    /// Fails if this instance does not lead, or the command does not decode.
     pub(crate) async fn propose_here(&self, command: Vec<u8>) -> Result<Proposed, ProposeError> {
         let Some(control) = &self.control else {
             return Err(ProposeError::NotLeader { leader: None });
         };
+        if postcard::from_bytes::<Command>(&command).is_err() {
+            return Err(ProposeError::Unavailable);
+        }
         match control.propose(command).await {
             Ok(answered) => Ok(Proposed {
-                answer: answered.answer,
+                answer: answered.bytes,
                 index: answered.index,
             }),
-            Err(control::ProposeError::NotLeader { leader }) => {
-                Err(ProposeError::NotLeader { leader })
-            }
-            Err(control::ProposeError::Unavailable) => Err(ProposeError::Unavailable),
-            Err(control::ProposeError::Unknown) => Err(ProposeError::Unknown),
-        }
-    }
-
-    /// The known leader first, then the voters in turn.
-    fn candidate(&self, turn: usize) -> Option<InstanceName> {
-        let leader = self.holdings.lock().leader.clone();
-        match leader {
-            Some(leader) if turn.is_multiple_of(2) => Some(leader),
-            _ => self.voters.get(turn % self.voters.len().max(1)).cloned(),
-        }
-    }
-
-    fn learn(&self, leader: Option<InstanceName>) {
-        if leader.is_some() {
-            self.holdings.lock().leader = leader;
+            Err(error) => Err(propose_error(error)),
         }
     }
 
-    async fn propose_to(
-        &self,
-        leader: &InstanceName,
-        command: &[u8],
-    ) -> Result<Proposed, ProposeError> {
-        if *leader == self.instance {
-            return self.propose_here(command.to_vec()).await;
-        }
-        let Ok(client) = self.peers.client(leader).await else {
-            return Err(ProposeError::Unavailable);
+    /// Waits for proof that this instance leads and has applied all that is committed.
+    async fn confirm(&self) -> Result<(), ProposeError> {
+        let Some(control) = &self.control else {
+            return Err(ProposeError::NotLeader { leader: None });
         };
-        let answer = client
-            .propose(within(TRY_TIMEOUT_MS), command.to_vec())
-            .await;
-        answer.unwrap_or_else(|_| {
-            self.peers.failed(leader);
-            Err(ProposeError::Unknown)
-        })
+        let index = control.confirm().await.map_err(propose_error)?;
+        let mut applied = control.applied();
+        let reached = applied.wait_for(|applied| *applied >= index).await;
+        reached.map(drop).map_err(|_| ProposeError::Unavailable)
     }
 }
 
-fn committed(proposed: &Proposed) -> Result<Committed, Failure> {
-    let answer = postcard::from_bytes(&proposed.answer).map_err(|_| Failure::Unknown)?;
-    Ok(Committed {
-        answer,
-        index: proposed.index,
-    })
+fn propose_error(error: control::Error) -> ProposeError {
+    match error {
+        control::Error::NotLeader { leader } => ProposeError::NotLeader { leader },
+        control::Error::Unknown => ProposeError::Unknown,
+        _ => ProposeError::Unavailable,
+    }
 }
--- a/crates/node/src/publication.rs
+++ b/crates/node/src/publication.rs
@@ -20,11 +20,14 @@
 /// Time for which changes are collected into one answer.
 const COLLECT_MS: u64 = 10;
 
+/// Longest time for a quorum to confirm the leader.
+const CONFIRM_TIMEOUT_MS: u64 = 500;
+
 /// Publisher of one instance.
 #[derive(Debug)]
 pub(crate) struct Publication {
     clock: Clock,
-    control: Option<Control>,
+    control: Option<Arc<Control>>,
     holdings: Arc<Holdings>,
     instance: InstanceName,
     log: Logger,
@@ -51,7 +54,7 @@
 impl Publication {
     pub(crate) fn new(
         instance: &InstanceName,
-        control: Option<Control>,
+        control: Option<Arc<Control>>,
         state: &SharedState,
         holdings: &Arc<Holdings>,
         clock: Clock,
@@ -89,9 +92,9 @@
     ///
     /// Copies the replicated state into what the instance holds, counts the instance itself as a
     /// subscriber, and renews its lease.
-    pub(crate) fn lead(&self, own: &Heartbeat) -> bool {
+    pub(crate) async fn lead(&self, own: &Heartbeat) -> bool {
         let now_ms = self.clock.now_ms();
-        let Some(confirmed) = self.confirmed_term() else {
+        let Some(confirmed) = self.confirmed_term().await else {
             self.step_down();
             return false;
         };
@@ -134,7 +137,7 @@
         };
         // Without news the answer is a heartbeat.
         let _ = timeout(interval, waiting).await;
-        self.answer(request)
+        self.answer(request).await
     }
 
     /// Shards that have no owner yet.
@@ -142,8 +145,8 @@
         self.holdings.lock().wanted.clone()
     }
 
-    fn answer(&self, request: &SyncRequest) -> SyncAnswer {
-        let leads = self.confirmed_term().is_some();
+    async fn answer(&self, request: &SyncRequest) -> SyncAnswer {
+        let leads = self.confirmed_term().await.is_some();
         if leads {
             self.pull();
         }
@@ -159,7 +162,9 @@
             in_force: held.in_force,
             leader,
             lease_ms,
-            roster: held.roster.since(request.roster_epoch, request.roster_version),
+            roster: held
+                .roster
+                .since(request.roster_epoch, request.roster_version),
             table: held.feed.since(Revision(request.table.0)),
         })
     }
@@ -178,9 +183,20 @@
         }];
     }
 
-    /// Term in which a quorum confirms this instance as leader now.
-    fn confirmed_term(&self) -> Option<u64> {
-        self.control.as_ref()?.confirmed_term()
+    /// Term in which a quorum confirms, after the call began, that this instance leads.
+    ///
+    /// The state then holds everything that was committed before the call.
+    async fn confirmed_term(&self) -> Option<u64> {
+        let control = self.control.as_ref()?;
+        let confirming = async {
+            let index = control.confirm().await.ok()?;
+            let mut applied = control.applied();
+            applied.wait_for(|applied| *applied >= index).await.ok()?;
+            let role = control.role().borrow().clone();
+            role.is_leader.then_some(role.term.0)
+        };
+        let time = Duration::from_millis(CONFIRM_TIMEOUT_MS);
+        timeout(time, confirming).await.ok().flatten()
     }
 
     fn has_news(&self, request: &SyncRequest) -> bool {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use claims::{Bounds, Claims};
 use control::StateMachine;
 use names::LogIndex;
 use serde::{Deserialize, Serialize};
@@ -31,10 +32,10 @@
 }
 
 /// State that all voters share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct State {
     pub(crate) assignments: Assignments,
-    pub(crate) claims: claims::Claims,
+    pub(crate) claims: Claims,
     pub(crate) table: Table,
 }
 
@@ -55,6 +56,16 @@
     }
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            assignments: Assignments::default(),
+            claims: Claims::new(Bounds::default()),
+            table: Table::default(),
+        }
+    }
+}
+
 impl State {
     fn apply(&mut self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
         match command {
@@ -77,7 +88,7 @@
         let encoded: Encoded = postcard::from_bytes(snapshot).expect("snapshots decode");
         *self.lock() = State {
             assignments: encoded.assignments,
-            claims: claims::Claims::restore(&encoded.claims).expect("snapshots of claims decode"),
+            claims: Claims::restore(&encoded.claims).expect("snapshots of claims decode"),
             table: Table::restore(&encoded.table).expect("snapshots of the table decode"),
         };
     }
--- a/crates/node/src/subscription.rs
+++ b/crates/node/src/subscription.rs
@@ -8,6 +8,7 @@
 use protocol::{SyncAnswer, SyncRequest};
 use session::{Heartbeat, Member, MemberState, UPSTREAM_TIMEOUT_MS, Upstream};
 use slog::{Logger, error, info, warn};
+use telemetry::Metrics;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
@@ -32,6 +33,7 @@
     pub(crate) holdings: Arc<Holdings>,
     pub(crate) log: Logger,
     pub(crate) member: Member,
+    pub(crate) metrics: Arc<Metrics>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) publication: Arc<Publication>,
     pub(crate) voters: Vec<InstanceName>,
@@ -43,7 +45,8 @@
         let mut upstream = Upstream::new(&self.member.name);
         let mut last: Option<InstanceName> = None;
         loop {
-            if self.publication.lead(&self.heartbeat()) {
+            self.metrics.applied(self.holdings.lock().feed.revision().0);
+            if self.publication.lead(&self.heartbeat()).await {
                 last = None;
                 self.wait_as_leader().await;
                 continue;
@@ -72,7 +75,7 @@
     }
 
     fn heartbeat(&self) -> Heartbeat {
-        let state = if self.draining.load(Ordering::Relaxed) {
+        let state = if self.draining.load(Ordering::SeqCst) {
             MemberState::Draining
         } else {
             MemberState::Serving
--- /dev/null
+++ b/crates/node/src/transport.rs
@@ -0,0 +1,113 @@
+//! Carries the voters' messages over the connections between instances.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use agreement::Envelope;
+use control::Transport;
+use names::InstanceName;
+use slog::{Logger, debug};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use crate::peers::{Peers, within};
+use crate::state::encode;
+
+/// Messages kept per voter while its connection is slow; later ones are dropped.
+const QUEUED_MESSAGES_MAX: usize = 1_024;
+
+/// Longest time for one message.
+const MESSAGE_TIMEOUT_MS: u64 = 1_000;
+
+/// Sends messages to voters, in order for each.
+pub(crate) struct PeerTransport {
+    instance: InstanceName,
+    log: Logger,
+    peers: Arc<Peers>,
+    queues: Mutex<Vec<Queue>>,
+    runtime: Handle,
+}
+
+/// Messages on their way to one voter.
+struct Queue {
+    messages: mpsc::Sender<Vec<u8>>,
+    to: InstanceName,
+}
+
+impl PeerTransport {
+    /// Must be called inside a tokio runtime.
+    pub(crate) fn new(instance: &InstanceName, peers: &Arc<Peers>, log: &Logger) -> Self {
+        Self {
+            instance: instance.clone(),
+            log: log.clone(),
+            peers: Arc::clone(peers),
+            queues: Mutex::new(Vec::new()),
+            runtime: Handle::current(),
+        }
+    }
+
+    fn queue(&self, to: &InstanceName) -> mpsc::Sender<Vec<u8>> {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        match queues.binary_search_by(|queue| queue.to.cmp(to)) {
+            Ok(position) => queues[position].messages.clone(),
+            Err(position) => {
+                let messages = self.spawn(to);
+                let queue = Queue {
+                    messages: messages.clone(),
+                    to: to.clone(),
+                };
+                queues.insert(position, queue);
+                messages
+            }
+        }
+    }
+
+    fn spawn(&self, to: &InstanceName) -> mpsc::Sender<Vec<u8>> {
+        let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES_MAX);
+        let carrier = Carrier {
+            from: self.instance.clone(),
+            log: self.log.clone(),
+            peers: Arc::clone(&self.peers),
+            to: to.clone(),
+        };
+        self.runtime.spawn(carrier.run(receiver));
+        sender
+    }
+}
+
+impl Transport for PeerTransport {
+    fn send(&self, envelope: Envelope) {
+        // A full queue loses the message; the agreement sends again.
+        let _ = self.queue(&envelope.to).try_send(encode(&envelope));
+    }
+}
+
+/// Carries messages to one voter.
+struct Carrier {
+    from: InstanceName,
+    log: Logger,
+    peers: Arc<Peers>,
+    to: InstanceName,
+}
+
+impl Carrier {
+    async fn run(self, mut messages: mpsc::Receiver<Vec<u8>>) {
+        while let Some(message) = messages.recv().await {
+            self.carry(message).await;
+        }
+    }
+
+    async fn carry(&self, message: Vec<u8>) {
+        let client = match self.peers.client(&self.to).await {
+            Ok(client) => client,
+            Err(error) => {
+                debug!(self.log, "message lost"; "to" => %self.to, "error" => %error);
+                return;
+            }
+        };
+        let sent = client.agree(within(MESSAGE_TIMEOUT_MS), self.from.clone(), message);
+        if let Err(error) = sent.await {
+            debug!(self.log, "message lost"; "to" => %self.to, "error" => %error);
+            self.peers.failed(&self.to);
+        }
+    }
+}
--- a/crates/protocol/src/inner.rs
+++ b/crates/protocol/src/inner.rs
@@ -1,8 +1,11 @@
 use names::InstanceName;
+use session::Heartbeat;
+use table::{Edit, EditOutcome};
 
 use crate::{
-    AcquireAnswer, AcquireRequest, AnnounceAnswer, AnnounceRequest, ProgressAnswer, ProgressReport,
-    ProposeError, Proposed, SyncAnswer, SyncRequest,
+    AcquireAnswer, AcquireRequest, AnnounceAnswer, AnnounceRequest, EndpointReport, History,
+    HistoryRequest, ProgressAnswer, ProgressReport, ProposeError, Proposed, SyncAnswer,
+    SyncRequest,
 };
 
 /// Calls that instances make to one another.
@@ -17,6 +20,18 @@
     /// Hands an endpoint's announcement to the owner of its shard.
     async fn announce(request: AnnounceRequest) -> AnnounceAnswer;
 
+    /// Checks an edit and commits it; served by the leader.
+    async fn edit(edit: Edit) -> Result<EditOutcome, ProposeError>;
+
+    /// Lists the endpoints that the asked instance owns.
+    async fn endpoints() -> Vec<EndpointReport>;
+
+    /// Lists accepted edits; served by the leader.
+    async fn history(request: HistoryRequest) -> Result<History, ProposeError>;
+
+    /// Lists the live instances; served by the leader.
+    async fn instances() -> Result<Vec<Heartbeat>, ProposeError>;
+
     /// Reports running and ended permits to the owner of a shard.
     async fn progress(report: ProgressReport) -> ProgressAnswer;
 
--- a/crates/session/src/planner.rs
+++ b/crates/session/src/planner.rs
@@ -71,7 +71,8 @@
 fn predecessor(roster: &Roster, current: Option<&Assignment>) -> Predecessor {
     match current {
         None => Predecessor::None,
-        Some(assignment) if owner(roster, assignment).is_some() => Predecessor::Live,
+        // An instance that says that it drains has stopped granting.
+        Some(assignment) if owner_serves(roster, assignment) => Predecessor::Live,
         Some(_) => Predecessor::Lapsed,
     }
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -32,6 +32,7 @@
     registry: Registry,
     rejections: Counter<u64>,
     traffic: Counter<u64>,
+    traffic_between_instances: Gauge<u64>,
 }
 
 impl Metrics {
@@ -55,6 +56,10 @@
             registry,
             rejections: meter.u64_counter("rejections").build(),
             traffic: meter.u64_counter("traffic").with_unit("By").build(),
+            traffic_between_instances: meter
+                .u64_gauge("traffic_between_instances")
+                .with_unit("By")
+                .build(),
         })
     }
 
@@ -91,6 +96,15 @@
         Ok(String::from_utf8_lossy(&text).into_owned())
     }
 
+    /// Sets the bytes that calls of other instances have cost since the start.
+    pub fn traffic_between_instances(&self, received_bytes: u64, sent_bytes: u64) {
+        let received = [KeyValue::new("direction", "received")];
+        let sent = [KeyValue::new("direction", "sent")];
+        self.traffic_between_instances
+            .record(received_bytes, &received);
+        self.traffic_between_instances.record(sent_bytes, &sent);
+    }
+
     /// Counts bytes that crossed from one region to another.
     pub fn transferred(&self, from: &str, to: &str, bytes: u64) {
         let attributes = [
