Add the quickstart and key=value logs

Cause: a stranger had no first command; log lines were not pure key=value. Ruled out: a script that starts processes (slower to start, leaves them behind).

--- /dev/null
+++ b/crates/gentiancleat/examples/quickstart/deployment.rs
@@ -0,0 +1,131 @@
+//! The parts that run in the process.
+
+use std::error::Error;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+
+use fakes::engine::EngineSettings;
+use fakes::http::{
+    BookingServer, BookingSettings, EngineServer, EngineServerSettings, LengthRule, Place,
+};
+use names::{DataCentreName, InstanceName, RegionName};
+use node::{Access, Node, Peer, Settings};
+use protocol::FleetKey;
+use session::Role;
+use telemetry::{Level, logger};
+use tempfile::TempDir;
+
+/// Length of each generation, in tokens.
+const GENERATION_TOKENS: u32 = 40;
+
+const INSTANCES: [&str; 3] = ["plovdiv", "sofia", "tarnovo"];
+const MODEL: &str = "advice";
+const REGION: &str = "bulgaria";
+const SERVICE: &str = "booking";
+
+/// Three instances and three endpoints.
+pub struct Deployment {
+    pub booking: BookingServer,
+    pub nodes: Vec<Node>,
+    _engines: Vec<EngineServer>,
+    _folder: TempDir,
+}
+
+impl Deployment {
+    /// Starts everything on loopback with temporary data folders.
+    pub async fn open() -> Result<Self, Box<dyn Error>> {
+        let folder = TempDir::new()?;
+        let peers = peers()?;
+        let mut nodes = Vec::new();
+        for peer in &peers {
+            nodes.push(Node::open(settings(&folder, peer, &peers)?).await?);
+        }
+        let addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.addresses().endpoint).collect();
+        let mut engines = Vec::new();
+        for name in ["engine-1", "engine-2"] {
+            engines.push(EngineServer::spawn(engine(name, &addresses)).await?);
+        }
+        Ok(Self {
+            _engines: engines,
+            _folder: folder,
+            booking: BookingServer::spawn(booking(&addresses)).await?,
+            nodes,
+        })
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0)
+}
+
+fn booking(instances: &[SocketAddr]) -> BookingSettings {
+    BookingSettings {
+        address: any_port(),
+        call_ms: 5,
+        calls_max: 64,
+        place: place("booking-1", instances),
+        service: SERVICE.to_owned(),
+    }
+}
+
+fn engine(name: &str, instances: &[SocketAddr]) -> EngineServerSettings {
+    EngineServerSettings {
+        address: any_port(),
+        checks_fencing: true,
+        engine: EngineSettings::default(),
+        length: LengthRule::Fixed(GENERATION_TOKENS),
+        model: MODEL.to_owned(),
+        place: place(name, instances),
+        report_lag_ms: 500,
+        version: "1".to_owned(),
+    }
+}
+
+/// The instances with inner addresses that the kernel chose.
+fn peers() -> Result<Vec<Peer>, Box<dyn Error>> {
+    let listeners: Vec<TcpListener> = INSTANCES
+        .iter()
+        .map(|_| TcpListener::bind(any_port()))
+        .collect::<Result<_, _>>()?;
+    INSTANCES
+        .iter()
+        .zip(&listeners)
+        .map(|(name, listener)| {
+            Ok(Peer {
+                address: listener.local_addr()?,
+                name: InstanceName::new(name)?,
+            })
+        })
+        .collect()
+}
+
+fn place(name: &str, instances: &[SocketAddr]) -> Place {
+    Place {
+        data_centre: "plovdiv".to_owned(),
+        incarnation: 1,
+        instances: instances.to_vec(),
+        name: name.to_owned(),
+        region: REGION.to_owned(),
+    }
+}
+
+fn settings(folder: &TempDir, own: &Peer, peers: &[Peer]) -> Result<Settings, Box<dyn Error>> {
+    let level: Level = "error".parse()?;
+    Ok(Settings {
+        access: Access::Insecure,
+        admin_address: any_port(),
+        caller_address: any_port(),
+        data: Some(folder.path().join(own.name.as_str())),
+        data_centre: DataCentreName::new(own.name.as_str())?,
+        drain_wait_ms: 0,
+        endpoint_address: any_port(),
+        fleet_key: FleetKey::new(b"quickstart"),
+        inner_address: own.address,
+        log: logger(level),
+        name: own.name.clone(),
+        peers: peers.to_vec(),
+        region: RegionName::new(REGION)?,
+        roles: vec![Role::Control, Role::Dispatch, Role::Entry],
+        shards: 1,
+        voters: peers.iter().map(|peer| peer.name.clone()).collect(),
+    })
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -68,6 +68,8 @@
 
 impl State {
     fn apply(&mut self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
+        self.claims.advance(at_ms);
+        self.table.advance(at_ms);
         match command {
             Command::Assign(assign) => Answer::Assign(self.assignments.apply(index, assign)),
             Command::Claim(claim) => Answer::Claim(self.claims.apply(index, at_ms, claim)),
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,7 +1,8 @@
-use std::io;
+use std::io::{self, Write};
 use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, Logger, Record, o};
 use slog_async::Async;
 use slog_logfmt::Logfmt;
 
@@ -28,7 +29,10 @@
 
 /// A logger that writes one line of key=value pairs per event to standard error.
 pub fn logger(level: Level) -> Logger {
-    let lines = Logfmt::new(io::stderr()).build().fuse();
+    let lines = Logfmt::new(io::stderr())
+        .set_prefix(write_event)
+        .build()
+        .fuse();
     let filtered = lines.filter_level(level.0).fuse();
     let queue = Async::new(filtered)
         .chan_size(QUEUED_EVENTS_MAX)
@@ -36,3 +40,13 @@
         .fuse();
     Logger::root(queue, o!())
 }
+
+/// Begins a line with the time since 1970 in UTC, the level and the event.
+fn write_event(line: &mut dyn Write, record: &Record<'_>) -> slog::Result {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at_ms = now.unwrap_or_default().as_millis();
+    let level = record.level().as_str().to_lowercase();
+    let event = record.msg().to_string();
+    write!(line, "at_ms={at_ms} level={level} event={event:?} ")?;
+    Ok(())
+}
