Keep the order of a host's events

Cause: xtra 0.6 keeps unicast messages in a binary heap by priority, so a mailbox hands out messages of equal priority in any order once two wait. Change: events wait in a queue of their own and the mailbox only tells the host to drain it. As a result, proposals that wait together are appended together. The tests bound their waits in virtual time and print every status.

Any other actor that relies on the order of its messages needs the same.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -7,11 +7,9 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{self, MissedTickBehavior};
-use xtra::{Address, Mailbox, WeakAddress};
+use xtra::{Address, Mailbox};
 
-use crate::host::{
-    Change, Confirm, Deliver, HandOver, Host, Propose, ReadStatus, Tick, VoterChange,
-};
+use crate::host::{Event, Host, Inbox, Links, VoterChange};
 use crate::writer::Writer;
 use crate::{Error, Role, Settings, StateMachine, Status, Transport, codec};
 
@@ -29,6 +27,7 @@
 pub struct Control {
     applied: watch::Receiver<LogIndex>,
     host: Address<Host>,
+    inbox: Inbox,
     member: Member,
     role: watch::Receiver<Role>,
     writer: JoinHandle<()>,
@@ -88,20 +87,19 @@
         let tick_interval = Duration::from_millis(settings.tick_interval_ms);
         let writer = Writer::spawn(opened.journal);
         let (address, mailbox) = Mailbox::unbounded();
-        let (host, applied, role) = Host::new(
-            settings,
-            &member,
-            recovered,
-            machine,
+        let (inbox, events) = Inbox::new(address.downgrade());
+        let links = Links {
+            inbox: inbox.clone(),
+            jobs: writer.jobs,
             transport,
-            writer.jobs,
-            address.downgrade(),
-        );
+        };
+        let (host, applied, role) = Host::new(settings, &member, recovered, machine, events, links);
         tokio::spawn(xtra::run(mailbox, host));
-        tokio::spawn(tick(address.downgrade(), tick_interval));
+        tokio::spawn(tick(inbox.clone(), tick_interval));
         Ok(Self {
             applied,
             host: address,
+            inbox,
             member,
             role,
             writer: writer.task,
@@ -121,7 +119,7 @@
     /// Says why the change was not run, or that its outcome is unknown.
     pub async fn change_voters(&self, change: VoterChange) -> Result<LogIndex, Error> {
         let (reply, answer) = oneshot::channel();
-        self.send(Change { change, reply }).await?;
+        self.send(Event::Change { change, reply }).await?;
         received(answer.await)
     }
 
@@ -144,13 +142,13 @@
     /// Says who leads, or why no proof could be had.
     pub async fn confirm(&self) -> Result<LogIndex, Error> {
         let (reply, answer) = oneshot::channel();
-        self.send(Confirm { reply }).await?;
+        self.send(Event::Confirm { reply }).await?;
         received(answer.await)
     }
 
     /// Takes a message of another instance.
     pub async fn deliver(&self, envelope: Envelope) {
-        drop(self.send(Deliver(envelope)).await);
+        drop(self.send(Event::Deliver(envelope)).await);
     }
 
     /// Hands leadership to another voter.
@@ -160,7 +158,7 @@
     /// Says why no hand-over was started.
     pub async fn hand_over(&self, to: InstanceName) -> Result<(), Error> {
         let (reply, answer) = oneshot::channel();
-        self.send(HandOver { reply, to }).await?;
+        self.send(Event::HandOver { reply, to }).await?;
         received(answer.await)
     }
 
@@ -177,7 +175,7 @@
     /// Says why the command was not run, or that its outcome is unknown.
     pub async fn propose(&self, command: Vec<u8>) -> Result<Answer, Error> {
         let (reply, answer) = oneshot::channel();
-        self.send(Propose { command, reply }).await?;
+        self.send(Event::Propose { command, reply }).await?;
         received(answer.await)
     }
 
@@ -194,17 +192,13 @@
     /// Says why this instance takes no part any more.
     pub async fn status(&self) -> Result<Status, Error> {
         let (reply, answer) = oneshot::channel();
-        self.send(ReadStatus { reply }).await?;
+        self.send(Event::ReadStatus { reply }).await?;
         received(answer.await)
     }
 
-    async fn send<M>(&self, message: M) -> Result<(), Error>
-    where
-        Host: xtra::Handler<M, Return = ()>,
-        M: Send + 'static,
-    {
-        let sent = self.host.send(message).detach().await;
-        sent.map(drop).map_err(|_| Error::stopped())
+    async fn send(&self, event: Event) -> Result<(), Error> {
+        let sent = self.inbox.send(event).await;
+        sent.map_err(|_| Error::stopped())
     }
 }
 
@@ -214,12 +208,12 @@
 }
 
 /// Wakes the host until it is gone.
-async fn tick(host: WeakAddress<Host>, interval: Duration) {
+async fn tick(host: Inbox, interval: Duration) {
     let mut ticks = time::interval(interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        if host.send(Tick).await.is_err() {
+        if host.send(Event::Tick).await.is_err() {
             return;
         }
     }
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -1,3 +1,4 @@
+mod inbox;
 mod messages;
 mod requests;
 
@@ -9,25 +10,32 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use xtra::WeakAddress;
 
 use crate::writer::WriteJob;
 use crate::{Error, Role, Settings, StateMachine, Transport};
+pub(crate) use inbox::{Event, Events, Inbox};
 pub use messages::VoterChange;
-pub(crate) use messages::{
-    Change, Confirm, Deliver, HandOver, JournalFailed, Propose, ReadStatus, Reply, Tick,
-    WritesSynced,
-};
+pub(crate) use messages::{Drain, Reply};
 use requests::Requests;
 
+/// Where a host sends to.
+pub(crate) struct Links {
+    /// The host's own events.
+    pub(crate) inbox: Inbox,
+    /// The task that owns the journal.
+    pub(crate) jobs: UnboundedSender<WriteJob>,
+    /// Other instances.
+    pub(crate) transport: Arc<dyn Transport>,
+}
+
 /// Actor that owns the replica and the state machine of one group.
 #[derive(xtra::Actor)]
 pub(crate) struct Host {
-    address: WeakAddress<Self>,
     applied: watch::Sender<LogIndex>,
     compacted: LogIndex,
+    events: Events,
     failure: Option<String>,
-    jobs: UnboundedSender<WriteJob>,
+    links: Links,
     machine: Box<dyn StateMachine>,
     next_rejoin_ms: u64,
     opened_at: Instant,
@@ -35,7 +43,6 @@
     requests: Requests,
     role: watch::Sender<Role>,
     settings: Settings,
-    transport: Arc<dyn Transport>,
     writes_in_progress: usize,
 }
 
@@ -45,9 +52,8 @@
         member: &Member,
         recovered: Recovered,
         mut machine: Box<dyn StateMachine>,
-        transport: Arc<dyn Transport>,
-        jobs: UnboundedSender<WriteJob>,
-        address: WeakAddress<Self>,
+        events: Events,
+        links: Links,
     ) -> (Self, watch::Receiver<LogIndex>, watch::Receiver<Role>) {
         let restored = recovered
             .snapshot
@@ -60,11 +66,11 @@
         let (applied, applied_receiver) = watch::channel(restored);
         let (role, role_receiver) = watch::channel(Role::default());
         let host = Self {
-            address,
             applied,
             compacted: restored,
+            events,
             failure: None,
-            jobs,
+            links,
             machine,
             next_rejoin_ms: 0,
             opened_at: Instant::now(),
@@ -72,7 +78,6 @@
             requests: Requests::default(),
             role,
             settings,
-            transport,
             writes_in_progress: 0,
         };
         (host, applied_receiver, role_receiver)
@@ -107,14 +112,14 @@
                 self.writes_in_progress += 1;
                 let job = WriteJob {
                     group: self.settings.group,
-                    host: self.address.clone(),
+                    host: self.links.inbox.clone(),
                     write,
                 };
-                drop(self.jobs.send(job));
+                drop(self.links.jobs.send(job));
             }
             Output::Refused { refusal, request } => self.requests.on_refused(request, refusal),
             Output::Restore(snapshot) => self.restore(&snapshot),
-            Output::Send(envelope) => self.transport.send(envelope),
+            Output::Send(envelope) => self.links.transport.send(envelope),
         }
     }
 
--- a/crates/control/src/host/messages.rs
+++ b/crates/control/src/host/messages.rs
@@ -1,8 +1,9 @@
-use agreement::{Envelope, Input, MembershipChange, Synced};
+use agreement::{Input, MembershipChange, RequestNumber, Synced};
 use names::{InstanceName, LogIndex};
 use tokio::sync::oneshot;
 use xtra::{Context, Handler};
 
+use super::inbox::Event;
 use super::{Host, wall_clock_ms};
 use crate::{Answer, Error, Status};
 
@@ -24,156 +25,112 @@
     Remove(InstanceName),
 }
 
-pub(crate) struct Change {
-    pub(crate) change: VoterChange,
-    pub(crate) reply: Reply<LogIndex>,
-}
-
-pub(crate) struct Confirm {
-    pub(crate) reply: Reply<LogIndex>,
-}
-
-pub(crate) struct Deliver(pub(crate) Envelope);
-
-pub(crate) struct HandOver {
-    pub(crate) reply: Reply<()>,
-    pub(crate) to: InstanceName,
-}
-
-pub(crate) struct JournalFailed {
-    pub(crate) cause: String,
-}
+/// Tells the host that events wait.
+pub(crate) struct Drain;
 
-pub(crate) struct Propose {
-    pub(crate) command: Vec<u8>,
-    pub(crate) reply: Reply<Answer>,
-}
+impl Handler<Drain> for Host {
+    type Return = ();
 
-pub(crate) struct ReadStatus {
-    pub(crate) reply: Reply<Status>,
+    async fn handle(&mut self, _message: Drain, _context: &mut Context<Self>) {
+        self.events.rearm();
+        while let Some(event) = self.events.next() {
+            self.on_event(event);
+        }
+        self.append_waiting();
+    }
 }
 
-pub(crate) struct Tick;
-
-pub(crate) struct WritesSynced(pub(crate) Synced);
-
-impl Handler<Change> for Host {
-    type Return = ();
+impl Host {
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Change { change, reply } => self.on_change(change, reply),
+            Event::Confirm { reply } => self.on_confirm(reply),
+            Event::Deliver(envelope) => self.step(Input::Message(envelope)),
+            Event::HandOver { reply, to } => self.on_hand_over(reply, to),
+            Event::JournalFailed { cause } => self.on_journal_failed(cause),
+            Event::Propose { command, reply } => self.on_propose(command, reply),
+            Event::ReadStatus { reply } => drop(reply.send(self.status())),
+            Event::Tick => self.on_tick(),
+            Event::WriteSynced(synced) => self.on_write_synced(synced),
+        }
+    }
 
-    async fn handle(&mut self, message: Change, _context: &mut Context<Self>) {
-        match self.membership_change(message.change) {
+    fn on_change(&mut self, change: VoterChange, reply: Reply<LogIndex>) {
+        match self.membership_change(change) {
             Ok(change) => {
-                let request = self.requests.add_change(message.reply);
-                let at_ms = wall_clock_ms();
-                self.step(Input::Change {
-                    at_ms,
-                    change,
-                    request,
-                });
+                let request = self.requests.add_change(reply);
+                self.change_membership(change, request);
             }
-            Err(error) => drop(message.reply.send(Err(error))),
+            Err(error) => drop(reply.send(Err(error))),
         }
     }
-}
-
-impl Handler<Confirm> for Host {
-    type Return = ();
 
-    async fn handle(&mut self, message: Confirm, _context: &mut Context<Self>) {
+    fn on_confirm(&mut self, reply: Reply<LogIndex>) {
         if self.replica.is_none() {
-            drop(message.reply.send(Err(self.unavailable())));
+            drop(reply.send(Err(self.unavailable())));
             return;
         }
-        let request = self.requests.add_confirm(message.reply);
+        let request = self.requests.add_confirm(reply);
         self.step(Input::Confirm { request });
     }
-}
-
-impl Handler<Deliver> for Host {
-    type Return = ();
-
-    async fn handle(&mut self, message: Deliver, _context: &mut Context<Self>) {
-        self.step(Input::Message(message.0));
-    }
-}
 
-impl Handler<HandOver> for Host {
-    type Return = ();
-
-    async fn handle(&mut self, message: HandOver, _context: &mut Context<Self>) {
+    fn on_hand_over(&mut self, reply: Reply<()>, to: InstanceName) {
         if self.replica.is_none() {
-            drop(message.reply.send(Err(self.unavailable())));
+            drop(reply.send(Err(self.unavailable())));
             return;
         }
-        let request = self.requests.add_hand_over(message.reply);
-        let to = message.to;
+        let request = self.requests.add_hand_over(reply);
         self.step(Input::HandOver { request, to });
     }
-}
-
-impl Handler<JournalFailed> for Host {
-    type Return = ();
 
-    async fn handle(&mut self, message: JournalFailed, _context: &mut Context<Self>) {
+    fn on_journal_failed(&mut self, cause: String) {
         if self.replica.is_some() {
-            self.fail(message.cause);
+            self.fail(cause);
         }
     }
-}
-
-impl Handler<Propose> for Host {
-    type Return = ();
 
-    async fn handle(&mut self, message: Propose, _context: &mut Context<Self>) {
+    fn on_propose(&mut self, command: Vec<u8>, reply: Reply<Answer>) {
         if self.replica.is_none() {
-            drop(message.reply.send(Err(self.unavailable())));
+            drop(reply.send(Err(self.unavailable())));
             return;
         }
         if self.requests.proposals() >= self.settings.proposals_waiting_max {
             let reason = "too many proposals wait".to_owned();
-            drop(message.reply.send(Err(Error::Unavailable { reason })));
+            drop(reply.send(Err(Error::Unavailable { reason })));
             return;
         }
-        self.requests.add_proposal(message.command, message.reply);
-        self.append_waiting();
+        self.requests.add_proposal(command, reply);
     }
-}
 
-impl Handler<ReadStatus> for Host {
-    type Return = ();
+    fn on_tick(&mut self) {
+        self.step(Input::Tick);
+        self.rejoin_blank_voter();
+    }
 
-    async fn handle(&mut self, message: ReadStatus, _context: &mut Context<Self>) {
-        let status = match &self.replica {
+    fn on_write_synced(&mut self, synced: Synced) {
+        self.writes_in_progress -= 1;
+        self.step(Input::Synced(synced));
+    }
+
+    fn status(&self) -> Result<Status, Error> {
+        match &self.replica {
             Some(replica) => Ok(Status {
                 applied: *self.applied.borrow(),
                 replica: replica.status(),
             }),
             None => Err(self.unavailable()),
-        };
-        drop(message.reply.send(status));
-    }
-}
-
-impl Handler<Tick> for Host {
-    type Return = ();
-
-    async fn handle(&mut self, _message: Tick, _context: &mut Context<Self>) {
-        self.step(Input::Tick);
-        self.rejoin_blank_voter();
+        }
     }
-}
 
-impl Handler<WritesSynced> for Host {
-    type Return = ();
-
-    async fn handle(&mut self, message: WritesSynced, _context: &mut Context<Self>) {
-        self.writes_in_progress -= 1;
-        self.step(Input::Synced(message.0));
-        self.append_waiting();
+    fn change_membership(&mut self, change: MembershipChange, request: RequestNumber) {
+        let at_ms = wall_clock_ms();
+        self.step(Input::Change {
+            at_ms,
+            change,
+            request,
+        });
     }
-}
 
-impl Host {
     fn membership_change(&self, change: VoterChange) -> Result<MembershipChange, Error> {
         let Some(replica) = &self.replica else {
             return Err(self.unavailable());
@@ -227,11 +184,6 @@
             member,
             promote: true,
         };
-        let at_ms = wall_clock_ms();
-        self.step(Input::Change {
-            at_ms,
-            change,
-            request,
-        });
+        self.change_membership(change, request);
     }
 }
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -1,17 +1,16 @@
-use agreement::{GroupId, Synced, Write};
+use agreement::{GroupId, Write};
 use journal::Journal;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::{self, JoinHandle};
-use xtra::WeakAddress;
 
 use crate::codec;
-use crate::host::{Host, JournalFailed, WritesSynced};
+use crate::host::{Event, Inbox};
 
 /// A write of one group.
 #[derive(Debug)]
 pub(crate) struct WriteJob {
     pub(crate) group: GroupId,
-    pub(crate) host: WeakAddress<Host>,
+    pub(crate) host: Inbox,
     pub(crate) write: Write,
 }
 
@@ -59,19 +58,11 @@
 
 /// Tells a host; one that is gone needs to know nothing.
 async fn report(job: WriteJob, result: &Result<(), journal::Error>) {
-    let told = match result {
-        Ok(()) => {
-            let synced: Synced = job.write.synced();
-            job.host.send(WritesSynced(synced)).detach().await.map(drop)
-        }
-        Err(error) => {
-            let cause = error.to_string();
-            job.host
-                .send(JournalFailed { cause })
-                .detach()
-                .await
-                .map(drop)
-        }
+    let event = match result {
+        Ok(()) => Event::WriteSynced(job.write.synced()),
+        Err(error) => Event::JournalFailed {
+            cause: error.to_string(),
+        },
     };
-    drop(told);
+    drop(job.host.send(event).await);
 }
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -194,9 +194,16 @@
 
     /// Waits until a condition holds.
     pub async fn until(&self, holds: impl AsyncFn(&Self) -> bool) {
-        while !holds(self).await {
+        for _ in 0..2_400 {
+            if holds(self).await {
+                return;
+            }
             time::sleep(Duration::from_millis(50)).await;
         }
+        for instance in self.instances.iter().flatten() {
+            println!("{:#?}", instance.control.status().await);
+        }
+        panic!("the condition did not hold within two minutes of virtual time");
     }
 
     pub async fn until_whole(&self) {
