--- a/crates/agreement/tests/simulation/schedule.rs
+++ b/crates/agreement/tests/simulation/schedule.rs
@@ -1,4 +1,4 @@
-use agreement::{Input, MembershipChange};
+use agreement::{Input, MembershipChange, RoleName};
 use rand::RngExt;
 
 use super::{Simulation, Summary, name};
@@ -53,8 +53,7 @@
                 let to = self.leader().unwrap_or(at);
                 self.propose(to, count);
             }
-            890..920 => self.confirm(self.leader().unwrap_or(at)),
-            920..925 => self.confirm(at),
+            890..925 => self.confirm_everywhere(),
             925..935 => self.compact(at),
             935..941 => self.crash(at),
             941..975 => self.restart(at),
@@ -91,7 +90,8 @@
     fn repartition(&mut self) {
         let at = self.random.random_range(0..self.nodes.len());
         let other = self.random.random_range(0..self.nodes.len());
-        match self.random.random_range(0..4) {
+        match self.random.random_range(0..5) {
+            4 => self.replace_leader(),
             0 => self.blocked.push((at, other)),
             1 => {
                 for peer in 0..self.nodes.len() {
@@ -102,6 +102,31 @@
         }
     }
 
+    /// Cuts the leader off and lets the others notice before it does.
+    fn replace_leader(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        for peer in 0..self.nodes.len() {
+            if peer != leader {
+                self.blocked.extend([(leader, peer), (peer, leader)]);
+                self.nodes[peer].skew_ms += 400;
+            }
+        }
+    }
+
+    /// Asks every node that believes to lead for proof of it.
+    fn confirm_everywhere(&mut self) {
+        for at in 0..self.nodes.len() {
+            if self
+                .status(at)
+                .is_some_and(|status| status.role == RoleName::Leader)
+            {
+                self.confirm(at);
+            }
+        }
+    }
+
     fn jump_clock(&mut self, at: usize) {
         self.nodes[at].skew_ms = self.random.random_range(0..2_000);
     }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,17 +1,11 @@
-use std::sync::Arc;
-use std::time::Duration;
-
-use agreement::{Envelope, Member, StorageId};
-use journal::{FolderStorage, Journal, Storage};
+use agreement::{Envelope, GroupId, Member};
 use names::{InstanceName, LogIndex};
 use tokio::sync::{oneshot, watch};
-use tokio::task::JoinHandle;
-use tokio::time::{self, MissedTickBehavior};
-use xtra::{Address, Mailbox};
+use xtra::Address;
 
-use crate::host::{Event, Host, Inbox, Links, VoterChange};
-use crate::writer::Writer;
-use crate::{Error, Role, Settings, StateMachine, Status, Transport, codec};
+use crate::host::{Event, Host, Inbox, VoterChange};
+use crate::writer::Ended;
+use crate::{Error, Role, Status};
 
 /// Answer to a committed command.
 #[derive(Debug, Clone, Eq, PartialEq)]
@@ -25,87 +19,16 @@
 /// Handle of a running group; the group stops when it is dropped.
 #[derive(Debug)]
 pub struct Control {
-    applied: watch::Receiver<LogIndex>,
-    host: Address<Host>,
-    inbox: Inbox,
-    member: Member,
-    role: watch::Receiver<Role>,
-    writer: JoinHandle<()>,
+    pub(crate) applied: watch::Receiver<LogIndex>,
+    pub(crate) group: GroupId,
+    pub(crate) host: Address<Host>,
+    pub(crate) inbox: Inbox,
+    pub(crate) member: Member,
+    pub(crate) role: watch::Receiver<Role>,
+    pub(crate) writer: Ended,
 }
 
 impl Control {
-    /// Opens the data folder and starts to take part in the group.
-    ///
-    /// # Errors
-    ///
-    /// Refuses a data folder in use, of another instance or damaged, and state that it cannot
-    /// decode.
-    ///
-    /// # Panics
-    ///
-    /// Panics outside a tokio runtime.
-    pub fn open(
-        settings: Settings,
-        machine: Box<dyn StateMachine>,
-        transport: Arc<dyn Transport>,
-    ) -> Result<Self, Error> {
-        let storage = FolderStorage::open(&settings.folder)?;
-        Self::open_on(Box::new(storage), settings, machine, transport)
-    }
-
-    /// Opens the group on any storage in place of the data folder.
-    ///
-    /// # Errors
-    ///
-    /// Refuses files of another instance, damaged files, and state that it cannot decode.
-    ///
-    /// # Panics
-    ///
-    /// Panics outside a tokio runtime.
-    pub fn open_on(
-        storage: Box<dyn Storage>,
-        settings: Settings,
-        machine: Box<dyn StateMachine>,
-        transport: Arc<dyn Transport>,
-    ) -> Result<Self, Error> {
-        let journal_settings = journal::Settings::new(settings.instance.as_str());
-        let opened = Journal::open_on(storage, journal_settings)?;
-        if let Some(tail) = &opened.cut_tail {
-            slog::warn!(settings.log, "cut an unfinished write off the journal";
-                "file" => &tail.file, "offset_bytes" => tail.offset_bytes,
-                "length_bytes" => tail.length_bytes);
-        }
-        let member = Member {
-            name: settings.instance.clone(),
-            storage: StorageId(opened.journal.identity().storage),
-        };
-        let group = opened
-            .groups
-            .iter()
-            .find(|group| group.group == settings.group.0);
-        let recovered = codec::recover(group)?;
-        let tick_interval = Duration::from_millis(settings.tick_interval_ms);
-        let writer = Writer::spawn(opened.journal);
-        let (address, mailbox) = Mailbox::unbounded();
-        let (inbox, events) = Inbox::new(address.downgrade());
-        let links = Links {
-            inbox: inbox.clone(),
-            jobs: writer.jobs,
-            transport,
-        };
-        let (host, applied, role) = Host::new(settings, &member, recovered, machine, events, links);
-        tokio::spawn(xtra::run(mailbox, host));
-        tokio::spawn(tick(inbox.clone(), tick_interval));
-        Ok(Self {
-            applied,
-            host: address,
-            inbox,
-            member,
-            role,
-            writer: writer.task,
-        })
-    }
-
     /// Last applied position, as it advances.
     #[must_use]
     pub fn applied(&self) -> watch::Receiver<LogIndex> {
@@ -124,12 +47,25 @@
     }
 
     /// Stops the group and waits until its data folder is free.
+    ///
+    /// Where the folder holds several groups, [`Control::close_all`] stops them together.
     pub async fn close(self) {
-        let Self { host, writer, .. } = self;
-        let stopped = host.downgrade().join();
-        drop(host);
-        stopped.await;
-        drop(writer.await);
+        Self::close_all(vec![self]).await;
+    }
+
+    /// Stops the groups of one data folder and waits until the folder is free.
+    pub async fn close_all(controls: Vec<Self>) {
+        let mut writers = Vec::new();
+        for control in controls {
+            let Self { host, writer, .. } = control;
+            let stopped = host.downgrade().join();
+            drop(host);
+            stopped.await;
+            writers.push(writer);
+        }
+        for writer in writers {
+            writer.wait().await;
+        }
     }
 
     /// Proof that this instance led at some time after the call.
@@ -151,6 +87,17 @@
         drop(self.send(Event::Deliver(envelope)).await);
     }
 
+    /// Waits until the group has stopped, which only a broken invariant makes it do by itself.
+    pub async fn ended(&self) {
+        self.host.join().await;
+    }
+
+    /// Number of the group.
+    #[must_use]
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+
     /// Hands leadership to another voter.
     ///
     /// # Errors
@@ -206,15 +153,3 @@
 fn received<T>(answer: Result<Result<T, Error>, oneshot::error::RecvError>) -> Result<T, Error> {
     answer.unwrap_or(Err(Error::Unknown))
 }
-
-/// Wakes the host until it is gone.
-async fn tick(host: Inbox, interval: Duration) {
-    let mut ticks = time::interval(interval);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        if host.send(Event::Tick).await.is_err() {
-            return;
-        }
-    }
-}
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -1,7 +1,8 @@
 use agreement::{GroupId, Write};
 use journal::Journal;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::task::{self, JoinHandle};
+use tokio::sync::watch;
+use tokio::task;
 
 use crate::codec;
 use crate::host::{Event, Inbox};
@@ -17,20 +18,35 @@
 /// Task that owns the journal; it ends when every sender of jobs is gone.
 #[derive(Debug)]
 pub(crate) struct Writer {
+    pub(crate) ended: Ended,
     pub(crate) jobs: UnboundedSender<WriteJob>,
-    pub(crate) task: JoinHandle<()>,
 }
 
+/// Tells when the journal is closed.
+#[derive(Debug, Clone)]
+pub(crate) struct Ended(watch::Receiver<()>);
+
 impl Writer {
     pub(crate) fn spawn(journal: Journal) -> Self {
         let (jobs, waiting) = mpsc::unbounded_channel();
+        let (running, ended) = watch::channel(());
+        tokio::spawn(async move {
+            run(journal, waiting).await;
+            drop(running);
+        });
         Self {
+            ended: Ended(ended),
             jobs,
-            task: tokio::spawn(run(journal, waiting)),
         }
     }
 }
 
+impl Ended {
+    pub(crate) async fn wait(mut self) {
+        while self.0.changed().await.is_ok() {}
+    }
+}
+
 async fn run(mut journal: Journal, mut waiting: UnboundedReceiver<WriteJob>) {
     while let Some(first) = waiting.recv().await {
         let mut jobs = vec![first];
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -5,7 +5,8 @@
 use std::io;
 use std::sync::Arc;
 
-use control::{Control, Error, VoterChange};
+use agreement::GroupId;
+use control::{Control, Error, GroupParts, Settings, VoterChange};
 use group::{Commands, Group, name};
 use journal::{FolderStorage, Storage};
 
@@ -218,6 +219,44 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn groups_that_share_a_journal_keep_their_commands_apart() {
+    let group = Group::open(1);
+    let folder = group.folder(1);
+    let open = async |machines: [&Commands; 2]| {
+        let parts = |number: u32, machine: &Commands| GroupParts {
+            machine: Box::new(machine.clone()),
+            settings: Settings {
+                group: GroupId(number),
+                initial_voters: vec![name(1)],
+                ..group.settings(1)
+            },
+            transport: Arc::new(group.network.clone()),
+        };
+        let storage = Box::new(FolderStorage::open(&folder).unwrap());
+        let groups = vec![parts(1, machines[0]), parts(2, machines[1])];
+        let controls = Control::open_groups(storage, groups).unwrap();
+        for control in &controls {
+            let mut role = control.role();
+            role.wait_for(|role| role.is_leader).await.unwrap();
+        }
+        controls
+    };
+    let controls = open([&Commands::default(), &Commands::default()]).await;
+    for (control, command) in controls.iter().zip([b"first", b"other"]) {
+        control.propose(command.to_vec()).await.unwrap();
+    }
+    Control::close_all(controls).await;
+    let machines = [Commands::default(), Commands::default()];
+    let controls = open([&machines[0], &machines[1]]).await;
+    for control in &controls {
+        control.propose(b"last".to_vec()).await.unwrap();
+    }
+    assert_eq!(machines[0].all(), [b"first".to_vec(), b"last".to_vec()]);
+    assert_eq!(machines[1].all(), [b"other".to_vec(), b"last".to_vec()]);
+    Control::close_all(controls).await;
+}
+
 /// Real folder whose disk is full from a moment on.
 #[derive(Debug)]
 struct FullStorage {
