Let a voter stand for election until its removal is committed

Cause: with four voters, one of them wiped, the voter with the longest log held its own removal as last, uncommitted entry. It did not stand for election since it was no voter in its latest membership, and refused the others, whose logs were shorter: no leader. Change: a replica stands if any membership from its commit position on has it as voter; its own vote still counts only if the latest has. A removed voter that stands is shown among the introduced.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -35,6 +35,7 @@
 mod sender;
 mod settings;
 mod status;
+mod validity;
 mod writes;
 
 pub use entry::{Entry, HardState, Payload, Snapshot, Term};
--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -3,7 +3,7 @@
 
 use names::LogIndex;
 
-use crate::{Entry, Membership, Payload, Snapshot, Term};
+use crate::{Entry, Member, Membership, Payload, Snapshot, Term};
 
 /// Membership that is in force from a position on.
 #[derive(Debug)]
@@ -204,6 +204,15 @@
         !keeps_rest
     }
 
+    /// Whether a membership that may be in force has this voter: the one at the commit position
+    /// or a later one.
+    pub(crate) fn may_be_voter(&self, commit: LogIndex, member: &Member) -> bool {
+        let after = self.memberships.partition_point(|at| at.index <= commit);
+        self.memberships[after.saturating_sub(1)..]
+            .iter()
+            .any(|at| at.membership.is_voter(member))
+    }
+
     /// Membership in force at a position of the log.
     pub(crate) fn membership_at(&self, index: LogIndex) -> &Membership {
         let after = self.memberships.partition_point(|at| at.index <= index);
--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -16,6 +16,7 @@
 use crate::log::Log;
 use crate::progress::Progress;
 use crate::role::Role;
+use crate::validity::is_well_formed;
 use crate::writes::PendingWrites;
 use crate::{
     Entry, Envelope, FollowerStatus, HardState, Input, Member, Message, Output, Refusal, RoleName,
@@ -188,7 +189,9 @@
         if self.clock.now_ms() < self.election_deadline_ms && !self.is_blank() {
             return;
         }
-        if self.log.membership().is_voter(&self.settings.member) {
+        // A voter stands for election until its removal is committed: it may hold entries that no
+        // other voter may be elected without.
+        if self.log.may_be_voter(self.commit, &self.settings.member) {
             self.start_pre_vote();
         } else {
             self.introduce();
@@ -196,7 +199,7 @@
     }
 
     fn on_envelope(&mut self, envelope: Envelope) {
-        if !self.is_for_this(&envelope) {
+        if !self.is_for_this(&envelope) || !is_well_formed(&envelope) {
             return;
         }
         if let Message::Hello(standing) = envelope.message {
--- a/crates/agreement/src/replica/election.rs
+++ b/crates/agreement/src/replica/election.rs
@@ -9,17 +9,15 @@
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election_deadline();
         self.leader = None;
-        let votes = vec![self.settings.member.clone()];
-        if votes.len() >= self.log.membership().quorum() {
-            self.campaign(false);
-            return;
-        }
-        self.role = Role::PreCandidate { votes };
+        self.role = Role::PreCandidate {
+            votes: vec![self.settings.member.clone()],
+        };
         let term = Term(self.hard_state.term.0 + 1);
         let request = self.vote_request(false, true);
         for voter in self.other_voters() {
             self.send_now(&voter, term, request.clone());
         }
+        self.count_votes();
     }
 
     pub(super) fn on_start_election(&mut self, from: &Member) {
@@ -31,6 +29,7 @@
 
     pub(super) fn on_vote_request(&mut self, from: &Member, term: Term, request: &VoteRequest) {
         if !request.forced && self.has_live_leader() {
+            self.note_outsider(from);
             return;
         }
         let up_to_date = (request.last_term, request.last_index)
--- a/crates/agreement/src/replica/founding.rs
+++ b/crates/agreement/src/replica/founding.rs
@@ -76,6 +76,14 @@
             .collect()
     }
 
+    /// Notes a candidate that does not know of its removal, so that it may join again.
+    pub(super) fn note_outsider(&mut self, from: &Member) {
+        let is_member = self.log.membership().member(&from.name) == Some(from);
+        if !is_member {
+            self.remember(from.clone(), Standing::Outsider);
+        }
+    }
+
     fn remember(&mut self, member: Member, standing: Standing) {
         let at_ms = self.clock.now_ms();
         let found = self
--- /dev/null
+++ b/crates/agreement/tests/replica/driver.rs
@@ -0,0 +1,117 @@
+//! One replica whose messages a test reads and answers by hand.
+
+use agreement::{
+    Entry, Envelope, GroupId, HardState, Input, Member, Membership, Message, Output, Payload,
+    Recovered, Replica, Settings, Status, StorageId, Term, VoteAnswer,
+};
+use names::{InstanceName, LogIndex};
+
+pub const FOUNDED_TERM: Term = Term(7);
+
+pub struct Driver {
+    now_ms: u64,
+    replica: Replica,
+}
+
+pub fn member(number: u8, storage: u128) -> Member {
+    Member {
+        name: InstanceName::new(&format!("node-{number}")).unwrap(),
+        storage: StorageId(storage),
+    }
+}
+
+fn voters() -> Vec<Member> {
+    (0..3).map(|at| member(at, u128::from(at))).collect()
+}
+
+impl Driver {
+    /// The first of three initial voters, with an empty disk.
+    pub fn blank() -> Self {
+        Self::open(Recovered::default())
+    }
+
+    /// The first of three voters, with a log that holds the membership only.
+    pub fn voter() -> Self {
+        let founding = Entry {
+            at_ms: 0,
+            index: LogIndex(1),
+            payload: Payload::Membership(Membership::new(voters())),
+            term: FOUNDED_TERM,
+        };
+        Self::open(Recovered {
+            entries: vec![founding],
+            hard_state: HardState {
+                term: FOUNDED_TERM,
+                vote: None,
+            },
+            snapshot: None,
+        })
+    }
+
+    /// The first of three voters, elected.
+    pub fn leader() -> Self {
+        let mut driver = Self::voter();
+        driver.pass_time(3_000);
+        for (pre_vote, ahead) in [(true, 1), (false, 0)] {
+            let answer = VoteAnswer {
+                granted: true,
+                pre_vote,
+            };
+            driver.receive(&member(1, 1), Message::VoteAnswer(answer), ahead);
+        }
+        driver
+    }
+
+    pub fn status(&self) -> Status {
+        self.replica.status()
+    }
+
+    pub fn pass_time(&mut self, elapsed_ms: u64) {
+        self.now_ms += elapsed_ms;
+        self.handle(Input::Tick);
+    }
+
+    /// Takes a message of the current term, or of a later one.
+    pub fn receive(&mut self, from: &Member, message: Message, ahead: u64) {
+        let envelope = self.envelope(from, message, ahead);
+        self.receive_envelope(envelope);
+    }
+
+    pub fn receive_envelope(&mut self, envelope: Envelope) {
+        self.handle(Input::Message(envelope));
+    }
+
+    pub fn envelope(&self, from: &Member, message: Message, ahead: u64) -> Envelope {
+        Envelope {
+            from: from.clone(),
+            group: GroupId(1),
+            message,
+            term: Term(self.status().term.0 + ahead),
+            to: member(0, 0).name,
+            to_storage: Some(StorageId(0)),
+        }
+    }
+
+    pub fn open(recovered: Recovered) -> Self {
+        let names = voters().into_iter().map(|voter| voter.name).collect();
+        let settings = Settings::new(GroupId(1), member(0, 0), names);
+        Self {
+            now_ms: 0,
+            replica: Replica::open(settings, recovered, 0, 1),
+        }
+    }
+
+    /// Hands over an input, and makes every write durable at once.
+    fn handle(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut outputs = Vec::new();
+            self.replica.handle(self.now_ms, input, &mut outputs);
+            let writes = outputs.into_iter().filter_map(|output| match output {
+                Output::Persist(write) => Some(Input::Synced(write.synced())),
+                _ => None,
+            });
+            inputs.extend(writes);
+        }
+    }
+}
