--- a/crates/agreement/tests/replica/driver.rs
+++ b/crates/agreement/tests/replica/driver.rs
@@ -2,13 +2,16 @@
 
 use agreement::{
     Entry, Envelope, GroupId, HardState, Input, Member, Membership, Message, Output, Payload,
-    Recovered, Replica, Settings, Status, StorageId, Term, VoteAnswer,
+    Recovered, Replica, RequestNumber, Settings, Status, StorageId, Term, VoteAnswer, Write,
 };
 use names::{InstanceName, LogIndex};
 
 pub const FOUNDED_TERM: Term = Term(7);
 
 pub struct Driver {
+    confirmed: Vec<RequestNumber>,
+    held_back: Vec<Write>,
+    is_disk_stuck: bool,
     now_ms: u64,
     replica: Replica,
 }
@@ -72,13 +75,13 @@
     }
 
     /// Takes a message of the current term, or of a later one.
-    pub fn receive(&mut self, from: &Member, message: Message, ahead: u64) {
+    pub fn receive(&mut self, from: &Member, message: Message, ahead: u64) -> Vec<Envelope> {
         let envelope = self.envelope(from, message, ahead);
-        self.receive_envelope(envelope);
+        self.receive_envelope(envelope)
     }
 
-    pub fn receive_envelope(&mut self, envelope: Envelope) {
-        self.handle(Input::Message(envelope));
+    pub fn receive_envelope(&mut self, envelope: Envelope) -> Vec<Envelope> {
+        self.handle(Input::Message(envelope))
     }
 
     pub fn envelope(&self, from: &Member, message: Message, ahead: u64) -> Envelope {
@@ -96,22 +99,53 @@
         let names = voters().into_iter().map(|voter| voter.name).collect();
         let settings = Settings::new(GroupId(1), member(0, 0), names);
         Self {
+            confirmed: Vec::new(),
+            held_back: Vec::new(),
+            is_disk_stuck: false,
             now_ms: 0,
             replica: Replica::open(settings, recovered, 0, 1),
         }
     }
 
-    /// Hands over an input, and makes every write durable at once.
-    fn handle(&mut self, input: Input) {
+    /// From now on no write becomes durable.
+    pub fn stick_disk(&mut self) {
+        self.is_disk_stuck = true;
+    }
+
+    pub fn free_disk(&mut self) -> Vec<Envelope> {
+        self.is_disk_stuck = false;
+        let writes = std::mem::take(&mut self.held_back).into_iter();
+        writes
+            .flat_map(|write| self.handle(Input::Synced(write.synced())))
+            .collect()
+    }
+
+    pub fn confirm(&mut self, request: u64) {
+        let request = RequestNumber(request);
+        self.handle(Input::Confirm { request });
+    }
+
+    pub fn confirmed(&self) -> &[RequestNumber] {
+        &self.confirmed
+    }
+
+    /// Hands over an input, and makes every write durable; gives the messages sent.
+    pub fn handle(&mut self, input: Input) -> Vec<Envelope> {
+        let mut sent = Vec::new();
         let mut inputs = vec![input];
         while let Some(input) = inputs.pop() {
             let mut outputs = Vec::new();
             self.replica.handle(self.now_ms, input, &mut outputs);
-            let writes = outputs.into_iter().filter_map(|output| match output {
-                Output::Persist(write) => Some(Input::Synced(write.synced())),
-                _ => None,
-            });
-            inputs.extend(writes);
+            for output in outputs {
+                match output {
+                    Output::Confirmed { request, .. } => self.confirmed.push(request),
+                    Output::Persist(write) if self.is_disk_stuck => self.held_back.push(write),
+                    Output::Persist(write) => inputs.push(Input::Synced(write.synced())),
+                    Output::Send(envelope) => sent.push(envelope),
+                    _ => {}
+                }
+            }
         }
+        sent
     }
 }
--- /dev/null
+++ b/crates/agreement/tests/replica/leadership.rs
@@ -0,0 +1,66 @@
+use agreement::{
+    AppendAnswer, AppendResult, Message, RequestNumber, RoleName, VoteAnswer, VoteRequest,
+};
+use names::LogIndex;
+
+use super::driver::{Driver, FOUNDED_TERM, member};
+
+fn answer(matched: LogIndex, round: u64) -> Message {
+    Message::AppendAnswer(AppendAnswer {
+        result: AppendResult::Matched { matched },
+        round,
+    })
+}
+
+#[test]
+fn leadership_is_confirmed_only_by_answers_to_messages_sent_afterwards() {
+    let mut driver = Driver::leader();
+    let last = driver.status().last_index;
+    driver.receive(&member(1, 1), answer(last, 0), 0);
+    driver.confirm(1);
+    driver.receive(&member(1, 1), answer(last, 0), 0);
+    driver.receive(&member(2, 2), answer(last, 0), 0);
+    assert!(driver.confirmed().is_empty());
+    driver.receive(&member(1, 1), answer(last, 1), 0);
+    assert_eq!(driver.confirmed(), [RequestNumber(1)]);
+}
+
+#[test]
+fn leadership_is_not_confirmed_before_the_term_has_committed() {
+    let mut driver = Driver::leader();
+    let last = driver.status().last_index;
+    driver.confirm(1);
+    driver.receive(&member(1, 1), answer(last, 1), 0);
+    assert!(driver.confirmed().is_empty());
+}
+
+#[test]
+fn a_leader_that_hears_from_no_quorum_steps_down() {
+    let mut driver = Driver::leader();
+    for _ in 0..20 {
+        driver.pass_time(100);
+        driver.receive(&member(1, 1), answer(LogIndex(1), 0), 0);
+    }
+    assert_eq!(driver.status().role, RoleName::Leader);
+    driver.pass_time(1_001);
+    assert_eq!(driver.status().role, RoleName::Follower);
+}
+
+#[test]
+fn a_vote_is_sent_only_once_it_is_durable() {
+    let mut driver = Driver::voter();
+    driver.stick_disk();
+    let request = Message::VoteRequest(VoteRequest {
+        forced: false,
+        last_index: LogIndex(1),
+        last_term: FOUNDED_TERM,
+        pre_vote: false,
+    });
+    assert!(driver.receive(&member(1, 1), request, 1).is_empty());
+    let sent = driver.free_disk();
+    let granted = VoteAnswer {
+        granted: true,
+        pre_vote: false,
+    };
+    assert_eq!(sent[0].message, Message::VoteAnswer(granted));
+}
--- a/crates/agreement/tests/replica/main.rs
+++ b/crates/agreement/tests/replica/main.rs
@@ -2,5 +2,6 @@
 
 mod driver;
 mod identity;
+mod leadership;
 mod messages;
 mod removal;
