--- a/crates/agreement/tests/replica/driver.rs
+++ b/crates/agreement/tests/replica/driver.rs
@@ -1,8 +1,9 @@
 //! One replica whose messages a test reads and answers by hand.
 
 use agreement::{
-    Entry, Envelope, GroupId, HardState, Input, Member, Membership, Message, Output, Payload,
-    Recovered, Replica, RequestNumber, Settings, Status, StorageId, Term, VoteAnswer, Write,
+    Entry, Envelope, GroupId, HardState, Input, Member, Membership, MembershipChange, Message,
+    Output, Payload, Recovered, Refusal, Replica, RequestNumber, Settings, Status, StorageId, Term,
+    VoteAnswer, Write,
 };
 use names::{InstanceName, LogIndex};
 
@@ -13,6 +14,7 @@
     held_back: Vec<Write>,
     is_disk_stuck: bool,
     now_ms: u64,
+    refused: Vec<Refusal>,
     replica: Replica,
 }
 
@@ -103,6 +105,7 @@
             held_back: Vec::new(),
             is_disk_stuck: false,
             now_ms: 0,
+            refused: Vec::new(),
             replica: Replica::open(settings, recovered, 0, 1),
         }
     }
@@ -120,6 +123,18 @@
             .collect()
     }
 
+    pub fn change(&mut self, change: MembershipChange) {
+        self.handle(Input::Change {
+            at_ms: 1,
+            change,
+            request: RequestNumber(1),
+        });
+    }
+
+    pub fn refused(&self) -> &[Refusal] {
+        &self.refused
+    }
+
     pub fn confirm(&mut self, request: u64) {
         let request = RequestNumber(request);
         self.handle(Input::Confirm { request });
@@ -141,6 +156,7 @@
                     Output::Confirmed { request, .. } => self.confirmed.push(request),
                     Output::Persist(write) if self.is_disk_stuck => self.held_back.push(write),
                     Output::Persist(write) => inputs.push(Input::Synced(write.synced())),
+                    Output::Refused { refusal, .. } => self.refused.push(refusal),
                     Output::Send(envelope) => sent.push(envelope),
                     _ => {}
                 }
--- a/crates/agreement/tests/replica/leadership.rs
+++ b/crates/agreement/tests/replica/leadership.rs
@@ -1,9 +1,7 @@
-use agreement::{
-    AppendAnswer, AppendResult, Message, RequestNumber, RoleName, VoteAnswer, VoteRequest,
-};
+use agreement::{AppendAnswer, AppendResult, Message, RequestNumber, RoleName};
 use names::LogIndex;
 
-use super::driver::{Driver, FOUNDED_TERM, member};
+use super::driver::{Driver, member};
 
 fn answer(matched: LogIndex, round: u64) -> Message {
     Message::AppendAnswer(AppendAnswer {
@@ -45,22 +43,3 @@
     driver.pass_time(1_001);
     assert_eq!(driver.status().role, RoleName::Follower);
 }
-
-#[test]
-fn a_vote_is_sent_only_once_it_is_durable() {
-    let mut driver = Driver::voter();
-    driver.stick_disk();
-    let request = Message::VoteRequest(VoteRequest {
-        forced: false,
-        last_index: LogIndex(1),
-        last_term: FOUNDED_TERM,
-        pre_vote: false,
-    });
-    assert!(driver.receive(&member(1, 1), request, 1).is_empty());
-    let sent = driver.free_disk();
-    let granted = VoteAnswer {
-        granted: true,
-        pre_vote: false,
-    };
-    assert_eq!(sent[0].message, Message::VoteAnswer(granted));
-}
--- a/crates/agreement/tests/replica/main.rs
+++ b/crates/agreement/tests/replica/main.rs
@@ -1,6 +1,7 @@
 //! One replica driven by hand.
 
 mod driver;
+mod durability;
 mod identity;
 mod leadership;
 mod messages;
--- a/crates/agreement/tests/replica/removal.rs
+++ b/crates/agreement/tests/replica/removal.rs
@@ -1,6 +1,6 @@
 use agreement::{
-    Entry, HardState, Membership, MembershipChange, Message, Payload, Recovered, RoleName,
-    VoteAnswer, VoteRequest,
+    AppendAnswer, AppendResult, Entry, HardState, Membership, MembershipChange, Message, Payload,
+    Recovered, Refusal, RoleName, VoteAnswer, VoteRequest,
 };
 use names::LogIndex;
 
@@ -63,3 +63,52 @@
     assert_eq!(driver.status().introduced, [member(3, 3)]);
     assert_eq!(driver.status().role, RoleName::Leader);
 }
+
+#[test]
+fn a_membership_change_waits_for_the_term_and_for_the_change_before() {
+    let mut driver = Driver::leader();
+    let join = |number: u8| MembershipChange::Join {
+        member: member(number, u128::from(number)),
+        promote: false,
+    };
+    driver.change(join(3));
+    assert_eq!(driver.refused(), [Refusal::ChangePending]);
+    let acknowledge = |driver: &mut Driver| {
+        let result = AppendResult::Matched {
+            matched: driver.status().last_index,
+        };
+        let answer = Message::AppendAnswer(AppendAnswer { result, round: 0 });
+        driver.receive(&member(1, 1), answer, 0);
+    };
+    acknowledge(&mut driver);
+    driver.change(join(3));
+    driver.change(join(4));
+    assert_eq!(driver.refused().len(), 2);
+    acknowledge(&mut driver);
+    driver.change(join(4));
+    assert_eq!(driver.refused().len(), 2);
+    assert_eq!(driver.status().membership.learners().len(), 2);
+}
+
+#[test]
+fn a_learner_is_promoted_only_once_it_holds_everything_committed() {
+    let mut driver = Driver::leader();
+    let acknowledge = |driver: &mut Driver, number: u8, matched: LogIndex| {
+        let result = AppendResult::Matched { matched };
+        let answer = Message::AppendAnswer(AppendAnswer { result, round: 0 });
+        driver.receive(&member(number, u128::from(number)), answer, 0);
+    };
+    let last = driver.status().last_index;
+    acknowledge(&mut driver, 1, last);
+    driver.change(MembershipChange::Join {
+        member: member(3, 3),
+        promote: true,
+    });
+    let last = driver.status().last_index;
+    acknowledge(&mut driver, 1, last);
+    assert_eq!(driver.status().commit, last);
+    acknowledge(&mut driver, 3, LogIndex(last.0 - 1));
+    assert!(!driver.status().membership.is_voter(&member(3, 3)));
+    acknowledge(&mut driver, 3, last);
+    assert!(driver.status().membership.is_voter(&member(3, 3)));
+}
