Let a leader with a stalled disk step down

Its heartbeats kept the others from electing a leader that can commit; commands would have waited without end. The test failed before the change.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -17,6 +17,8 @@
 //! - **Founding.** Blank initial voters introduce themselves to each other. The one with the
 //!   least name founds the group once all of them have said that they are blank; the term of the
 //!   first entry comes from the founder's storage identity, so two foundings never share it.
+//! - **Stalled disks.** A leader whose write takes too long steps down, for its heartbeats would
+//!   keep the others from electing a leader that can commit.
 //! - **Proof of leadership** is a round of heartbeats that a quorum answers; no promise depends
 //!   on clocks. Clocks that jump cost at most an election.
 
--- a/crates/agreement/src/replica/delivery.rs
+++ b/crates/agreement/src/replica/delivery.rs
@@ -32,6 +32,7 @@
             let write = self.draft_write();
             self.writes.push(PendingWrite {
                 held,
+                issued_ms: self.clock.now_ms(),
                 last_entry: write.entries.last().map(|last| last.index),
                 own_vote: self.draft.own_vote.take(),
                 restore: write
--- a/crates/agreement/src/replica/leading.rs
+++ b/crates/agreement/src/replica/leading.rs
@@ -9,10 +9,13 @@
     SnapshotAnswer,
 };
 
+/// A leader steps down when a write takes this many election timeouts.
+const DISK_STALL_TIMEOUTS: u64 = 2;
+
 impl Replica {
     pub(super) fn on_leader_tick(&mut self) {
         let now_ms = self.clock.now_ms();
-        if !self.is_quorum_active() {
+        if !self.is_quorum_active() || self.is_disk_stalled() {
             self.become_follower(self.hard_state.term, None);
             return;
         }
@@ -126,6 +129,13 @@
         self.active_voters(membership.voters()) >= membership.quorum()
     }
 
+    /// A leader with a stalled disk would keep its voters from electing one that can commit.
+    fn is_disk_stalled(&self) -> bool {
+        let stalled_ms = DISK_STALL_TIMEOUTS * self.settings.election_timeout_ms;
+        let oldest_ms = self.writes.oldest_issued_ms();
+        oldest_ms.is_some_and(|issued_ms| self.clock.now_ms() - issued_ms >= stalled_ms)
+    }
+
     fn broadcast(&mut self, heartbeat: bool) {
         let Role::Leader(leadership) = &mut self.role else {
             return;
--- a/crates/agreement/src/writes.rs
+++ b/crates/agreement/src/writes.rs
@@ -9,6 +9,7 @@
 #[derive(Debug)]
 pub(crate) struct PendingWrite {
     pub(crate) held: Vec<Envelope>,
+    pub(crate) issued_ms: u64,
     pub(crate) last_entry: Option<LogIndex>,
     pub(crate) own_vote: Option<Term>,
     pub(crate) restore: Option<Arc<Snapshot>>,
@@ -27,6 +28,11 @@
         self.writes.is_empty()
     }
 
+    /// Time at which the oldest write was handed to the host.
+    pub(crate) fn oldest_issued_ms(&self) -> Option<u64> {
+        self.writes.front().map(|write| write.issued_ms)
+    }
+
     pub(crate) fn is_restoring(&self) -> bool {
         self.writes.iter().any(|write| write.restore.is_some())
     }
--- a/crates/agreement/tests/replica/driver.rs
+++ b/crates/agreement/tests/replica/driver.rs
@@ -2,8 +2,8 @@
 
 use agreement::{
     Entry, Envelope, GroupId, HardState, Input, Member, Membership, MembershipChange, Message,
-    Output, Payload, Recovered, Refusal, Replica, RequestNumber, Settings, Status, StorageId, Term,
-    VoteAnswer, Write,
+    Output, Payload, Proposal, Recovered, Refusal, Replica, RequestNumber, Settings, Status,
+    StorageId, Term, VoteAnswer, Write,
 };
 use names::{InstanceName, LogIndex};
 
@@ -123,6 +123,17 @@
             .collect()
     }
 
+    pub fn propose(&mut self) {
+        let proposals = vec![Proposal {
+            command: vec![1],
+            request: RequestNumber(1),
+        }];
+        self.handle(Input::Propose {
+            at_ms: 1,
+            proposals,
+        });
+    }
+
     pub fn change(&mut self, change: MembershipChange) {
         self.handle(Input::Change {
             at_ms: 1,
--- a/crates/agreement/tests/replica/leadership.rs
+++ b/crates/agreement/tests/replica/leadership.rs
@@ -43,3 +43,16 @@
     driver.pass_time(1_001);
     assert_eq!(driver.status().role, RoleName::Follower);
 }
+
+#[test]
+fn a_leader_whose_disk_stalls_steps_down() {
+    let mut driver = Driver::leader();
+    driver.stick_disk();
+    driver.propose();
+    for _ in 0..25 {
+        driver.pass_time(100);
+        let last = driver.status().last_index;
+        driver.receive(&member(1, 1), answer(last, 0), 0);
+    }
+    assert_eq!(driver.status().role, RoleName::Follower);
+}
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -115,7 +115,9 @@
                     host: self.links.inbox.clone(),
                     write,
                 };
-                drop(self.links.jobs.send(job));
+                if self.links.jobs.send(job).is_err() {
+                    self.fail("the task that owns the journal has ended".to_owned());
+                }
             }
             Output::Refused { refusal, request } => self.requests.on_refused(request, refusal),
             Output::Restore(snapshot) => self.restore(&snapshot),
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -315,7 +315,9 @@
     settings: &Settings,
 ) -> Result<Identity, Error> {
     let first = segment_file(1);
-    if let Some(file) = files.iter().find(|file| **file != first) {
+    let is_own =
+        |file: &str| Segment::number_of(file).is_some() || SnapshotName::parse(file).is_some();
+    if let Some(file) = files.iter().find(|file| is_own(file) && **file != first) {
         return Err(Error::IdentityMissing { file: file.clone() });
     }
     let has_records = files.contains(&first)
@@ -352,8 +354,8 @@
         .filter_map(|file| Segment::number_of(file))
         .collect();
     numbers.sort_unstable();
-    if numbers.is_empty() && identity.newest_segment == 1 && files.is_empty() {
-        numbers.push(1);
+    if !files.iter().any(|file| file == IDENTITY_FILE) {
+        numbers = vec![identity.newest_segment]; // The folder has just been founded.
     }
     let newest = numbers.last().copied().unwrap_or(0);
     if newest < identity.newest_segment {
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -328,3 +328,11 @@
         .tests(300)
         .quickcheck(holds as fn(Vec<u8>, u16) -> bool);
 }
+
+#[test]
+fn files_of_others_in_the_folder_do_not_matter() {
+    let storage = MemoryStorage::default();
+    storage.set("lost+found", Vec::new());
+    write(&mut storage.open().unwrap().journal, [entry(1, 1)]);
+    assert_eq!(recovered(&storage), [1]);
+}
