Pass introductions on to the leader

Cause: a wiped voter introduced itself to the initial voters only; where another instance led, the leader never heard of it, and the voter was not repaired. Change: a follower passes introductions on. The test failed before.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -46,8 +46,8 @@
 pub use member::{Member, StorageId};
 pub use membership::{Learner, Membership, MembershipChange};
 pub use message::{
-    Append, AppendAnswer, AppendResult, Envelope, GroupId, Message, SnapshotAnswer, SnapshotChunk,
-    Standing, VoteAnswer, VoteRequest,
+    Append, AppendAnswer, AppendResult, Envelope, GroupId, Introduction, Message, SnapshotAnswer,
+    SnapshotChunk, Standing, VoteAnswer, VoteRequest,
 };
 pub use output::{Output, Synced, Write};
 pub use replica::{Recovered, Replica};
--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -41,6 +41,8 @@
     AppendAnswer(AppendAnswer),
     /// Introduces a replica to instances that may not know its storage.
     Hello(Standing),
+    /// Passes an introduction on to the leader.
+    Introduction(Introduction),
     /// Part of a snapshot.
     SnapshotChunk(SnapshotChunk),
     /// Answer to a chunk that was not the last.
@@ -64,6 +66,15 @@
     Settled,
 }
 
+/// A replica that introduced itself to a follower.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Introduction {
+    /// The replica.
+    pub member: Member,
+    /// What it knows of the group.
+    pub standing: Standing,
+}
+
 /// Entries that follow a position of the leader's log.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Append {
--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -22,7 +22,7 @@
     Entry, Envelope, FollowerStatus, HardState, Input, Member, Message, Output, Refusal, RoleName,
     Settings, Snapshot, Status, Term,
 };
-use founding::Introduction;
+use founding::KnownReplica;
 use installation::Installation;
 
 /// Durable state that a replica starts from.
@@ -59,7 +59,7 @@
     election_deadline_ms: u64,
     hard_state: HardState,
     installation: Option<Installation>,
-    introductions: Vec<Introduction>,
+    introductions: Vec<KnownReplica>,
     last_leader_ms: u64,
     leader: Option<Member>,
     log: Log,
@@ -227,6 +227,7 @@
             Message::Append(append) => self.on_append(from, append),
             Message::AppendAnswer(answer) => self.on_append_answer(&from, &answer),
             Message::Hello(_) => unreachable!("handled before the term is looked at"),
+            Message::Introduction(introduction) => self.on_introduction(introduction),
             Message::SnapshotAnswer(answer) => self.on_snapshot_answer(&from, &answer),
             Message::SnapshotChunk(chunk) => self.on_snapshot_chunk(&from, chunk),
             Message::StartElection => self.on_start_election(&from),
--- a/crates/agreement/src/replica/founding.rs
+++ b/crates/agreement/src/replica/founding.rs
@@ -1,10 +1,10 @@
-use names::InstanceName;
+use names::{InstanceName, LogIndex};
 
 use super::Replica;
 use crate::{
-    Entry, Envelope, HardState, Member, Membership, Message, Output, Payload, Standing, Term,
+    Entry, Envelope, HardState, Introduction, Member, Membership, Message, Output, Payload,
+    Standing, Term,
 };
-use names::LogIndex;
 
 /// Most instances remembered that introduced themselves.
 const INTRODUCTIONS_MAX: usize = 64;
@@ -14,7 +14,7 @@
 
 /// A replica that introduced itself.
 #[derive(Debug)]
-pub(super) struct Introduction {
+pub(super) struct KnownReplica {
     at_ms: u64,
     member: Member,
     standing: Standing,
@@ -47,12 +47,16 @@
             return;
         }
         let name = from.name.clone();
-        self.remember(from, standing);
+        self.pass_on(from, standing);
         if !self.is_blank() {
             self.send_hello(name, Standing::Settled);
         }
     }
 
+    pub(super) fn on_introduction(&mut self, introduction: Introduction) {
+        self.remember(introduction.member, introduction.standing);
+    }
+
     /// Initial voters, and the members that this replica knows.
     fn hello_targets(&self) -> Vec<InstanceName> {
         let members = self.log.membership().members();
@@ -80,8 +84,23 @@
     pub(super) fn note_outsider(&mut self, from: &Member) {
         let is_member = self.log.membership().member(&from.name) == Some(from);
         if !is_member {
-            self.remember(from.clone(), Standing::Outsider);
+            self.pass_on(from.clone(), Standing::Outsider);
+        }
+    }
+
+    /// Remembers a replica, and tells the leader, which alone can let it join.
+    fn pass_on(&mut self, member: Member, standing: Standing) {
+        if let Some(leader) = self.leader.clone()
+            && leader != self.settings.member
+        {
+            let introduction = Introduction {
+                member: member.clone(),
+                standing,
+            };
+            let message = Message::Introduction(introduction);
+            self.send_now(&leader, self.hard_state.term, message);
         }
+        self.remember(member, standing);
     }
 
     fn remember(&mut self, member: Member, standing: Standing) {
@@ -89,7 +108,7 @@
         let found = self
             .introductions
             .binary_search_by(|known| known.member.name.cmp(&member.name));
-        let introduction = Introduction {
+        let introduction = KnownReplica {
             at_ms,
             member,
             standing,
@@ -123,7 +142,7 @@
 
     fn known_blank(&self, name: &InstanceName) -> Option<&Member> {
         let oldest_ms = self.oldest_introduction_ms();
-        let is_blank = |known: &&Introduction| {
+        let is_blank = |known: &&KnownReplica| {
             known.member.name == *name
                 && known.at_ms >= oldest_ms
                 && known.standing == Standing::Blank
--- a/crates/agreement/tests/replica/driver.rs
+++ b/crates/agreement/tests/replica/driver.rs
@@ -1,9 +1,9 @@
 //! One replica whose messages a test reads and answers by hand.
 
 use agreement::{
-    Entry, Envelope, GroupId, HardState, Input, Member, Membership, MembershipChange, Message,
-    Output, Payload, Proposal, Recovered, Refusal, Replica, RequestNumber, Settings, Status,
-    StorageId, Term, VoteAnswer, Write,
+    Append, Entry, Envelope, GroupId, HardState, Input, Member, Membership, MembershipChange,
+    Message, Output, Payload, Proposal, Recovered, Refusal, Replica, RequestNumber, Settings,
+    Status, StorageId, Term, VoteAnswer, Write,
 };
 use names::{InstanceName, LogIndex};
 
@@ -53,6 +53,20 @@
         })
     }
 
+    /// The first of three voters, following the second.
+    pub fn follower() -> Self {
+        let mut driver = Self::voter();
+        let heartbeat = Message::Append(Append {
+            commit: LogIndex(1),
+            entries: Vec::new(),
+            previous_index: LogIndex(1),
+            previous_term: FOUNDED_TERM,
+            round: 0,
+        });
+        driver.receive(&member(1, 1), heartbeat, 0);
+        driver
+    }
+
     /// The first of three voters, elected.
     pub fn leader() -> Self {
         let mut driver = Self::voter();
--- a/crates/agreement/tests/replica/identity.rs
+++ b/crates/agreement/tests/replica/identity.rs
@@ -79,3 +79,16 @@
     driver.pass_time(100);
     assert_eq!(driver.status().last_index, LogIndex(0));
 }
+
+#[test]
+fn a_follower_passes_an_introduction_on_to_its_leader() {
+    let mut driver = Driver::follower();
+    let sent = driver.receive(&member(2, 99), Message::Hello(Standing::Blank), 0);
+    let passed_on = sent
+        .iter()
+        .find(|envelope| envelope.to == member(1, 1).name);
+    let introduction = passed_on.expect("the leader is told").message.clone();
+    let mut leader = Driver::leader();
+    leader.receive(&member(1, 1), introduction, 0);
+    assert_eq!(leader.status().introduced, [member(2, 99)]);
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -22,6 +22,7 @@
 mod frame;
 mod identity;
 mod journal;
+mod opening;
 mod record;
 mod recovery;
 mod segment;
--- /dev/null
+++ b/crates/journal/src/opening.rs
@@ -0,0 +1,123 @@
+use crate::identity::IDENTITY_FILE;
+use crate::journal::Settings;
+use crate::recovery::Recovery;
+use crate::segment::{Segment, segment_file};
+use crate::snapshot::{self, SnapshotName};
+use crate::{CutTail, Error, Identity, Storage};
+
+pub(crate) fn open_identity(
+    storage: &mut dyn Storage,
+    files: &[String],
+    settings: &Settings,
+) -> Result<Identity, Error> {
+    if !files.iter().any(|file| file == IDENTITY_FILE) {
+        return found_identity(storage, files, settings);
+    }
+    let identity = Identity::read(storage)?;
+    if identity.instance != settings.instance {
+        return Err(Error::WrongInstance {
+            expected: settings.instance.clone(),
+            found: identity.instance,
+        });
+    }
+    Ok(identity)
+}
+
+fn found_identity(
+    storage: &mut dyn Storage,
+    files: &[String],
+    settings: &Settings,
+) -> Result<Identity, Error> {
+    let first = segment_file(1);
+    let is_own =
+        |file: &str| Segment::number_of(file).is_some() || SnapshotName::parse(file).is_some();
+    if let Some(file) = files.iter().find(|file| is_own(file) && **file != first) {
+        return Err(Error::IdentityMissing { file: file.clone() });
+    }
+    let has_records = files.contains(&first)
+        && !storage
+            .read(&first)
+            .map_err(|source| Error::io("read", &first, source))?
+            .is_empty();
+    if has_records {
+        return Err(Error::IdentityMissing { file: first });
+    }
+    storage
+        .append(&first, &[])
+        .and_then(|()| storage.sync(&first))
+        .map_err(|source| Error::io("make", &first, source))?;
+    let identity = Identity {
+        instance: settings.instance.clone(),
+        newest_segment: 1,
+        storage: storage
+            .random_id()
+            .map_err(|source| Error::io("draw", IDENTITY_FILE, source))?,
+    };
+    identity.write(storage)?;
+    Ok(identity)
+}
+
+pub(crate) fn recover_segments(
+    storage: &mut dyn Storage,
+    files: &[String],
+    identity: &Identity,
+    recovery: &mut Recovery,
+) -> Result<(Vec<Segment>, Option<CutTail>), Error> {
+    let mut numbers: Vec<u64> = files
+        .iter()
+        .filter_map(|file| Segment::number_of(file))
+        .collect();
+    numbers.sort_unstable();
+    if !files.iter().any(|file| file == IDENTITY_FILE) {
+        numbers = vec![identity.newest_segment]; // The folder has just been founded.
+    }
+    let newest = numbers.last().copied().unwrap_or(0);
+    if newest < identity.newest_segment {
+        return Err(missing_segment(identity.newest_segment));
+    }
+    if let Some(gap) = numbers.windows(2).find(|pair| pair[0] + 1 != pair[1]) {
+        return Err(missing_segment(gap[0] + 1));
+    }
+    let mut segments = Vec::new();
+    let mut cut_tail = None;
+    for number in numbers {
+        let take = |record| recovery.take(record);
+        let (segment, cut) = Segment::recover(storage, number, number == newest, take)?;
+        segments.push(segment);
+        cut_tail = cut;
+    }
+    Ok((segments, cut_tail))
+}
+
+fn missing_segment(number: u64) -> Error {
+    Error::Missing {
+        file: segment_file(number),
+    }
+}
+
+/// Reads the newest snapshot of each group, and removes those that it replaced.
+pub(crate) fn recover_snapshots(
+    storage: &mut dyn Storage,
+    files: &[String],
+    recovery: &mut Recovery,
+) -> Result<(), Error> {
+    let mut names: Vec<SnapshotName> = files
+        .iter()
+        .filter_map(|file| SnapshotName::parse(file))
+        .collect();
+    names.sort_unstable();
+    for (at, name) in names.iter().enumerate() {
+        let is_replaced = names
+            .get(at + 1)
+            .is_some_and(|next| next.group == name.group);
+        if is_replaced {
+            let file = name.file();
+            storage
+                .remove(&file)
+                .map_err(|source| Error::io("remove", &file, source))?;
+        } else {
+            recovery.take_snapshot(snapshot::read(storage, *name)?);
+        }
+    }
+    Ok(())
+}
