--- a/crates/agreement/examples/soak.rs
+++ b/crates/agreement/examples/soak/main.rs
@@ -1,6 +1,5 @@
 //! Long randomised run of the log replication core: `soak --seed 1 --steps 1000000`.
 
-#[path = "../tests/simulation/mod.rs"]
 mod simulation;
 
 use std::env;
--- a/crates/agreement/tests/randomised.rs
+++ b/crates/agreement/tests/randomised.rs
@@ -1,5 +1,6 @@
 //! Randomised runs by seed with faults of every kind; a longer one is the example `soak`.
 
+#[path = "../examples/soak/simulation/mod.rs"]
 mod simulation;
 
 use simulation::Summary;
