--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -16,12 +16,13 @@
 use crate::log::Log;
 use crate::progress::Progress;
 use crate::role::Role;
+use crate::validity::is_well_formed;
 use crate::writes::PendingWrites;
 use crate::{
     Entry, Envelope, FollowerStatus, HardState, Input, Member, Message, Output, Refusal, RoleName,
     Settings, Snapshot, Status, Term,
 };
-use founding::Introduction;
+use founding::KnownReplica;
 use installation::Installation;
 
 /// Durable state that a replica starts from.
@@ -58,7 +59,7 @@
     election_deadline_ms: u64,
     hard_state: HardState,
     installation: Option<Installation>,
-    introductions: Vec<Introduction>,
+    introductions: Vec<KnownReplica>,
     last_leader_ms: u64,
     leader: Option<Member>,
     log: Log,
@@ -188,7 +189,9 @@
         if self.clock.now_ms() < self.election_deadline_ms && !self.is_blank() {
             return;
         }
-        if self.log.membership().is_voter(&self.settings.member) {
+        // A voter stands for election until its removal is committed: it may hold entries that no
+        // other voter may be elected without.
+        if self.log.may_be_voter(self.commit, &self.settings.member) {
             self.start_pre_vote();
         } else {
             self.introduce();
@@ -196,7 +199,7 @@
     }
 
     fn on_envelope(&mut self, envelope: Envelope) {
-        if !self.is_for_this(&envelope) {
+        if !self.is_for_this(&envelope) || !is_well_formed(&envelope) {
             return;
         }
         if let Message::Hello(standing) = envelope.message {
@@ -224,6 +227,7 @@
             Message::Append(append) => self.on_append(from, append),
             Message::AppendAnswer(answer) => self.on_append_answer(&from, &answer),
             Message::Hello(_) => unreachable!("handled before the term is looked at"),
+            Message::Introduction(introduction) => self.on_introduction(introduction),
             Message::SnapshotAnswer(answer) => self.on_snapshot_answer(&from, &answer),
             Message::SnapshotChunk(chunk) => self.on_snapshot_chunk(&from, chunk),
             Message::StartElection => self.on_start_election(&from),
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -1,37 +1,52 @@
-use agreement::{GroupId, Synced, Write};
+use agreement::{GroupId, Write};
 use journal::Journal;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::task::{self, JoinHandle};
-use xtra::WeakAddress;
+use tokio::sync::watch;
+use tokio::task;
 
 use crate::codec;
-use crate::host::{Host, JournalFailed, WritesSynced};
+use crate::host::{Event, Inbox};
 
 /// A write of one group.
 #[derive(Debug)]
 pub(crate) struct WriteJob {
     pub(crate) group: GroupId,
-    pub(crate) host: WeakAddress<Host>,
+    pub(crate) host: Inbox,
     pub(crate) write: Write,
 }
 
 /// Task that owns the journal; it ends when every sender of jobs is gone.
 #[derive(Debug)]
 pub(crate) struct Writer {
+    pub(crate) ended: Ended,
     pub(crate) jobs: UnboundedSender<WriteJob>,
-    pub(crate) task: JoinHandle<()>,
 }
 
+/// Tells when the journal is closed.
+#[derive(Debug, Clone)]
+pub(crate) struct Ended(watch::Receiver<()>);
+
 impl Writer {
     pub(crate) fn spawn(journal: Journal) -> Self {
         let (jobs, waiting) = mpsc::unbounded_channel();
+        let (running, ended) = watch::channel(());
+        tokio::spawn(async move {
+            run(journal, waiting).await;
+            drop(running);
+        });
         Self {
+            ended: Ended(ended),
             jobs,
-            task: tokio::spawn(run(journal, waiting)),
         }
     }
 }
 
+impl Ended {
+    pub(crate) async fn wait(mut self) {
+        while self.0.changed().await.is_ok() {}
+    }
+}
+
 async fn run(mut journal: Journal, mut waiting: UnboundedReceiver<WriteJob>) {
     while let Some(first) = waiting.recv().await {
         let mut jobs = vec![first];
@@ -59,19 +74,11 @@
 
 /// Tells a host; one that is gone needs to know nothing.
 async fn report(job: WriteJob, result: &Result<(), journal::Error>) {
-    let told = match result {
-        Ok(()) => {
-            let synced: Synced = job.write.synced();
-            job.host.send(WritesSynced(synced)).detach().await.map(drop)
-        }
-        Err(error) => {
-            let cause = error.to_string();
-            job.host
-                .send(JournalFailed { cause })
-                .detach()
-                .await
-                .map(drop)
-        }
+    let event = match result {
+        Ok(()) => Event::WriteSynced(job.write.synced()),
+        Err(error) => Event::JournalFailed {
+            cause: error.to_string(),
+        },
     };
-    drop(told);
+    drop(job.host.send(event).await);
 }
