--- a/crates/dispatch/src/dispatcher/refusing.rs
+++ b/crates/dispatch/src/dispatcher/refusing.rs
@@ -210,11 +210,13 @@
         }
     }
 
+    /// Time until the wait is predicted to be half of what is accepted.
     fn retry_after_ms(&self, work: &Work) -> u64 {
         let limits = self.row(work.row).limits.as_ref();
         let allowed_ms = limits.map_or(0, |limits| limits.queueing_ms_max);
         let predicted_ms = self.predicted_wait_us(work) / US_PER_MS;
-        let excess_ms = predicted_ms.saturating_sub(allowed_ms / 2);
+        let accepted_ms = whole(real(allowed_ms) * self.settings.wait_part_max);
+        let excess_ms = predicted_ms.saturating_sub(accepted_ms / 2);
         excess_ms.clamp(RETRY_AFTER_MS_MIN, RETRY_AFTER_MS_MAX)
     }
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -28,7 +28,7 @@
     /// Blocks that the known sizes of permits count more than once.
     pub(crate) shared_blocks: usize,
     sequences_limit: f64,
-    token_interval_us: Option<f64>,
+    load: Option<Load>,
     /// Permits without a first token, in the order of their grant.
     pub(crate) unstarted: Vec<PermitId>,
 }
@@ -48,7 +48,7 @@
             running: 0,
             shared_blocks: 0,
             sequences_limit: f64::from(settings.sequences_start),
-            token_interval_us: None,
+            load: None,
             unstarted: Vec::new(),
         }
     }
@@ -86,8 +86,8 @@
 
     /// Engine time of one generated token, if measured.
     pub(crate) fn token_us(&self) -> Option<f64> {
-        let interval_us = self.token_interval_us?;
-        Some(interval_us / f64::from(self.report.running.max(1)))
+        let load = self.load?;
+        Some(load.interval_us / load.running.max(1.0))
     }
 
     /// Tokens in a number of blocks.
@@ -120,24 +120,26 @@
         if report.token_interval_us == 0 || report.running == 0 || !self.is_engine() {
             return;
         }
-        let measured_us = real(report.token_interval_us);
-        let interval_us = self.token_interval_us.map_or(measured_us, |average_us| {
-            average_us + AVERAGE_PART * (measured_us - average_us)
-        });
-        self.token_interval_us = Some(interval_us);
-        self.follow_goal(interval_us, real(goal_us));
+        let sample = Load {
+            interval_us: real(report.token_interval_us),
+            running: f64::from(report.running),
+        };
+        let load = self.load.map_or(sample, |average| average.towards(sample));
+        self.load = Some(load);
+        self.follow_goal(load, real(goal_us));
     }
 
-    fn follow_goal(&mut self, interval_us: f64, goal_us: f64) {
-        const DECREASE_MIN: f64 = 0.9;
-        const INCREASE: f64 = 0.05;
-        const MARGIN: f64 = 0.95;
-        let running = f64::from(self.report.running);
-        if interval_us > goal_us {
-            let towards = running * (goal_us / interval_us).max(DECREASE_MIN);
-            self.sequences_limit = self.sequences_limit.min(towards).max(1.0);
-        } else if interval_us < goal_us * MARGIN && running + 2.0 >= self.sequences_limit {
-            self.sequences_limit += (self.sequences_limit * INCREASE).max(1.0);
+    /// Moves the limit to where the interval would meet the goal if it grew with the sequences.
+    ///
+    /// It grows less than that, so a step never overshoots; interval and sequences are averaged
+    /// alike, so that late reports describe one moment.
+    fn follow_goal(&mut self, load: Load, goal_us: f64) {
+        const MARGIN: f64 = 0.97;
+        let target = load.running * goal_us / load.interval_us;
+        if load.interval_us > goal_us {
+            self.sequences_limit = self.sequences_limit.min(target).max(1.0);
+        } else if load.interval_us < goal_us * MARGIN {
+            self.sequences_limit = self.sequences_limit.max(target);
         }
         if let Some(profile) = &self.profile {
             let most = f64::from(profile.sequences_max);
@@ -145,3 +147,20 @@
         }
     }
 }
+
+/// Interval between tokens and the sequences that caused it.
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    interval_us: f64,
+    running: f64,
+}
+
+impl Load {
+    fn towards(self, sample: Self) -> Self {
+        let average = |old: f64, new: f64| old + AVERAGE_PART * (new - old);
+        Self {
+            interval_us: average(self.interval_us, sample.interval_us),
+            running: average(self.running, sample.running),
+        }
+    }
+}
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -44,7 +44,7 @@
         Self {
             backfill_flows: 4,
             bypass_us_max: 500_000,
-            confidence_deviations: 2.0,
+            confidence_deviations: 1.5,
             debt_us_max: 60_000_000,
             length_memory_generations: 400.0,
             length_memory_half_life_us: 6 * 3_600_000_000,
@@ -59,7 +59,7 @@
             sequences_start: 48,
             token_interval_goal_us: 34_000,
             token_us: 1_000.0,
-            wait_part_max: 0.8,
+            wait_part_max: 0.6,
         }
     }
 }
