--- a/crates/dispatch/examples/dispatch_slopes.rs
+++ b/crates/dispatch/examples/dispatch_slopes.rs
@@ -3,7 +3,6 @@
 //! A decision is one request and one end of a permit, with all grants and refusals that follow.
 
 use std::hint::black_box;
-use std::time::Instant;
 
 use dispatch::{
     Action, CustomerIndex, Demand, Dispatcher, End, Event, KindIndex, Limits, ModelIndex, Policy,
@@ -15,7 +14,7 @@
 
 const KINDS: u32 = 3;
 const PROMPT_BLOCKS: u64 = 40;
-const ROUNDS: u32 = 5_000;
+const ROUNDS: u32 = 40_000;
 const USUAL: Size = Size {
     customers: 37_000,
     queued: 10_000,
@@ -133,24 +132,24 @@
     }
 
     fn round_us(&mut self) -> f64 {
-        let start = Instant::now();
+        let start_us = processor_us();
         for _ in 0..ROUNDS {
             self.request();
             self.finish();
         }
-        start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+        (processor_us() - start_us) / f64::from(ROUNDS)
     }
 
     fn progress_us(&mut self) -> f64 {
         let permits = self.running.clone();
-        let start = Instant::now();
+        let start_us = processor_us();
         for (turn, &permit) in (1..=ROUNDS).zip(permits.iter().cycle()) {
             self.handle(Event::Progressed {
                 generated_tokens: turn / 512 + 1,
                 permit,
             });
         }
-        start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+        (processor_us() - start_us) / f64::from(ROUNDS)
     }
 
     fn set_limits(&mut self) {
@@ -196,6 +195,14 @@
     );
 }
 
+/// Processor time of this process, which other load on the machine does not lengthen much.
+fn processor_us() -> f64 {
+    const NS_PER_US: f64 = 1e3;
+    let statistics = std::fs::read_to_string("/proc/self/schedstat").expect("it is readable");
+    let on_processor_ns = statistics.split_ascii_whitespace().next().expect("a field");
+    on_processor_ns.parse::<f64>().expect("a number") / NS_PER_US
+}
+
 /// Resident memory of this process.
 fn resident_bytes() -> u64 {
     const PAGE_BYTES: u64 = 4_096;
@@ -242,6 +249,9 @@
 }
 
 fn main() {
+    if std::env::args().nth(1).as_deref() == Some("usual") {
+        return measure(USUAL);
+    }
     measure_memory();
     for replicas in [1, 4, 16, 32, 64, 128, 256] {
         measure(Size { replicas, ..USUAL });
--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -3,7 +3,7 @@
 
 use super::{Dispatcher, Queued};
 use crate::endpoint::Endpoint;
-use crate::forecast::Forecast;
+use crate::forecast::{Forecast, MemoryLimit};
 use crate::number::{real, whole};
 use crate::permit::Permit;
 use crate::prefix::Match;
@@ -52,11 +52,6 @@
         }
     }
 
-    fn has_open_endpoint(&self, now_us: u64, pool: usize) -> bool {
-        let mut members = self.pools[pool].endpoints.iter();
-        members.any(|&id| self.endpoint(id).is_some_and(|known| known.is_open(now_us)))
-    }
-
     /// Grants nothing before a time, while permits of an earlier owner may be unknown.
     pub fn hold_until(&mut self, held_until_us: u64) {
         self.held_until_us = held_until_us;
@@ -78,28 +73,17 @@
             .predict(row.kind, &row.lengths, generated_tokens, work.max_tokens)
     }
 
-    /// The best endpoint with room for a request.
-    pub(super) fn place(
-        &self,
-        now_us: u64,
-        pool: usize,
-        first: usize,
-        work: &Work,
-    ) -> Option<Place> {
+    /// The best of some open endpoints with room for a request.
+    pub(super) fn place(&self, open: &[&Endpoint], work: &Work) -> Option<Place> {
         let prediction = self.predict(work, 0);
         let forecast = Forecast::of(&prediction, u64::from(work.prompt_tokens));
         let matches = self.placement.matches(&work.prefix);
-        let members = &self.pools[pool].endpoints;
-        let rotated = members[first..].iter().chain(&members[..first]);
-        let best = rotated
-            .filter_map(|&id| self.endpoint(id))
+        let best = open
+            .iter()
             .filter_map(|endpoint| {
-                if !endpoint.is_open(now_us) {
-                    return None;
-                }
                 let added = Addition::new(endpoint, work, &forecast, &matches);
-                let room = self.has_room(endpoint, &added);
-                room.then(|| self.placement_cost(endpoint, work, &added))
+                let occupancy = self.occupancy(endpoint, &added)?;
+                Some(self.placement_cost(endpoint, work, &added, occupancy))
             })
             .min_by_key(|cost| cost.total_us)?;
         Some(Place {
@@ -110,19 +94,27 @@
         })
     }
 
+    /// Endpoints of a pool that may take another permit, from a position on.
+    pub(super) fn open_endpoints(&self, now_us: u64, pool: usize, first: usize) -> Vec<&Endpoint> {
+        let members = &self.pools[pool].endpoints;
+        let rotated = members[first..].iter().chain(&members[..first]);
+        rotated
+            .filter_map(|&id| self.endpoint(id))
+            .filter(|endpoint| endpoint.is_open(now_us))
+            .collect()
+    }
+
     fn grant_one(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) -> bool {
         let flows = self.settings.backfill_flows + 1;
         let order: Vec<RowIndex> = self.pools[pool].queue.order().take(flows).collect();
-        if order.is_empty() || !self.has_open_endpoint(now_us, pool) {
+        let rotation = self.rotation(pool);
+        let open = self.open_endpoints(now_us, pool, rotation);
+        if order.is_empty() || open.is_empty() {
             return false;
         }
-        let rotation = self.rotation(pool);
         for (turn, &row) in order.iter().enumerate() {
-            let urgent_first = self.row(row).urgent_first();
-            let first = self.pools[pool].queue.first(row, urgent_first);
-            let request = first.expect("an active flow has a request");
-            let work = &self.queued[&request].work;
-            if let Some(place) = self.place(now_us, pool, rotation, work) {
+            let request = self.first_of(pool, row);
+            if let Some(place) = self.place(&open, &self.queued[&request].work) {
                 self.pass_over(now_us, pool, &order[..turn]);
                 self.grant(now_us, pool, request, &place, actions);
                 return true;
@@ -134,6 +126,13 @@
         false
     }
 
+    /// The request of an active flow that goes first.
+    fn first_of(&self, pool: usize, row: RowIndex) -> RequestId {
+        let urgent_first = self.row(row).urgent_first();
+        let first = self.pools[pool].queue.first(row, urgent_first);
+        first.expect("an active flow has a request")
+    }
+
     fn grant(
         &mut self,
         now_us: u64,
@@ -145,12 +144,13 @@
         let queued = self.unqueue(request);
         let number = PermitId(self.next_permit);
         self.next_permit += 1;
-        let permit = self.permit_for(now_us, pool, request, &queued, place);
-        self.pools[pool].queue.serve(now_us, queued.work.row);
+        let row = queued.work.row;
+        let permit = self.permit_for(now_us, pool, request, queued, place);
+        self.pools[pool].queue.serve(now_us, row);
         actions.push(Action::Grant {
             endpoint: place.endpoint,
             permit: number,
-            priority: self.row(queued.work.row).priority(),
+            priority: self.row(row).priority(),
             request,
         });
         self.start(now_us, number, permit);
@@ -167,7 +167,7 @@
         now_us: u64,
         pool: usize,
         request: RequestId,
-        queued: &Queued,
+        queued: Queued,
         place: &Place,
     ) -> Permit {
         let prefill_us = real(place.prefill_tokens) * self.settings.prefill_us_per_token;
@@ -186,26 +186,31 @@
             taken_tokens: place.mean_tokens,
             used_us: prefill_us,
             withdrawn: false,
-            work: queued.work.clone(),
+            work: queued.work,
         }
     }
 
-    fn has_room(&self, endpoint: &Endpoint, added: &Addition<'_>) -> bool {
-        let Some(profile) = &endpoint.profile else {
-            return false;
-        };
+    /// Part of the endpoint's memory that is expected to be used; none if there is no room.
+    fn occupancy(&self, endpoint: &Endpoint, added: &Addition<'_>) -> Option<f64> {
+        let profile = endpoint.profile.as_ref()?;
         if !endpoint.is_engine() || endpoint.running == 0 {
-            return added.known_tokens <= profile.memory_tokens;
+            return (added.known_tokens <= profile.memory_tokens).then_some(0.0);
         }
         let shared_tokens = endpoint.shared_tokens() + added.shared_tokens;
         let known_tokens = endpoint.known_tokens + added.known_tokens - shared_tokens;
-        let limit_tokens = real(profile.memory_tokens) * self.settings.memory_fraction_max;
-        let deviations = self.settings.confidence_deviations;
-        known_tokens <= profile.memory_tokens
-            && self.has_prefill_room(endpoint, added.prefill_tokens)
-            && endpoint
-                .forecast
-                .fits(added.forecast, deviations, shared_tokens, limit_tokens)
+        if known_tokens > profile.memory_tokens
+            || !self.has_prefill_room(endpoint, added.prefill_tokens)
+        {
+            return None;
+        }
+        let memory_tokens = real(profile.memory_tokens);
+        let limit = MemoryLimit {
+            deviations: self.settings.confidence_deviations,
+            tokens: memory_tokens * self.settings.memory_fraction_max,
+        };
+        let forecast = &endpoint.forecast;
+        let peak_tokens = forecast.peak_tokens(added.forecast, shared_tokens, limit)?;
+        Some(peak_tokens / memory_tokens)
     }
 
     fn has_prefill_room(&self, endpoint: &Endpoint, added_tokens: u64) -> bool {
@@ -221,9 +226,7 @@
 
     fn pass_over(&mut self, now_us: u64, pool: usize, passed: &[RowIndex]) {
         for &row in passed {
-            let urgent_first = self.row(row).urgent_first();
-            let first = self.pools[pool].queue.first(row, urgent_first);
-            let request = first.expect("an active flow has a request");
+            let request = self.first_of(pool, row);
             let queued = self.queued.get_mut(&request).expect("it waits");
             queued.passed_over_us.get_or_insert(now_us);
         }
@@ -234,18 +237,13 @@
         endpoint: &Endpoint,
         work: &Work,
         added: &Addition<'_>,
+        occupancy: f64,
     ) -> PlacementCost {
         let profile = endpoint.profile.as_ref().expect("a place has a profile");
         let prefill_us = real(added.prefill_tokens) * self.settings.prefill_us_per_token;
         let running = f64::from(endpoint.running) / f64::from(endpoint.running_max().max(1));
-        let shared_tokens = endpoint.shared_tokens() + added.shared_tokens;
-        let memory = if endpoint.is_engine() {
-            endpoint.forecast.peak_tokens(added.forecast, shared_tokens)
-                / real(profile.memory_tokens.max(1))
-        } else {
-            0.0
-        };
-        let load_us = real(self.settings.occupancy_us) * running.max(memory);
+        let load_us = real(self.settings.occupancy_us) * running.max(occupancy);
+        let waiting_us = u64::from(endpoint.report.waiting) * self.settings.waiting_us;
         let region_us = if profile.region == work.region {
             0
         } else {
@@ -254,7 +252,7 @@
         PlacementCost {
             endpoint: endpoint.id,
             prefill_tokens: added.prefill_tokens,
-            total_us: whole(prefill_us + load_us) + region_us,
+            total_us: whole(prefill_us + load_us) + region_us + waiting_us,
         }
     }
 
--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -203,19 +203,18 @@
         endpoint.forecast.add(&permit.forecast);
         endpoint.prefill_tokens += permit.prefill_tokens;
         endpoint.unstarted.push(number);
-        let shared_blocks = self.placement.retain(permit.endpoint, &permit.work.prefix);
-        endpoint.shared_blocks += shared_blocks;
         let capacity_tokens = endpoint
             .profile
             .as_ref()
             .map_or(0, |profile| profile.memory_tokens);
-        self.placement.place(
+        let shared_blocks = self.placement.place(
             permit.endpoint,
             &mut endpoint.retention,
             &permit.work.prefix,
             permit.prefill_tokens,
             capacity_tokens,
         );
+        endpoint.shared_blocks += shared_blocks;
     }
 
     fn release(&mut self, number: PermitId, permit: &Permit) {
--- a/crates/dispatch/src/dispatcher/relieving.rs
+++ b/crates/dispatch/src/dispatcher/relieving.rs
@@ -63,7 +63,8 @@
         let work = self.permits[&number].work.clone();
         let pool = self.pool_index(work.model);
         let first = self.rotation(pool);
-        let place = self.place(now_us, pool, first, &work)?;
+        let open = self.open_endpoints(now_us, pool, first);
+        let place = self.place(&open, &work)?;
         (place.endpoint != self.endpoints[index].id).then_some(number)
     }
 }
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -55,36 +55,39 @@
         }
     }
 
-    /// Whether both forecasts together stay within `limit_tokens`, `deviations` above the mean.
-    pub(crate) fn fits(
+    /// Greatest expected use over all horizons of both forecasts together.
+    ///
+    /// None if it may exceed the limit. `shared_tokens` is what prompts have in common now and is
+    /// counted more than once in the forecasts; both users of a block must go on for it to stay
+    /// shared.
+    pub(crate) fn peak_tokens(
         &self,
-        other: &Self,
-        deviations: f64,
+        added: &Self,
         shared_tokens: u64,
-        limit_tokens: f64,
-    ) -> bool {
-        let now = real((self.alive_milli[0] + other.alive_milli[0]).max(1));
-        (0..HORIZONS.len()).all(|index| {
-            let alive = real(self.alive_milli[index] + other.alive_milli[index]) / now;
-            let mean = real(self.mean_tokens[index] + other.mean_tokens[index]);
-            let variance = real(self.variance[index] + other.variance[index]);
-            let free = limit_tokens + real(shared_tokens) * alive * alive - mean;
-            free >= 0.0 && free * free >= deviations * deviations * variance
-        })
+        limit: MemoryLimit,
+    ) -> Option<f64> {
+        let now = real((self.alive_milli[0] + added.alive_milli[0]).max(1));
+        let variances = limit.deviations * limit.deviations;
+        let mut peak: f64 = 0.0;
+        for index in 0..HORIZONS.len() {
+            let alive = real(self.alive_milli[index] + added.alive_milli[index]) / now;
+            let mean = real(self.mean_tokens[index] + added.mean_tokens[index]);
+            let variance = real(self.variance[index] + added.variance[index]);
+            let mean = mean - real(shared_tokens) * alive * alive;
+            let free = limit.tokens - mean;
+            if free < 0.0 || free * free < variances * variance {
+                return None;
+            }
+            peak = peak.max(mean);
+        }
+        Some(peak)
     }
+}
 
-    /// Greatest expected use over all horizons of both forecasts together.
-    ///
-    /// `shared_tokens` is what prompts have in common now and is counted more than once in the
-    /// forecasts. Both users of a block must go on for it to stay shared.
-    pub(crate) fn peak_tokens(&self, other: &Self, shared_tokens: u64) -> f64 {
-        let now = real((self.alive_milli[0] + other.alive_milli[0]).max(1));
-        (0..HORIZONS.len())
-            .map(|index| {
-                let alive = real(self.alive_milli[index] + other.alive_milli[index]) / now;
-                let mean = real(self.mean_tokens[index] + other.mean_tokens[index]);
-                mean - real(shared_tokens) * alive * alive
-            })
-            .fold(0.0, f64::max)
-    }
+/// Memory that forecasts may fill.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MemoryLimit {
+    /// Standard deviations that are kept free.
+    pub(crate) deviations: f64,
+    pub(crate) tokens: f64,
 }
--- a/crates/dispatch/src/number.rs
+++ b/crates/dispatch/src/number.rs
@@ -16,7 +16,7 @@
     reason = "the conversion saturates, which is what is wanted"
 )]
 pub(crate) fn whole(value: f64) -> u64 {
-    value.round() as u64
+    (value + 0.5) as u64
 }
 
 /// `greater - smaller` with its sign, saturating.
--- a/crates/dispatch/src/prediction.rs
+++ b/crates/dispatch/src/prediction.rs
@@ -1,5 +1,8 @@
 use crate::survival::{BUCKETS, Hazards, bucket, bucket_end, bucket_start};
 
+/// Chance of going on that counts as none.
+const ALIVE_MIN: f64 = 1e-4;
+
 /// What is predicted of one generation's length, given what it has produced.
 #[derive(Debug, Clone)]
 pub struct Prediction {
@@ -62,7 +65,7 @@
         let mut index = self.first_bucket();
         steps.map(|step| {
             let target = self.generated_tokens + f64::from(step);
-            if target >= self.max_tokens && step > 0 {
+            if (target >= self.max_tokens && step > 0) || alive < ALIVE_MIN {
                 return 0.0;
             }
             while index < BUCKETS - 1 && end(index) <= target {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -35,6 +35,8 @@
     pub token_interval_goal_us: u64,
     /// Engine time of one generated token before it is measured.
     pub token_us: f64,
+    /// Placement cost of each sequence that an endpoint holds back.
+    pub waiting_us: u64,
     /// Part of the longest wait that a row allows beyond which a predicted wait is refused.
     pub wait_part_max: f64,
 }
@@ -60,6 +62,7 @@
             token_interval_goal_us: 34_000,
             token_us: 1_000.0,
             wait_part_max: 0.6,
+            waiting_us: 200_000,
         }
     }
 }
