Assert in the experiment that every request ends and every grant fits

A policy that dropped a request would have kept a run going for ever, and a grant of a generation to a plain service would have passed unnoticed.

--- a/crates/fakes/src/experiment/simulation.rs
+++ b/crates/fakes/src/experiment/simulation.rs
@@ -23,6 +23,7 @@
 use crate::experiment::sites::{self, Site};
 use crate::experiment::workload::{self, Arrival};
 
+const DRAIN_US_MAX: u64 = 3_600_000_000;
 const LEAVING_NOTICE_US: u64 = 20_000_000;
 const OUTAGE_US: u64 = 60_000_000;
 const PROGRESS_US: u64 = 200_000;
@@ -146,9 +147,14 @@
             let next = self.queue.pop();
             let (at_us, item) = next.expect("an open caller has an event to come");
             assert!(at_us >= self.now_us, "time never runs backwards");
+            assert!(
+                at_us < self.load.duration_us() + DRAIN_US_MAX,
+                "every request ends"
+            );
             self.now_us = at_us;
             self.take(item);
         }
+        assert!(self.live.is_empty(), "no generation outlives its caller");
         if self.account_us.is_empty() {
             self.close_window();
         }
--- a/crates/fakes/src/experiment/simulation/messages.rs
+++ b/crates/fakes/src/experiment/simulation/messages.rs
@@ -190,6 +190,11 @@
         let arrival = self.arrival_of(request);
         let region = self.arrivals[arrival].region;
         let site = usize(on.0);
+        let service = self.load.kinds[self.arrivals[arrival].kind].service;
+        assert_eq!(
+            self.sites[site].is_service, service,
+            "a grant names a fitting endpoint"
+        );
         let flight = self.flights.len();
         self.flights
             .push(Flight::new(arrival, permit, priority, site));
