--- a/crates/fakes/src/experiment/columns.rs
+++ b/crates/fakes/src/experiment/columns.rs
@@ -25,7 +25,7 @@
 }
 
 /// All figures, in order, as defined in `docs/EXPERIMENTS.md`.
-pub(crate) const COLUMNS: [Column; 26] = [
+pub(crate) const COLUMNS: [Column; 27] = [
     column("stall_s", 1, |o| real(o.stall_total_us()) / 1e6),
     column("stall_p50_ms", 0, |o| o.stall_ms(0.5, None)),
     column("stall_p99_ms", 0, |o| o.stall_ms(0.99, None)),
@@ -51,6 +51,7 @@
     column("completed", 0, |o| real(o.metrics.completed)),
     column("refused", 0, |o| real(o.metrics.refused)),
     column("gave_up", 0, |o| real(o.metrics.gave_up)),
+    column("retries", 0, |o| real(o.metrics.retries)),
     column("lost", 0, |o| real(o.metrics.lost)),
 ];
 
--- a/crates/fakes/src/experiment/metrics.rs
+++ b/crates/fakes/src/experiment/metrics.rs
@@ -22,6 +22,8 @@
     pub(crate) lost: u64,
     pub(crate) refused: u64,
     pub(crate) requests: u64,
+    /// Requests asked for again after an endpoint failed or refused.
+    pub(crate) retries: u64,
     /// Customer and stall time of each generation that began.
     pub(crate) stalls: Vec<(usize, u64)>,
 }
@@ -41,6 +43,7 @@
             lost: 0,
             refused: 0,
             requests: 0,
+            retries: 0,
             stalls: Vec::new(),
         }
     }
--- a/crates/fakes/src/experiment/simulation/messages.rs
+++ b/crates/fakes/src/experiment/simulation/messages.rs
@@ -97,6 +97,7 @@
     pub(super) fn ask(&mut self, arrival: usize) {
         let caller = &mut self.callers[arrival];
         let request = RequestId((caller.attempts * self.arrivals.len() + arrival) as u64);
+        self.metrics.retries += u64::from(caller.attempts > 0);
         caller.attempts += 1;
         caller.flight = None;
         caller.request = request;
