--- a/crates/fakes/tests/engine_model.rs
+++ b/crates/fakes/tests/engine_model.rs
@@ -203,3 +203,21 @@
     let middle_us = token_time(&outputs, 0, 400) - token_time(&outputs, 0, 300);
     assert!((20_000..34_000).contains(&(middle_us / 100)));
 }
+
+#[test]
+fn a_greater_priority_is_admitted_first() {
+    let settings = EngineSettings {
+        sequences_max: 1,
+        ..EngineSettings::default()
+    };
+    let mut engine = EngineModel::new(settings);
+    let mut outputs = Vec::new();
+    for (generation, priority) in [(0, 0), (1, 0), (2, 5)] {
+        let mut job = job(generation, 100, 10);
+        job.priority = priority;
+        engine.submit(0, job, &mut outputs).expect("fits");
+    }
+    run(&mut engine, &mut outputs);
+    assert!(token_time(&outputs, 0, 0) < token_time(&outputs, 2, 0));
+    assert!(token_time(&outputs, 2, 0) < token_time(&outputs, 1, 0));
+}
--- a/crates/fakes/tests/engine_server.rs
+++ b/crates/fakes/tests/engine_server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fakes::answer::{AnswerFault, Defect, check, generation_tag};
-use fakes::engine::EndReason;
+use fakes::engine::{EndReason, EngineSettings};
 use fakes::http::{BookingServer, BookingSettings, EngineServer, EngineServerSettings};
 use fakes::http::{Fault, FaultOrder, LengthRule, Place};
 use hyper::{Method, StatusCode};
@@ -328,3 +328,27 @@
     assert_eq!(news["first_sequence"], 2);
     assert_eq!(news["added"].as_array().map(Vec::len), Some(2));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_waiting_generation_repeats_its_status() {
+    let settings = EngineServerSettings {
+        engine: EngineSettings {
+            sequences_max: 1,
+            ..EngineSettings::default()
+        },
+        length: LengthRule::Fixed(200),
+        ..EngineServerSettings::default()
+    };
+    let engine = EngineServer::spawn(settings).await.expect("a port");
+    let (address, body) = (engine.address(), start_body(200));
+    let first = tokio::spawn(async move { call(address, Method::POST, PATH, &body).await });
+    while engine.ledger().is_empty() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let other = PATH.replace("2a", "2b");
+    let second = call(address, Method::POST, &other, &start_body(200)).await;
+    let second = second.expect("an answer");
+    let waiting = |event: &&Value| event["status"] == "waiting";
+    assert!(events(&second).iter().filter(waiting).count() >= 3);
+    assert!(first.await.expect("no panic").is_some());
+}
