--- a/crates/fakes/src/baselines/reservation.rs
+++ b/crates/fakes/src/baselines/reservation.rs
@@ -8,8 +8,15 @@
 pub struct Reservation {
     endpoints: Vec<Reserved>,
     next_permit: u64,
-    permits: BTreeMap<PermitId, (EndpointId, u64)>,
-    queues: Vec<(ModelIndex, VecDeque<Waiting>)>,
+    permits: BTreeMap<PermitId, Held>,
+    waiting: VecDeque<Waiting>,
+}
+
+/// What a permit reserves.
+#[derive(Debug)]
+struct Held {
+    endpoint: EndpointId,
+    tokens: u64,
 }
 
 #[derive(Debug)]
@@ -24,6 +31,7 @@
 #[derive(Debug)]
 struct Waiting {
     deadline_us: u64,
+    model: ModelIndex,
     request: RequestId,
     tokens: u64,
 }
@@ -37,10 +45,9 @@
 
     fn announce(&mut self, endpoint: EndpointId, profile: &Profile) {
         self.endpoints.retain(|known| known.endpoint != endpoint);
-        let profile = profile.clone();
         self.endpoints.push(Reserved {
             endpoint,
-            profile,
+            profile: profile.clone(),
             ready: true,
             running: 0,
             tokens: 0,
@@ -49,78 +56,75 @@
     }
 
     fn enqueue(&mut self, demand: &Demand, request: RequestId) {
-        let found = self
-            .queues
-            .iter()
-            .position(|(model, _)| *model == demand.model);
-        let position = found.unwrap_or_else(|| {
-            self.queues.push((demand.model, VecDeque::new()));
-            self.queues.len() - 1
-        });
-        let tokens = u64::from(demand.prompt_tokens) + u64::from(demand.max_tokens);
-        let deadline_us = demand.deadline_us;
-        self.queues[position].1.push_back(Waiting {
-            deadline_us,
+        self.waiting.push_back(Waiting {
+            deadline_us: demand.deadline_us,
+            model: demand.model,
             request,
-            tokens,
+            tokens: u64::from(demand.prompt_tokens) + u64::from(demand.max_tokens),
         });
     }
 
     fn finish(&mut self, permit: PermitId) {
-        let Some((endpoint, tokens)) = self.permits.remove(&permit) else {
+        let Some(Held { endpoint, tokens }) = self.permits.remove(&permit) else {
             return;
         };
-        let reserved = self
-            .endpoints
-            .iter_mut()
-            .find(|known| known.endpoint == endpoint);
-        if let Some(reserved) = reserved {
-            reserved.running = reserved.running.saturating_sub(1);
-            reserved.tokens = reserved.tokens.saturating_sub(tokens);
+        if let Some(known) = self.endpoints.iter_mut().find(|e| e.endpoint == endpoint) {
+            known.running = known.running.saturating_sub(1);
+            known.tokens = known.tokens.saturating_sub(tokens);
         }
     }
 
+    /// Grants, model by model, until the first request that fits nowhere.
     fn grant_all(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for (model, queue) in &mut self.queues {
-            while let Some(waiting) = queue.front() {
-                let request = waiting.request;
-                if waiting.deadline_us <= now_us {
-                    let reason = RefusalReason::WaitedTooLong;
-                    actions.push(Action::Refuse {
-                        reason,
-                        request,
-                        retry_after_ms: 1000,
-                    });
-                    queue.pop_front();
-                    continue;
-                }
-                let tokens = waiting.tokens;
-                let fits = |known: &&mut Reserved| {
-                    known.ready
-                        && known.profile.model == *model
-                        && known.running < known.profile.sequences_max
-                        && known.tokens + tokens <= known.profile.memory_tokens
-                };
-                let open = self.endpoints.iter_mut().filter(fits);
-                let Some(chosen) = open.min_by_key(|known| known.tokens) else {
-                    break;
-                };
-                chosen.running += 1;
-                chosen.tokens += tokens;
+        let mut blocked = Vec::new();
+        for waiting in std::mem::take(&mut self.waiting) {
+            let request = waiting.request;
+            if waiting.deadline_us <= now_us {
+                let (reason, retry_after_ms) = (RefusalReason::WaitedTooLong, 1000);
+                actions.push(Action::Refuse {
+                    reason,
+                    request,
+                    retry_after_ms,
+                });
+            } else if blocked.contains(&waiting.model) {
+                self.waiting.push_back(waiting);
+            } else if let Some(endpoint) = self.reserve(&waiting) {
                 let permit = PermitId(self.next_permit);
                 self.next_permit += 1;
-                let endpoint = chosen.endpoint;
-                self.permits.insert(permit, (endpoint, tokens));
+                let tokens = waiting.tokens;
+                self.permits.insert(permit, Held { endpoint, tokens });
                 actions.push(Action::Grant {
                     endpoint,
                     permit,
                     priority: 0,
                     request,
                 });
-                queue.pop_front();
+            } else {
+                blocked.push(waiting.model);
+                self.waiting.push_back(waiting);
             }
         }
     }
+
+    fn reserve(&mut self, waiting: &Waiting) -> Option<EndpointId> {
+        let open = self
+            .endpoints
+            .iter_mut()
+            .filter(|known| known.fits(waiting));
+        let chosen = open.min_by_key(|known| known.tokens)?;
+        chosen.running += 1;
+        chosen.tokens += waiting.tokens;
+        Some(chosen.endpoint)
+    }
+}
+
+impl Reserved {
+    fn fits(&self, waiting: &Waiting) -> bool {
+        self.ready
+            && self.profile.model == waiting.model
+            && self.running < self.profile.sequences_max
+            && self.tokens + waiting.tokens <= self.profile.memory_tokens
+    }
 }
 
 impl Policy for Reservation {
@@ -129,17 +133,13 @@
             Event::Announced { endpoint, profile } => self.announce(endpoint, profile),
             Event::Finished { permit, .. } => self.finish(permit),
             Event::Lapsed { endpoint } | Event::Leaving { endpoint } => {
-                let left = self
-                    .endpoints
-                    .iter_mut()
-                    .filter(|known| known.endpoint == endpoint);
+                let left = self.endpoints.iter_mut();
+                let left = left.filter(|known| known.endpoint == endpoint);
                 left.for_each(|known| known.ready = false);
             }
             Event::Requested { demand, request } => self.enqueue(demand, request),
             Event::Withdrawn { request } => {
-                for (_, queue) in &mut self.queues {
-                    queue.retain(|waiting| waiting.request != request);
-                }
+                self.waiting.retain(|waiting| waiting.request != request);
             }
             _ => return,
         }
--- a/crates/fakes/src/engine/model.rs
+++ b/crates/fakes/src/engine/model.rs
@@ -13,6 +13,12 @@
 /// Part of the memory that stays free when a sequence is admitted, as a divisor.
 const RESERVE_DIVISOR: usize = 100;
 
+#[derive(Debug)]
+struct Step {
+    end_us: u64,
+    length_us: u64,
+}
+
 /// An engine, advanced by its owner's clock.
 #[derive(Debug)]
 pub struct EngineModel {
@@ -24,8 +30,8 @@
     settings: EngineSettings,
     step_end_us: Option<u64>,
     step_us: u64,
-    /// End and length of recent steps.
-    steps: VecDeque<(u64, u64)>,
+    /// Steps of the last second.
+    steps: VecDeque<Step>,
     waiting: BTreeMap<Rank, Sequence>,
 }
 
@@ -86,8 +92,8 @@
     #[must_use]
     pub fn load(&self, now_us: u64) -> Report {
         let since_us = now_us.saturating_sub(INTERVAL_WINDOW_US);
-        let recent = || self.steps.iter().filter(|(end_us, _)| *end_us > since_us);
-        let total_us: u64 = recent().map(|(_, step_us)| step_us).sum();
+        let recent = || self.steps.iter().filter(|step| step.end_us > since_us);
+        let total_us: u64 = recent().map(|step| step.length_us).sum();
         Report {
             memory_used_tokens: self.memory.used() as u64 * u64::from(self.settings.block_tokens),
             preemptions: self.preemptions,
@@ -189,11 +195,14 @@
 
     fn finish_step(&mut self, now_us: u64, outputs: &mut Vec<Output>) {
         self.charge();
-        self.steps.push_back((now_us, self.step_us));
+        self.steps.push_back(Step {
+            end_us: now_us,
+            length_us: self.step_us,
+        });
         while self
             .steps
             .front()
-            .is_some_and(|step| step.0 + INTERVAL_WINDOW_US < now_us)
+            .is_some_and(|step| step.end_us + INTERVAL_WINDOW_US < now_us)
         {
             self.steps.pop_front();
         }
--- a/crates/fakes/src/experiment/columns.rs
+++ b/crates/fakes/src/experiment/columns.rs
@@ -118,7 +118,7 @@
     }
 
     fn stall_total_us(&self) -> u64 {
-        self.metrics.stalls.iter().map(|stall| stall.1).sum()
+        self.metrics.stalls.iter().map(|stall| stall.stall_us).sum()
     }
 
     /// Engine time of each customer over its entitlement.
--- a/crates/fakes/src/experiment/metrics.rs
+++ b/crates/fakes/src/experiment/metrics.rs
@@ -24,8 +24,15 @@
     pub(crate) requests: u64,
     /// Requests asked for again after an endpoint failed or refused.
     pub(crate) retries: u64,
-    /// Customer and stall time of each generation that began.
-    pub(crate) stalls: Vec<(usize, u64)>,
+    /// One for each generation that began.
+    pub(crate) stalls: Vec<Stall>,
+}
+
+/// Stall time of one generation.
+#[derive(Debug)]
+pub(crate) struct Stall {
+    pub(crate) customer: usize,
+    pub(crate) stall_us: u64,
 }
 
 impl Metrics {
@@ -61,8 +68,11 @@
 
     /// Stall time that this part of the generations does not exceed.
     pub(crate) fn stall_us(&self, part: f64, without: Option<usize>) -> u64 {
-        let counted = self.stalls.iter().filter(|stall| Some(stall.0) != without);
-        let mut sorted: Vec<u64> = counted.map(|stall| stall.1).collect();
+        let counted = self
+            .stalls
+            .iter()
+            .filter(|stall| Some(stall.customer) != without);
+        let mut sorted: Vec<u64> = counted.map(|stall| stall.stall_us).collect();
         sorted.sort_unstable();
         let position = whole(part * wide(sorted.len()), 0, u32::MAX) as usize;
         let last = sorted.len().saturating_sub(1);
--- a/crates/fakes/src/experiment/simulation/callers.rs
+++ b/crates/fakes/src/experiment/simulation/callers.rs
@@ -1,6 +1,7 @@
 use names::RequestId;
 
 use super::{Item, Simulation};
+use crate::experiment::metrics::Stall;
 use crate::experiment::simulation::messages::{Message, PERMIT_BYTES};
 
 /// Time between tokens that callers accept on the whole.
@@ -82,7 +83,8 @@
         self.open_callers -= 1;
         if caller.tokens > 0 {
             let customer = self.arrivals[arrival].customer;
-            self.metrics.stalls.push((customer, caller.stall_us));
+            let stall_us = caller.stall_us;
+            self.metrics.stalls.push(Stall { customer, stall_us });
         }
     }
 
--- a/crates/fakes/src/experiment/simulation/messages.rs
+++ b/crates/fakes/src/experiment/simulation/messages.rs
@@ -15,6 +15,13 @@
 /// Bytes of a message about one permit.
 pub(super) const PERMIT_BYTES: u64 = 24;
 
+/// How far one permit is.
+#[derive(Debug, Clone)]
+pub(super) struct Progress {
+    generated_tokens: u32,
+    permit: PermitId,
+}
+
 /// News on its way to the policy.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -22,7 +29,7 @@
     Finished(PermitId, End, u32),
     Lapsed(usize),
     Leaving(usize),
-    Progressed(Vec<(PermitId, u32)>),
+    Progressed(Vec<Progress>),
     /// Endpoint, time when it was true, and load.
     Reported(usize, u64, Report),
     Requested(RequestId),
@@ -45,22 +52,8 @@
             Message::Leaving(site) => self.tell(Event::Leaving {
                 endpoint: endpoint(site),
             }),
-            Message::Progressed(permits) => {
-                for (permit, generated_tokens) in permits {
-                    self.tell(Event::Progressed {
-                        generated_tokens,
-                        permit,
-                    });
-                }
-            }
-            Message::Reported(site, true_us, report) => {
-                let age_us = self.now_us - true_us;
-                self.tell(Event::Reported {
-                    age_us,
-                    endpoint: endpoint(site),
-                    report: &report,
-                });
-            }
+            Message::Progressed(permits) => self.deliver_progress(permits),
+            Message::Reported(site, true_us, report) => self.deliver_report(site, true_us, &report),
             Message::Requested(request) => {
                 let demand = self.demand(self.arrival_of(request));
                 self.tell(Event::Requested {
@@ -124,7 +117,11 @@
             if flight.tokens > flight.reported_tokens && !self.sites[flight.site].is_service {
                 flight.reported_tokens = flight.tokens;
                 let region = self.arrivals[flight.arrival].region;
-                batches[region].push((flight.permit, flight.tokens));
+                let (generated_tokens, permit) = (flight.tokens, flight.permit);
+                batches[region].push(Progress {
+                    generated_tokens,
+                    permit,
+                });
             }
         }
         for (region, batch) in batches.into_iter().enumerate() {
@@ -166,6 +163,29 @@
         });
     }
 
+    fn deliver_progress(&mut self, permits: Vec<Progress>) {
+        for Progress {
+            generated_tokens,
+            permit,
+        } in permits
+        {
+            self.tell(Event::Progressed {
+                generated_tokens,
+                permit,
+            });
+        }
+    }
+
+    fn deliver_report(&mut self, site: usize, true_us: u64, report: &Report) {
+        let age_us = self.now_us - true_us;
+        let endpoint = endpoint(site);
+        self.tell(Event::Reported {
+            age_us,
+            endpoint,
+            report,
+        });
+    }
+
     fn demand(&self, arrival: usize) -> Demand {
         let arrival = &self.arrivals[arrival];
         let kind = &self.load.kinds[arrival.kind];
