--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -35,6 +35,8 @@
     pub token_interval_goal_us: u64,
     /// Engine time of one generated token before it is measured.
     pub token_us: f64,
+    /// Placement cost of each sequence that an endpoint holds back.
+    pub waiting_us: u64,
     /// Part of the longest wait that a row allows beyond which a predicted wait is refused.
     pub wait_part_max: f64,
 }
@@ -44,7 +46,7 @@
         Self {
             backfill_flows: 4,
             bypass_us_max: 500_000,
-            confidence_deviations: 2.0,
+            confidence_deviations: 1.5,
             debt_us_max: 60_000_000,
             length_memory_generations: 400.0,
             length_memory_half_life_us: 6 * 3_600_000_000,
@@ -59,7 +61,8 @@
             sequences_start: 48,
             token_interval_goal_us: 34_000,
             token_us: 1_000.0,
-            wait_part_max: 0.8,
+            wait_part_max: 0.6,
+            waiting_us: 200_000,
         }
     }
 }
