Split the large modules of the entry and hold less memory for each stream

Counting live allocations by size showed a read buffer pinned by the head of the engine's answer, the head of the caller's request kept until the first token, and the request held twice inside its task.

Change: modules split by state and events; the head of the engine's answer and of the request are dropped once read; the task of a generation is built before it becomes a future.

--- a/crates/entry/src/http/exchange.rs
+++ b/crates/entry/src/http/exchange.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -61,6 +61,11 @@
         poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
+    /// Forgets the head of the answer, which holds on to a read buffer.
+    pub(crate) fn forget_head(&mut self) {
+        *self.response.headers_mut() = HeaderMap::new();
+    }
+
     pub(crate) fn response(&self) -> &Response<Incoming> {
         &self.response
     }
--- a/crates/entry/src/http/generation.rs
+++ b/crates/entry/src/http/generation/mod.rs
@@ -1,5 +1,7 @@
 //! Drives one generation call: performs the actions of its core.
 
+mod steps;
+
 use std::future::pending;
 use std::mem;
 use std::pin::Pin;
@@ -14,14 +16,13 @@
 use tokio::time::{Sleep, sleep_until};
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
-use super::answer::Answer;
-use super::event_reader::EngineEvent;
-use super::link::{Dial, Link, StartBody, cancel};
-use super::measures::Measures;
-use super::problem::Problem;
-use super::shared::{Running, Shared};
 use crate::border::{End, Permit, PermitRequest, Refusal};
-use crate::core::{Action, Call, Event, Failure, FailurePoint, GenerationEnd, Mode, Status};
+use crate::core::{Action, Call, Event, Failure, FailurePoint, Mode};
+use crate::http::answer::Answer;
+use crate::http::link::{Dial, Link, StartBody, cancel};
+use crate::http::measures::Measures;
+use crate::http::problem::Problem;
+use crate::http::shared::{Running, Shared};
 
 /// When a request may be repeated whose budget of retries is spent.
 const BUDGET_RETRY_AFTER_MS: u64 = 2_000;
@@ -84,31 +85,12 @@
 
 impl Generation {
     /// Runs the call to its end.
-    pub(crate) async fn run(self, running: Running) {
-        let mut actions = Vec::new();
-        let seed = self.shared.next_seed();
-        let call = Call::open(self.mode, self.deadline_us, seed, &mut actions);
-        let wake = self.shared.clock.instant(call.wake_us());
-        let mut driver = Driver {
-            actions,
-            call,
-            queued_us: 0,
-            generation: self,
-            has_deposited: false,
-            last_endpoint: None,
-            permit: None,
-            received: 0,
-            revoked: None,
-            timer: Box::pin(sleep_until(wake)),
-            waiting: Waiting::Nothing,
-        };
-        driver.perform().await;
-        while !driver.call.is_over() {
-            let step = driver.step().await;
-            driver.take(step).await;
-            driver.perform().await;
+    pub(crate) fn run(self, running: Running) -> impl Future<Output = ()> {
+        let mut driver = Driver::new(self);
+        async move {
+            driver.run().await;
+            drop(running);
         }
-        drop(running);
     }
 }
 
@@ -179,11 +161,32 @@
         self.generation.answer.fail(failure).await;
     }
 
+    fn new(generation: Generation) -> Self {
+        let mut actions = Vec::new();
+        let seed = generation.shared.next_seed();
+        let call = Call::open(generation.mode, generation.deadline_us, seed, &mut actions);
+        let wake = generation.shared.clock.instant(call.wake_us());
+        Self {
+            actions,
+            call,
+            queued_us: 0,
+            generation,
+            has_deposited: false,
+            last_endpoint: None,
+            permit: None,
+            received: 0,
+            revoked: None,
+            timer: Box::pin(sleep_until(wake)),
+            waiting: Waiting::Nothing,
+        }
+    }
+
     /// Performs all actions, also those that follow from them.
     async fn perform(&mut self) {
         while !self.actions.is_empty() {
             for action in mem::take(&mut self.actions) {
-                self.perform_one(action).await;
+                // Boxed, as the task of a stream holds room for its largest step for as long as it runs.
+                Box::pin(self.perform_one(action)).await;
             }
         }
     }
@@ -244,6 +247,15 @@
         }
     }
 
+    async fn run(&mut self) {
+        self.perform().await;
+        while !self.call.is_over() {
+            let step = self.step().await;
+            self.take(step).await;
+            self.perform().await;
+        }
+    }
+
     fn start(&mut self, generation: GenerationId) {
         let body = StartBody {
             max_tokens: self.generation.permit_request.max_tokens,
@@ -276,152 +288,4 @@
             step = self.waiting.step() => step,
         }
     }
-
-    async fn take(&mut self, step: Step) {
-        match step {
-            Step::CallerGone => self.event(Event::CallerGone),
-            Step::Opened(Ok(link)) => self.take_link(link),
-            Step::Opened(Err(event)) => {
-                self.waiting = Waiting::Nothing;
-                self.event(event);
-            }
-            Step::Permit(Ok(permit)) => self.take_permit(permit),
-            Step::Permit(Err(refusal)) => {
-                self.waiting = Waiting::Nothing;
-                self.event(Event::Refused(refusal));
-            }
-            Step::Piece(Ok(piece)) => self.take_piece(&piece).await,
-            Step::Piece(Err(point)) => self.take_failure(point),
-            Step::Revoked => {
-                self.revoked = None;
-                self.event(Event::Revoked);
-            }
-            Step::Tick => self.event(Event::Tick),
-        }
-    }
-
-    fn take_failure(&mut self, point: FailurePoint) {
-        if let Waiting::Link(link) = mem::replace(&mut self.waiting, Waiting::Nothing) {
-            self.generation.measures.observer().connection_dropped();
-            let generation = link.generation;
-            self.event(Event::LinkFailed { generation, point });
-        }
-    }
-
-    fn take_link(&mut self, link: Box<Link>) {
-        let now_us = self.generation.shared.clock.now_us();
-        if let Some(permit) = &self.permit {
-            self.generation.measures.begin(permit.endpoint(), now_us);
-        }
-        let generation = link.generation;
-        self.waiting = Waiting::Link(link);
-        self.event(Event::Opened { generation });
-    }
-
-    fn take_permit(&mut self, permit: Box<dyn Permit>) {
-        let shared = Arc::clone(&self.generation.shared);
-        let now_us = shared.clock.now_us();
-        self.waiting = Waiting::Nothing;
-        self.generation
-            .measures
-            .observer()
-            .queued(now_us - self.queued_us);
-        if !self.has_deposited {
-            self.has_deposited = true;
-            let customer = &self.generation.permit_request.customer;
-            shared.budgets().deposit(customer, permit.endpoint());
-        }
-        let patience = shared.patience(permit.endpoint());
-        self.last_endpoint = Some(permit.endpoint().clone());
-        self.revoked = permit
-            .revoked()
-            .map(|token| Box::pin(token.cancelled_owned()));
-        self.permit = Some(permit);
-        self.received = 0;
-        self.event(Event::Granted {
-            generation: shared.next_generation(),
-            patience,
-        });
-    }
-
-    /// Whether the call drops a link for what came over it.
-    fn is_link_faulty(&self, event: &Event) -> bool {
-        let is_end = match event {
-            Event::Ended { end, .. } => *end == GenerationEnd::Cancelled,
-            _ => false,
-        };
-        let is_complete = matches!(self.actions.last(), Some(Action::Complete { .. }));
-        self.actions.contains(&Action::DropLink) && !is_end && !is_complete
-    }
-
-    /// Takes the events of a piece, and hands the caller what follows.
-    async fn take_piece(&mut self, piece: &Bytes) {
-        let Waiting::Link(mut link) = mem::replace(&mut self.waiting, Waiting::Nothing) else {
-            return;
-        };
-        let now_us = self.generation.shared.clock.now_us();
-        self.generation.measures.heard(now_us);
-        let region = self.permit.as_ref().and_then(|permit| permit.region());
-        self.generation
-            .measures
-            .observer()
-            .received(region, piece.len() as u64);
-        let generation = link.generation;
-        link.read(piece, |event| self.take_engine(now_us, generation, &event));
-        self.waiting = Waiting::Link(link);
-        if let Some(permit) = &mut self.permit {
-            permit.progressed(self.received);
-        }
-        if !self.generation.answer.flush().await {
-            self.event(Event::CallerGone);
-        }
-    }
-
-    /// Takes one event of the engine; whether the next one is wanted.
-    fn take_engine(
-        &mut self,
-        now_us: u64,
-        generation: GenerationId,
-        event: &EngineEvent<'_>,
-    ) -> bool {
-        let whole_bytes = self.generation.shared.settings.limits.whole_bytes;
-        let event_of_call = match event {
-            EngineEvent::Token { index, .. }
-                if self.generation.answer.held_bytes() <= whole_bytes =>
-            {
-                Event::Token {
-                    generation,
-                    index: *index,
-                }
-            }
-            EngineEvent::Malformed | EngineEvent::Token { .. } => Event::Malformed { generation },
-            EngineEvent::End { end, tokens } => Event::Ended {
-                end: *end,
-                generation,
-                tokens: *tokens,
-            },
-            EngineEvent::Status(status) => {
-                if *status == Status::Preempted {
-                    self.generation.measures.observer().preempted();
-                }
-                Event::Status {
-                    generation,
-                    status: *status,
-                }
-            }
-        };
-        self.call.handle(now_us, event_of_call, &mut self.actions);
-        if let (Some(Action::Deliver { generation, index }), EngineEvent::Token { text, .. }) =
-            (self.actions.last(), event)
-        {
-            self.generation.answer.token(*generation, *index, text);
-            self.generation.measures.token(now_us);
-            self.received = index + 1;
-            self.actions.pop();
-        }
-        if self.is_link_faulty(&event_of_call) {
-            self.generation.measures.observer().connection_dropped();
-        }
-        self.actions.is_empty()
-    }
 }
--- a/crates/entry/src/http/link.rs
+++ b/crates/entry/src/http/link.rs
@@ -67,12 +67,13 @@
     async fn open(self, method: Method, path: &str, body: Bytes) -> Result<Box<Link>, Event> {
         let generation = self.generation;
         let request = request(self.address, method, path, body);
-        let exchange = Exchange::send(self.address, request, self.connect, ReadBuffer::Small)
+        let mut exchange = Exchange::send(self.address, request, self.connect, ReadBuffer::Small)
             .await
             .map_err(|point| Event::LinkFailed { generation, point })?;
         if let Some(event) = refusal(generation, &exchange) {
             return Err(event);
         }
+        exchange.forget_head();
         Ok(Box::new(Link {
             exchange,
             generation,
--- a/crates/entry/src/http/routes.rs
+++ b/crates/entry/src/http/routes.rs
@@ -205,6 +205,7 @@
     drop(body);
     let work = Work::Model(&wanted.model);
     let admitted = admit(&shared, &head.headers, customer, arrived_us, work)?;
+    drop(head);
     let (caller, answer) = Caller::new();
     let generation = generation(&shared, dialect, wanted, admitted, caller);
     shared.background.spawn(generation.run(running));
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service/mod.rs
@@ -1,35 +1,36 @@
 //! Drives one call of a plain service.
 
+mod answer;
+mod steps;
+
 use std::future::pending;
 use std::mem;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use names::EndpointName;
 use slog::{info, warn};
 use tokio::select;
 use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
 
-use super::body::{AnswerBody, Piece};
-use super::caller::Caller;
-use super::exchange::{Exchange, ReadBuffer};
-use super::headers::{self, CALL, CUSTOMER, OUTCOME, TIMEOUT_MS};
-use super::problem::Problem;
-use super::shared::{Running, Shared};
+use self::answer::{Answer, answered, collect, conflict, relay, replayed, stored};
 use crate::border::{
     ClaimRequest, Claimed, ClassObserver, End, Permit, PermitRequest, Refusal, StoredAnswer,
-    StoredHeader,
-};
-use crate::core::{
-    ClaimState, Failure, FailurePoint, Outcome, Repeat, ServiceAction, ServiceCall, ServiceEvent,
 };
+use crate::core::{Failure, FailurePoint, Repeat, ServiceAction, ServiceCall, ServiceEvent};
+use crate::http::body::Piece;
+use crate::http::caller::Caller;
+use crate::http::exchange::{Exchange, ReadBuffer};
+use crate::http::headers::{CALL, CUSTOMER, TIMEOUT_MS};
+use crate::http::problem::Problem;
+use crate::http::shared::{Running, Shared};
 
 /// When a call may be repeated that another request runs, or whose budget of retries is spent.
 const RETRY_AFTER_MS: u64 = 2_000;
@@ -63,13 +64,6 @@
     waiting: Waiting,
 }
 
-/// Answer of the endpoint, of which the first part may be read already.
-struct Answer {
-    exchange: Exchange,
-    is_whole: bool,
-    read: Bytes,
-}
-
 enum Waiting {
     Answer(BoxFuture<'static, Result<Box<Answer>, FailurePoint>>),
     Claim(BoxFuture<'static, Claimed>),
@@ -166,6 +160,11 @@
         }
     }
 
+    /// Whether the call ends when the caller leaves.
+    fn caller_matters(&self) -> bool {
+        self.service.repeat != Repeat::Claimed || !matches!(self.waiting, Waiting::Answer(_))
+    }
+
     fn claim(&mut self) {
         let shared = Arc::clone(&self.service.shared);
         let mut request = self.service.claim.clone();
@@ -328,11 +327,6 @@
         }
     }
 
-    /// Whether the call ends when the caller leaves.
-    fn caller_matters(&self) -> bool {
-        self.service.repeat != Repeat::Claimed || !matches!(self.waiting, Waiting::Answer(_))
-    }
-
     /// Commits the answer; the caller waits for it until the deadline.
     async fn store(&mut self) {
         let Some(answer) = &self.answer else {
@@ -351,204 +345,8 @@
         drop(timeout_at(self.deadline(), storing).await);
     }
 
-    fn take(&mut self, step: Step) {
-        match step {
-            Step::Answer(answer) => {
-                self.waiting = Waiting::Nothing;
-                self.take_answer(answer);
-            }
-            Step::CallerGone => self.event(ServiceEvent::CallerGone),
-            Step::Claim(claimed) => {
-                self.waiting = Waiting::Nothing;
-                self.take_claim(claimed);
-            }
-            Step::Permit(permit) => {
-                self.waiting = Waiting::Nothing;
-                self.take_permit(permit);
-            }
-            Step::Tick => self.event(ServiceEvent::Tick),
-        }
-    }
-
-    fn take_answer(&mut self, answer: Result<Box<Answer>, FailurePoint>) {
-        let answer = match answer {
-            Ok(answer) => answer,
-            Err(point) => {
-                self.event(ServiceEvent::Failed { point });
-                return;
-            }
-        };
-        let headers = answer.exchange.response().headers();
-        if headers::says_not_run(headers) {
-            let retry_after_ms = headers::retry_after_ms(headers).unwrap_or(RETRY_AFTER_MS);
-            self.event(ServiceEvent::NotRun { retry_after_ms });
-            return;
-        }
-        self.answer = Some(*answer);
-        self.event(ServiceEvent::Answered);
-    }
-
-    fn take_claim(&mut self, claimed: Claimed) {
-        let state = match claimed {
-            Claimed::Finished(stored) => {
-                self.stored = Some(stored);
-                ClaimState::Finished
-            }
-            Claimed::Granted => ClaimState::Granted,
-            Claimed::InProgress => ClaimState::InProgress,
-            Claimed::Mismatch => ClaimState::Mismatch,
-            Claimed::Unavailable { retry_after_ms } => ClaimState::Unavailable { retry_after_ms },
-            Claimed::Unknown => ClaimState::Unknown,
-        };
-        self.event(ServiceEvent::Claimed(state));
-    }
-
-    fn take_permit(&mut self, permit: Result<Box<dyn Permit>, Refusal>) {
-        let permit = match permit {
-            Ok(permit) => permit,
-            Err(refusal) => {
-                self.event(ServiceEvent::Refused(refusal));
-                return;
-            }
-        };
-        let shared = &self.service.shared;
-        self.service
-            .observer
-            .queued(shared.clock.now_us() - self.queued_us);
-        if !self.has_deposited {
-            self.has_deposited = true;
-            let customer = &self.service.permit_request.customer;
-            shared.budgets().deposit(customer, permit.endpoint());
-        }
-        self.endpoint = Some(permit.endpoint().clone());
-        self.permit = Some(permit);
-        self.event(ServiceEvent::Granted);
-    }
-
     fn timeout_ms(&self) -> u64 {
         let now_us = self.service.shared.clock.now_us();
         self.service.deadline_us.saturating_sub(now_us) / 1_000
     }
 }
-
-/// Head of the answer to the caller.
-fn answered(exchange: &Exchange) -> Response<()> {
-    let mut head = Response::new(());
-    *head.status_mut() = exchange.status();
-    *head.headers_mut() = headers::forwarded(exchange.response().headers());
-    head.headers_mut().insert(OUTCOME, headers::value("ran"));
-    head
-}
-
-/// Reads up to `bytes_max` of the body.
-async fn collect(mut exchange: Exchange, bytes_max: usize) -> Result<Answer, FailurePoint> {
-    let mut read = BytesMut::new();
-    let mut is_whole = false;
-    while read.len() < bytes_max && !is_whole {
-        match exchange.chunk().await? {
-            Some(bytes) => read.extend_from_slice(&bytes),
-            None => is_whole = true,
-        }
-    }
-    Ok(Answer {
-        exchange,
-        is_whole,
-        read: read.freeze(),
-    })
-}
-
-fn conflict(claim: ClaimState) -> Problem {
-    match claim {
-        ClaimState::InProgress => Problem::bad(
-            StatusCode::CONFLICT,
-            "in-progress",
-            "another request with this key is in progress",
-        )
-        .with_outcome(Outcome::Unknown)
-        .with_retry_after_ms(RETRY_AFTER_MS),
-        ClaimState::Mismatch => Problem::bad(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "key-reused",
-            "the key was used with another request",
-        ),
-        ClaimState::Unavailable { retry_after_ms } => Problem::bad(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "claims-unavailable",
-            "the key cannot be claimed now",
-        )
-        .with_retry_after_ms(retry_after_ms),
-        ClaimState::Finished | ClaimState::Granted | ClaimState::Unknown => Problem::bad(
-            StatusCode::CONFLICT,
-            "unknown",
-            "whether the call with this key ran cannot be known",
-        )
-        .with_outcome(Outcome::Unknown),
-    }
-}
-
-/// Hands pieces to the caller until the body ends.
-async fn relay(caller: &mut Caller, answer: &mut Answer) -> End {
-    let read = mem::take(&mut answer.read);
-    let mut next = (!read.is_empty()).then_some(read);
-    loop {
-        if let Some(bytes) = next.take()
-            && !caller.data(bytes).await
-        {
-            return End::Cancelled;
-        }
-        if answer.is_whole {
-            return End::Completed;
-        }
-        let chunk = select! {
-            biased;
-            () = caller.gone() => return End::Cancelled,
-            chunk = answer.exchange.chunk() => chunk,
-        };
-        match chunk {
-            Ok(Some(bytes)) => next = Some(bytes),
-            Ok(None) => answer.is_whole = true,
-            Err(_) => return End::Failed,
-        }
-    }
-}
-
-fn replayed(stored: StoredAnswer) -> Response<AnswerBody> {
-    let Some(body) = stored.body else {
-        let detail = format!(
-            "the call ran and answered with status {}; its answer was too large to be stored",
-            stored.status
-        );
-        return Problem::bad(StatusCode::CONFLICT, "answer-not-stored", detail)
-            .with_outcome(Outcome::Ran)
-            .response();
-    };
-    let mut response = Response::new(AnswerBody::Whole(Full::new(body)));
-    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
-    for header in stored.headers {
-        if let (Ok(name), Ok(value)) = (
-            header.name.as_str().parse::<hyper::header::HeaderName>(),
-            hyper::header::HeaderValue::from_bytes(&header.value),
-        ) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
-        .headers_mut()
-        .insert(OUTCOME, headers::value("ran"));
-    response
-}
-
-fn stored(answer: &Answer) -> StoredAnswer {
-    let headers = headers::forwarded(answer.exchange.response().headers());
-    StoredAnswer {
-        body: answer.is_whole.then(|| answer.read.clone()),
-        headers: headers
-            .iter()
-            .map(|(name, value)| StoredHeader {
-                name: name.as_str().to_owned(),
-                value: Bytes::copy_from_slice(value.as_bytes()),
-            })
-            .collect(),
-        status: answer.exchange.status().as_u16(),
-    }
-}
