Mend membership, leases and rosters of the session core

Causes, each with a test in crates/session/tests that failed before: - A relay that took a whole roster dropped its record of removals, yet served deltas from before it: followers kept lost instances for ever. - A roster of an earlier term replaced one of a later term, and a subscriber newer than its publisher was answered at once every time (a busy loop). - Two runs of one name shared one record, so an edit counted as in force while the older run still held a lease on the revision before. A run superseded at the leader went on behind a relay without being counted at all. - A stale heartbeat counted as fresh in a process younger than its age. - A heartbeat that came late took back the revision that a run had applied. - A moved shard always named its predecessor lapsed. A restarted owner's older run, or one behind a relay that the leader does not hear, may act for one more lease. Only a draining owner is not waited for now. - A delayed announcement revived an endpoint that had left. - Several unreachable but listed relays were tried in a row every 5 s, which cost the lease (seen: none at 10,000 ms of the test).

Besides, without a test of their own: the leader started its count of time before its confirmation; a leader confirmed again in the same term restarted the versions of its roster under the same epoch; the time of acceptance was read before the locks; a relay cut off from the leader passed on its lease to the last millisecond, so that its subscribers learnt of it without one.

Ruled out: a longer member timeout instead of the wait. A relay can renew a silent instance at any moment of its own lease, so no timeout at the leader bounds it; the commit of the move plus one lease does.

--- a/crates/node/src/publication.rs
+++ b/crates/node/src/publication.rs
@@ -6,9 +6,7 @@
 use control::Control;
 use names::{InstanceName, LogIndex};
 use protocol::{SyncAnswer, SyncRequest, SyncUpdate};
-use session::{
-    CONFIGURATION_LEASE_MS, HEARTBEAT_INTERVAL_MS, Heard, Heartbeat, LeaseState, Publisher, Shard,
-};
+use session::{CONFIGURATION_LEASE_MS, HEARTBEAT_INTERVAL_MS, Heard, Heartbeat, Publisher, Shard};
 use slog::{Logger, info, warn};
 use table::Revision;
 use tokio::time::{sleep, timeout};
@@ -41,7 +39,9 @@
     /// Accepted revisions that are not known to be in force, with the time of acceptance.
     pending: Vec<Accepted>,
     publisher: Publisher,
-    /// Term in which this instance leads, if it does.
+    /// Whether the last confirmation succeeded.
+    leads: bool,
+    /// Last term in which this instance led.
     term: Option<u64>,
 }
 
@@ -68,6 +68,7 @@
             log: log.clone(),
             progress: Mutex::new(Progress {
                 pending: Vec::new(),
+                leads: false,
                 publisher: Publisher::new(clock.now_ms(), 0),
                 term: None,
             }),
@@ -93,11 +94,13 @@
     /// Copies the replicated state into what the instance holds, counts the instance itself as a
     /// subscriber, and renews its lease.
     pub(crate) async fn lead(&self, own: &Heartbeat) -> bool {
-        let now_ms = self.clock.now_ms();
+        let sent_ms = self.clock.now_ms();
         let Some(confirmed) = self.confirmed_term().await else {
             self.step_down();
             return false;
         };
+        // Leases of an earlier leader end at most one lease after the confirmation.
+        let now_ms = self.clock.now_ms();
         self.begin_term(now_ms, confirmed);
         self.pull();
         let mut progress = self.lock();
@@ -110,7 +113,7 @@
         let news = Self::publish_roster(&mut held, &progress) || held.in_force < in_force;
         held.in_force = held.in_force.max(in_force);
         held.leader = Some(self.instance.clone());
-        held.lease.renew(now_ms, CONFIGURATION_LEASE_MS);
+        held.lease.renew(sent_ms, CONFIGURATION_LEASE_MS);
         drop(held);
         drop(progress);
         if news {
@@ -124,6 +127,11 @@
         if self.hear(request) == Heard::Superseded {
             return SyncAnswer::Superseded;
         }
+        if !self.may_publish() {
+            return SyncAnswer::NotPublisher {
+                leader: self.holdings.lock().leader.clone(),
+            };
+        }
         self.holdings.want(&request.wanted);
         let mut changes = self.holdings.changes();
         let interval = Duration::from_millis(HEARTBEAT_INTERVAL_MS);
@@ -169,8 +177,13 @@
         })
     }
 
+    /// Starts the publisher of a term.
+    ///
+    /// A leader that is confirmed again in the same term was the only one all along, so it goes on
+    /// with what it knows; versions of the roster must not start again within a term.
     fn begin_term(&self, now_ms: u64, term: u64) {
         let mut progress = self.lock();
+        progress.leads = true;
         if progress.term == Some(term) {
             return;
         }
@@ -203,35 +216,48 @@
         let held = self.holdings.lock();
         held.feed.revision().0 > request.table.0
             || held.assignments.applied() > request.assignments
-            || held.roster.epoch() != request.roster_epoch
-            || held.roster.version() != request.roster_version
+            || held
+                .roster
+                .since(request.roster_epoch, request.roster_version)
+                .is_some()
     }
 
+    /// Takes the heartbeats of a request, the subscriber's own first.
     fn hear(&self, request: &SyncRequest) -> Heard {
+        let Some((own, forwarded)) = request.heartbeats.split_first() else {
+            return Heard::Accepted;
+        };
         let now_ms = self.clock.now_ms();
         let mut progress = self.lock();
-        let heard: Vec<Heard> = request
-            .heartbeats
-            .iter()
-            .map(|heartbeat| progress.publisher.heard(now_ms, heartbeat))
-            .collect();
-        heard.first().copied().unwrap_or(Heard::Accepted)
+        for heartbeat in forwarded {
+            progress.publisher.forwarded(now_ms, heartbeat);
+        }
+        // The roster of the leader tells a relay of runs that it has not heard itself.
+        let elsewhere = !progress.leads && self.holdings.lock().roster.supersedes(&own.member);
+        if elsewhere {
+            return Heard::Superseded;
+        }
+        progress.publisher.heard(now_ms, own)
     }
 
     fn lease_ms(&self, held: &Held, leads: bool) -> Option<u64> {
         if leads {
             return Some(CONFIGURATION_LEASE_MS);
         }
-        match held.lease.state(self.clock.now_ms()) {
-            LeaseState::Lapsed => None,
-            LeaseState::Live { left_ms } => Some(left_ms),
-        }
+        held.lease.relayed_ms(self.clock.now_ms())
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether an answer may carry a lease, as far as can be told without asking the quorum.
+    fn may_publish(&self) -> bool {
+        let leads = |control: &Arc<Control>| control.role().borrow().is_leader;
+        self.control.as_ref().is_some_and(leads)
+            || self.lease_ms(&self.holdings.lock(), false).is_some()
+    }
+
     fn publish_roster(held: &mut Held, progress: &Progress) -> bool {
         let roster = progress.publisher.roster();
         match roster.since(held.roster.epoch(), held.roster.version()) {
@@ -245,10 +271,11 @@
 
     /// Copies what is new in the replicated state.
     fn pull(&self) {
-        let now_ms = self.clock.now_ms();
         let mut progress = self.lock();
         let state = self.state.lock();
         let mut held = self.holdings.lock();
+        // Read under the locks: no answer without the news is composed after this moment.
+        let now_ms = self.clock.now_ms();
         let mut news = false;
         if state.table.revision() > held.feed.revision() {
             let publication = state.table.delta_since(held.feed.revision());
@@ -273,10 +300,9 @@
 
     fn step_down(&self) {
         let mut progress = self.lock();
-        if progress.term.take().is_some() {
+        if progress.leads {
             info!(self.log, "no longer leading");
-            progress.publisher = Publisher::new(self.clock.now_ms(), 0);
-            progress.pending.clear();
+            progress.leads = false;
         }
     }
 }
--- a/crates/node/src/subscription.rs
+++ b/crates/node/src/subscription.rs
@@ -51,7 +51,7 @@
                 self.wait_as_leader().await;
                 continue;
             }
-            let Some(publisher) = self.choose(&mut upstream) else {
+            let Some(publisher) = self.choose(&upstream) else {
                 upstream.forget_failures();
                 sleep(Duration::from_millis(RETRY_MS)).await;
                 continue;
@@ -64,7 +64,7 @@
         }
     }
 
-    fn choose(&self, upstream: &mut Upstream) -> Option<InstanceName> {
+    fn choose(&self, upstream: &Upstream) -> Option<InstanceName> {
         let held = self.holdings.lock();
         upstream.choose(
             self.clock.now_ms(),
@@ -104,6 +104,7 @@
                 sleep(Duration::from_millis(SUPERSEDED_RETRY_MS)).await;
             }
             Some(SyncAnswer::Update(update)) => {
+                upstream.answered(publisher);
                 self.holdings.apply(sent_ms, update);
             }
             None => {
--- a/crates/session/src/assignment.rs
+++ b/crates/session/src/assignment.rs
@@ -21,9 +21,9 @@
 /// What the owner of a shard must know of the owner before it.
 #[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Predecessor {
-    /// Its lease had lapsed when the assignment was proposed; its permits may still run.
+    /// It grants no more; its permits may still run.
     Lapsed,
-    /// Its lease may still be live.
+    /// It may act for one more configuration lease.
     Live,
     /// There was none.
     None,
--- a/crates/session/src/endpoints.rs
+++ b/crates/session/src/endpoints.rs
@@ -1,8 +1,11 @@
 //! The owner's leases of its endpoints.
+//!
+//! The last announcement of an endpoint whose lease lapsed is remembered for a while, so that one
+//! that was delayed on its way does not bring the endpoint back.
 
-use names::{EndpointId, EndpointName};
+use names::{EndpointId, EndpointName, Incarnation};
 
-use crate::{Announcement, ENDPOINT_LEASE_MS, Error};
+use crate::{Announcement, ENDPOINT_LEASE_MS, ENDPOINT_MEMORY_MS, Error};
 
 /// An endpoint under lease.
 #[derive(Debug)]
@@ -28,13 +31,31 @@
     Leaving(EndpointId),
 }
 
+#[derive(Debug)]
+struct Ended {
+    key: AnnouncementKey,
+    name: EndpointName,
+    until_ms: u64,
+}
+
+/// Incarnation and sequence of an announcement.
+type AnnouncementKey = (Incarnation, u64);
+
 /// Endpoints under lease, sorted by name.
 #[derive(Debug, Default)]
 pub struct Endpoints {
-    endpoints: Vec<Endpoint>,
+    /// Endpoints whose lease lapsed lately, sorted by name.
+    ended: Vec<Ended>,
+    live: Vec<Endpoint>,
     last_id: u64,
 }
 
+impl Endpoint {
+    fn key(&self) -> AnnouncementKey {
+        (self.announcement.incarnation, self.announcement.sequence)
+    }
+}
+
 impl Endpoints {
     /// Takes an announcement; every incarnation of an endpoint gets a number of its own.
     ///
@@ -47,20 +68,20 @@
         name: &EndpointName,
         announcement: &Announcement,
     ) -> Result<Vec<EndpointEvent>, Error> {
+        let key = (announcement.incarnation, announcement.sequence);
+        if self.last_key(now_ms, name).is_some_and(|last| key < last) {
+            return Err(Error::Outdated {
+                endpoint: name.clone(),
+                incarnation: announcement.incarnation,
+                sequence: announcement.sequence,
+            });
+        }
         let mut events = Vec::new();
         if let Ok(position) = self.position(name) {
-            let known = &self.endpoints[position];
-            let known_key = (known.announcement.incarnation, known.announcement.sequence);
-            if (announcement.incarnation, announcement.sequence) < known_key {
-                return Err(Error::Outdated {
-                    endpoint: name.clone(),
-                    incarnation: announcement.incarnation,
-                    sequence: announcement.sequence,
-                });
-            }
+            let known = &self.live[position];
             if known.announcement.incarnation != announcement.incarnation {
                 events.push(EndpointEvent::Lapsed(known.id));
-                self.endpoints.remove(position);
+                self.live.remove(position);
             }
         }
         let id = self.set(now_ms, name, announcement);
@@ -74,37 +95,68 @@
 
     /// Removes endpoints whose lease has lapsed.
     pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointEvent> {
-        let live = |endpoint: &Endpoint| endpoint.heard_ms + ENDPOINT_LEASE_MS > now_ms;
-        let lapsed = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| !live(endpoint))
-            .map(|endpoint| EndpointEvent::Lapsed(endpoint.id))
+        self.ended.retain(|ended| ended.until_ms > now_ms);
+        let is_over = |endpoint: &Endpoint| endpoint.heard_ms + ENDPOINT_LEASE_MS <= now_ms;
+        let lapsed: Vec<Endpoint> = self
+            .live
+            .extract_if(.., |endpoint| is_over(endpoint))
             .collect();
-        self.endpoints.retain(live);
         lapsed
+            .into_iter()
+            .map(|endpoint| {
+                let id = endpoint.id;
+                self.remember(now_ms, endpoint);
+                EndpointEvent::Lapsed(id)
+            })
+            .collect()
     }
 
     /// The endpoint with that number.
     #[must_use]
     pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
-        self.endpoints.iter().find(|endpoint| endpoint.id == id)
+        self.live.iter().find(|endpoint| endpoint.id == id)
     }
 
     /// All endpoints under lease, by name.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.iter()
+        self.live.iter()
+    }
+
+    /// Incarnation and sequence of the last announcement taken, where it is remembered.
+    fn last_key(&self, now_ms: u64, name: &EndpointName) -> Option<AnnouncementKey> {
+        if let Ok(position) = self.position(name) {
+            return Some(self.live[position].key());
+        }
+        let position = self.ended_position(name).ok()?;
+        let ended = &self.ended[position];
+        (ended.until_ms > now_ms).then_some(ended.key)
+    }
+
+    fn ended_position(&self, name: &EndpointName) -> Result<usize, usize> {
+        self.ended.binary_search_by(|ended| ended.name.cmp(name))
     }
 
     fn position(&self, name: &EndpointName) -> Result<usize, usize> {
-        self.endpoints
+        self.live
             .binary_search_by(|endpoint| endpoint.name.cmp(name))
     }
 
+    fn remember(&mut self, now_ms: u64, endpoint: Endpoint) {
+        let ended = Ended {
+            key: endpoint.key(),
+            name: endpoint.name,
+            until_ms: now_ms + ENDPOINT_MEMORY_MS,
+        };
+        match self.ended_position(&ended.name) {
+            Ok(position) => self.ended[position] = ended,
+            Err(position) => self.ended.insert(position, ended),
+        }
+    }
+
     fn set(&mut self, now_ms: u64, name: &EndpointName, news: &Announcement) -> EndpointId {
         match self.position(name) {
             Ok(position) => {
-                let endpoint = &mut self.endpoints[position];
+                let endpoint = &mut self.live[position];
                 endpoint.announcement = news.clone();
                 endpoint.heard_ms = now_ms;
                 endpoint.id
@@ -112,7 +164,7 @@
             Err(position) => {
                 self.last_id += 1;
                 let id = EndpointId(self.last_id);
-                self.endpoints.insert(
+                self.live.insert(
                     position,
                     Endpoint {
                         announcement: news.clone(),
--- a/crates/session/src/lease.rs
+++ b/crates/session/src/lease.rs
@@ -1,4 +1,4 @@
-use crate::CONFIGURATION_LEASE_MS;
+use crate::{CONFIGURATION_LEASE_MS, RELAYED_LEASE_MIN_MS};
 
 /// Permission to act on the applied configuration, on the holder's side.
 ///
@@ -28,6 +28,18 @@
         matches!(self.state(now_ms), LeaseState::Live { .. })
     }
 
+    /// Time left that may be passed on to subscribers; none where too little is left.
+    ///
+    /// A holder that misses renewals stops passing the lease on while its subscribers still have
+    /// time to find another publisher.
+    #[must_use]
+    pub fn relayed_ms(&self, now_ms: u64) -> Option<u64> {
+        match self.state(now_ms) {
+            LeaseState::Live { left_ms } if left_ms >= RELAYED_LEASE_MIN_MS => Some(left_ms),
+            LeaseState::Lapsed | LeaseState::Live { .. } => None,
+        }
+    }
+
     /// Renews the lease by an answer to a request sent at `sent_ms` that granted `granted_ms`.
     pub fn renew(&mut self, sent_ms: u64, granted_ms: u64) {
         let until_ms = sent_ms + granted_ms.min(CONFIGURATION_LEASE_MS);
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -44,13 +44,20 @@
 /// Longest time without an announcement before an endpoint's lease lapses.
 pub const ENDPOINT_LEASE_MS: u64 = 3_000;
 
+/// Time after the end of an endpoint's lease for which late announcements are still told apart.
+pub const ENDPOINT_MEMORY_MS: u64 = 10_000;
+
 /// Longest time that a publisher keeps a subscriber's request open without news.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 500;
 
 /// Time without a heartbeat after which an instance leaves the roster.
 ///
-/// It is longer than the configuration lease, so that an instance outside the roster holds none.
+/// It is longer than the configuration lease, so that no run is forgotten that acts on an old
+/// configuration.
 pub const MEMBER_TIMEOUT_MS: u64 = CONFIGURATION_LEASE_MS + 500;
 
+/// Least time left of a lease that is passed on to subscribers.
+pub const RELAYED_LEASE_MIN_MS: u64 = CONFIGURATION_LEASE_MS / 2;
+
 /// Time without an answer after which a subscriber moves to another publisher.
 pub const UPSTREAM_TIMEOUT_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
--- a/crates/session/src/member.rs
+++ b/crates/session/src/member.rs
@@ -31,10 +31,9 @@
         self.state == MemberState::Serving && self.roles.contains(&Role::Dispatch)
     }
 
-    /// Whether both descriptions are of one run of one instance.
-    #[must_use]
-    pub fn same_run(&self, other: &Self) -> bool {
-        self.name == other.name && self.incarnation == other.incarnation && self.run == other.run
+    /// Orders the runs of one name, the latest last.
+    pub(crate) fn run_key(&self) -> (Incarnation, u64) {
+        (self.incarnation, self.run)
     }
 }
 
--- a/crates/session/src/planner.rs
+++ b/crates/session/src/planner.rs
@@ -2,11 +2,16 @@
 //!
 //! Assignments are sticky: a shard moves only when its owner is gone, restarted or draining. A
 //! shard whose region has no live dispatch instance goes to an instance of another region.
+//!
+//! An owner that is gone or restarted may still act: a relay that the leader cannot hear may have
+//! renewed its lease. Whoever renews a lease from a request sent after the move was committed sees
+//! the move, so the next owner waits for one lease. Only an owner that drains needs no wait.
 
 use names::{Epoch, InstanceName};
 
 use crate::{
-    AssignCommand, Assignment, Assignments, Member, Predecessor, Roster, Shard, rendezvous_order,
+    AssignCommand, Assignment, Assignments, Member, MemberState, Predecessor, Roster, Shard,
+    rendezvous_order,
 };
 
 /// Commands that give every wanted shard without an owner a live one.
@@ -25,8 +30,7 @@
 
 /// Commands that move every shard whose owner is gone, restarted or draining.
 ///
-/// The roster must be complete. An owner that is missing from it holds no configuration lease any
-/// more, because the roster keeps an instance longer than its lease lasts.
+/// The roster must be complete.
 #[must_use]
 pub fn plan_moves(roster: &Roster, assignments: &Assignments) -> Vec<AssignCommand> {
     assignments
@@ -69,10 +73,14 @@
 }
 
 fn predecessor(roster: &Roster, current: Option<&Assignment>) -> Predecessor {
-    match current {
-        None => Predecessor::None,
-        // An instance that says that it drains has stopped granting.
-        Some(assignment) if owner_serves(roster, assignment) => Predecessor::Live,
-        Some(_) => Predecessor::Lapsed,
+    let Some(assignment) = current else {
+        return Predecessor::None;
+    };
+    // An instance that says that it drains has stopped granting.
+    let drains = |member: &Member| member.state == MemberState::Draining;
+    if owner(roster, assignment).is_some_and(drains) {
+        Predecessor::Lapsed
+    } else {
+        Predecessor::Live
     }
 }
--- a/crates/session/src/publisher.rs
+++ b/crates/session/src/publisher.rs
@@ -1,6 +1,9 @@
 //! Tracks subscribers: who is live, what each has applied, and when an edit is in force.
+//!
+//! Each run of a name is tracked on its own, since an older run may hold a lease beside a newer one.
+//! The roster lists the latest live run of each name.
 
-use names::{InstanceName, LogIndex};
+use names::{Incarnation, InstanceName, LogIndex};
 use serde::{Deserialize, Serialize};
 
 use crate::{CONFIGURATION_LEASE_MS, MEMBER_TIMEOUT_MS, Member, Roster};
@@ -25,18 +28,22 @@
     Superseded,
 }
 
+/// One run of an instance.
 #[derive(Debug)]
 struct Tracked {
     applied: LogIndex,
     heard_ms: u64,
-    name: InstanceName,
+    member: Member,
 }
 
+type RunKey<'a> = (&'a InstanceName, (Incarnation, u64));
+
 /// Subscribers of a publisher, and at the leader all instances.
 #[derive(Debug)]
 pub struct Publisher {
     roster: Roster,
     since_ms: u64,
+    /// Sorted by name and run.
     tracked: Vec<Tracked>,
 }
 
@@ -51,48 +58,56 @@
         }
     }
 
-    /// Removes instances that have not been heard for `MEMBER_TIMEOUT_MS`; returns their names.
+    /// Removes runs that have not been heard for `MEMBER_TIMEOUT_MS`; returns the names that left.
     pub fn expire(&mut self, now_ms: u64) -> Vec<InstanceName> {
         let live = |tracked: &Tracked| tracked.heard_ms + MEMBER_TIMEOUT_MS > now_ms;
         let expired: Vec<InstanceName> = self
             .tracked
             .iter()
             .filter(|tracked| !live(tracked))
-            .map(|tracked| tracked.name.clone())
+            .map(|tracked| tracked.member.name.clone())
             .collect();
         self.tracked.retain(live);
-        for name in &expired {
-            self.roster.remove(name);
-        }
         expired
+            .into_iter()
+            .filter(|name| {
+                self.list(name);
+                self.roster.get(name).is_none()
+            })
+            .collect()
     }
 
-    /// Takes a heartbeat.
-    pub fn heard(&mut self, now_ms: u64, heartbeat: &Heartbeat) -> Heard {
-        let heard_ms = now_ms.saturating_sub(heartbeat.age_ms);
-        if heard_ms + MEMBER_TIMEOUT_MS <= now_ms {
-            return Heard::Accepted;
+    /// Takes a heartbeat that a relay passed on.
+    ///
+    /// A superseded run counts too: the relay may have renewed its lease.
+    pub fn forwarded(&mut self, now_ms: u64, heartbeat: &Heartbeat) {
+        if heartbeat.age_ms >= MEMBER_TIMEOUT_MS {
+            return;
         }
-        let member = &heartbeat.member;
-        if self.superseded(member) {
+        self.track(now_ms.saturating_sub(heartbeat.age_ms), heartbeat);
+        self.list(&heartbeat.member.name);
+    }
+
+    /// Takes a heartbeat that an instance sent here itself.
+    ///
+    /// A superseded run must be refused a lease and does not count.
+    pub fn heard(&mut self, now_ms: u64, heartbeat: &Heartbeat) -> Heard {
+        if self.roster.supersedes(&heartbeat.member) {
             return Heard::Superseded;
         }
-        self.track(heard_ms, heartbeat);
-        self.roster.insert(member);
+        self.forwarded(now_ms, heartbeat);
         Heard::Accepted
     }
 
-    /// Heartbeats of all tracked instances, to be passed on upwards.
+    /// Heartbeats of all tracked runs, to be passed on upwards.
     #[must_use]
     pub fn heartbeats(&self, now_ms: u64) -> Vec<Heartbeat> {
         self.tracked
             .iter()
-            .filter_map(|tracked| {
-                Some(Heartbeat {
-                    age_ms: now_ms.saturating_sub(tracked.heard_ms),
-                    applied: tracked.applied,
-                    member: self.roster.get(&tracked.name)?.clone(),
-                })
+            .map(|tracked| Heartbeat {
+                age_ms: now_ms.saturating_sub(tracked.heard_ms),
+                applied: tracked.applied,
+                member: tracked.member.clone(),
             })
             .collect()
     }
@@ -124,32 +139,50 @@
         now_ms >= self.since_ms + MEMBER_TIMEOUT_MS
     }
 
-    fn superseded(&self, member: &Member) -> bool {
-        self.roster.get(&member.name).is_some_and(|known| {
-            !known.same_run(member)
-                && (member.incarnation, member.run) < (known.incarnation, known.run)
-        })
+    /// Lists the latest tracked run of a name.
+    fn list(&mut self, name: &InstanceName) {
+        let end = self
+            .tracked
+            .partition_point(|tracked| tracked.member.name <= *name);
+        let latest = self.tracked[..end]
+            .last()
+            .filter(|tracked| tracked.member.name == *name);
+        match latest {
+            Some(tracked) => self.roster.insert(&tracked.member),
+            None => self.roster.remove(name),
+        }
     }
 
     fn track(&mut self, heard_ms: u64, heartbeat: &Heartbeat) {
-        let name = &heartbeat.member.name;
+        let member = &heartbeat.member;
         let position = self
             .tracked
-            .binary_search_by(|tracked| tracked.name.cmp(name));
+            .binary_search_by(|tracked| tracked.key().cmp(&(&member.name, member.run_key())));
         match position {
-            Ok(position) => {
-                let tracked = &mut self.tracked[position];
-                tracked.heard_ms = tracked.heard_ms.max(heard_ms);
-                tracked.applied = heartbeat.applied;
-            }
+            Ok(position) => self.tracked[position].take(heard_ms, heartbeat),
             Err(position) => self.tracked.insert(
                 position,
                 Tracked {
                     applied: heartbeat.applied,
                     heard_ms,
-                    name: name.clone(),
+                    member: member.clone(),
                 },
             ),
         }
     }
 }
+
+impl Tracked {
+    fn key(&self) -> RunKey<'_> {
+        (&self.member.name, self.member.run_key())
+    }
+
+    /// Heartbeats may arrive late; what a run has applied never goes back.
+    fn take(&mut self, heard_ms: u64, heartbeat: &Heartbeat) {
+        self.applied = self.applied.max(heartbeat.applied);
+        if heard_ms >= self.heard_ms {
+            self.heard_ms = heard_ms;
+            self.member = heartbeat.member.clone();
+        }
+    }
+}
--- a/crates/session/src/roster.rs
+++ b/crates/session/src/roster.rs
@@ -1,7 +1,8 @@
 //! The versioned list of live instances.
 //!
 //! Each entry keeps the version at which it last changed, removed ones stay as tombstones for a
-//! bounded number of versions, so a delta needs no separate log of changes.
+//! bounded number of versions, so a delta needs no separate log of changes. A follower that took a
+//! whole roster knows nothing of earlier removals, so it serves deltas only from there on.
 
 use names::InstanceName;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,8 @@
 /// The live instances, sorted by name.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
+    /// First version from which a delta can be told.
+    base: u64,
     epoch: u64,
     slots: Vec<Slot>,
     version: u64,
@@ -29,10 +32,10 @@
 /// What changed in a roster since a version.
 #[derive(Debug, Clone, Deserialize, PartialEq, Serialize)]
 pub struct RosterUpdate {
-    /// Which publisher's count of versions this is; versions of two epochs do not compare.
+    /// Which publisher's count of versions this is; grows with each publisher.
     pub epoch: u64,
-    /// Whether `present` is the whole roster.
-    pub full: bool,
+    /// Version since which the changes are told; none where `present` is the whole roster.
+    pub from: Option<u64>,
     /// Changed members.
     pub present: Vec<Member>,
     /// Members that left.
@@ -51,13 +54,18 @@
         }
     }
 
-    /// Takes an update; an update older than the roster changes nothing.
+    /// Takes an update; one that is older than the roster or does not connect changes nothing.
     pub fn apply(&mut self, update: &RosterUpdate) {
-        if update.epoch == self.epoch && update.version <= self.version {
+        if (update.epoch, update.version) <= (self.epoch, self.version) {
             return;
         }
-        if update.full {
-            self.slots.clear();
+        match update.from {
+            Some(from) if update.epoch != self.epoch || from > self.version => return,
+            Some(_) => {}
+            None => {
+                self.slots.clear();
+                self.base = update.version;
+            }
         }
         self.epoch = update.epoch;
         self.version = update.version;
@@ -66,6 +74,7 @@
             .iter()
             .for_each(|member| self.set(&member.name, Some(member)));
         update.removed.iter().for_each(|name| self.set(name, None));
+        self.forget_removals();
     }
 
     /// The publisher whose versions the roster follows.
@@ -102,45 +111,57 @@
         }
         self.version += 1;
         self.set(name, None);
-        let oldest = self.version.saturating_sub(TOMBSTONE_VERSIONS);
-        self.slots
-            .retain(|slot| slot.member.is_some() || slot.changed > oldest);
+        self.forget_removals();
     }
 
-    /// What changed since `version` of `epoch`, the whole roster where that is unknown.
+    /// What changed since `version` of `epoch`; none where that is as new as this roster.
     #[must_use]
     pub fn since(&self, epoch: u64, version: u64) -> Option<RosterUpdate> {
-        if epoch == self.epoch && version == self.version {
+        if (epoch, version) >= (self.epoch, self.version) {
             return None;
         }
-        let full = epoch != self.epoch
-            || version > self.version
-            || version + TOMBSTONE_VERSIONS < self.version;
+        let from = (epoch == self.epoch && version >= self.base).then_some(version);
         let changed = self
             .slots
             .iter()
-            .filter(|slot| full || slot.changed > version);
+            .filter(|slot| from.is_none_or(|from| slot.changed > from));
         Some(RosterUpdate {
             epoch: self.epoch,
-            full,
+            from,
             present: changed
                 .clone()
                 .filter_map(|slot| slot.member.clone())
                 .collect(),
             removed: changed
-                .filter(|slot| !full && slot.member.is_none())
+                .filter(|slot| from.is_some() && slot.member.is_none())
                 .map(|slot| slot.name.clone())
                 .collect(),
             version: self.version,
         })
     }
 
+    /// Whether a later run of the member's name is listed.
+    #[must_use]
+    pub fn supersedes(&self, member: &Member) -> bool {
+        self.get(&member.name)
+            .is_some_and(|listed| listed.run_key() > member.run_key())
+    }
+
     /// Number of changes so far.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.version
     }
 
+    fn forget_removals(&mut self) {
+        self.base = self
+            .base
+            .max(self.version.saturating_sub(TOMBSTONE_VERSIONS));
+        let base = self.base;
+        self.slots
+            .retain(|slot| slot.member.is_some() || slot.changed > base);
+    }
+
     fn position(&self, name: &InstanceName) -> Result<usize, usize> {
         self.slots.binary_search_by(|slot| slot.name.cmp(name))
     }
--- a/crates/session/src/upstream.rs
+++ b/crates/session/src/upstream.rs
@@ -1,20 +1,32 @@
 //! Chooses the publisher that an instance subscribes to.
 //!
 //! Candidates are tried in order: the relay of the instance's data centre, then its other members
-//! with a lower rank, then the voters. A candidate that does not answer in time loses its turn, and
-//! the instance returns to the first candidate after a while.
+//! with a lower rank, then the voters. A candidate that does not answer in time loses its turn for a
+//! while that doubles with each failure. After a failure no other candidate that failed before is
+//! tried for a while either, since several tries in a row would cost the lease.
 
 use names::InstanceName;
 
 use crate::{Member, Role, Roster, rendezvous_order};
 
-/// Time after a failed attempt before a candidate is tried again.
+/// Most doublings of `RETRY_AFTER_MS`.
+const DOUBLINGS_MAX: u32 = 3;
+
+/// Time after a first failed attempt before a candidate is tried again.
 const RETRY_AFTER_MS: u64 = 5_000;
 
+/// A candidate that failed and has not answered since.
+#[derive(Debug)]
+struct Failure {
+    failures: u32,
+    name: InstanceName,
+    retry_ms: u64,
+}
+
 /// The publisher in use and the ones that failed lately.
 #[derive(Debug)]
 pub struct Upstream {
-    failed: Vec<(InstanceName, u64)>,
+    failed: Vec<Failure>,
     own: InstanceName,
     turn: usize,
 }
@@ -37,27 +49,41 @@
     /// leader; the others subscribe to the relay.
     #[must_use]
     pub fn choose(
-        &mut self,
+        &self,
         now_ms: u64,
         roster: &Roster,
         voters: &[InstanceName],
         leader: Option<&InstanceName>,
     ) -> Option<InstanceName> {
-        self.failed
-            .retain(|&(_, at_ms)| at_ms + RETRY_AFTER_MS > now_ms);
         let mut candidates = self.relays(roster);
         candidates.extend(leader.cloned());
         candidates.extend(self.rotated(voters));
         candidates
             .into_iter()
-            .find(|name| *name != self.own && !self.has_failed(name))
+            .find(|name| *name != self.own && !self.must_wait(now_ms, name))
+    }
+
+    /// Notes that a candidate answered.
+    pub fn answered(&mut self, name: &InstanceName) {
+        self.failed.retain(|failure| failure.name != *name);
     }
 
     /// Notes that a candidate did not answer or cannot publish.
     pub fn failed(&mut self, now_ms: u64, name: &InstanceName) {
         self.turn = self.turn.wrapping_add(1);
-        self.failed.retain(|(failed, _)| failed != name);
-        self.failed.push((name.clone(), now_ms));
+        let mut failures = 0;
+        for failure in &mut self.failed {
+            failure.retry_ms = failure.retry_ms.max(now_ms + RETRY_AFTER_MS);
+            if failure.name == *name {
+                failures = failure.failures;
+            }
+        }
+        self.answered(name);
+        self.failed.push(Failure {
+            failures: failures + 1,
+            name: name.clone(),
+            retry_ms: now_ms + (RETRY_AFTER_MS << failures.min(DOUBLINGS_MAX)),
+        });
     }
 
     /// Forgets all failures; used when every candidate has failed.
@@ -65,8 +91,10 @@
         self.failed.clear();
     }
 
-    fn has_failed(&self, name: &InstanceName) -> bool {
-        self.failed.iter().any(|(failed, _)| failed == name)
+    fn must_wait(&self, now_ms: u64, name: &InstanceName) -> bool {
+        self.failed
+            .iter()
+            .any(|failure| failure.name == *name && failure.retry_ms > now_ms)
     }
 
     /// The members of the own data centre that rank before this instance, best first.
--- /dev/null
+++ b/crates/session/tests/planner.rs
@@ -0,0 +1,73 @@
+//! Where shards go.
+
+mod support;
+
+use names::{Epoch, LogIndex};
+use session::{Assignments, MemberState, Predecessor, Roster, plan_missing, plan_moves};
+use support::{instance, member, rerun, shard};
+
+const INSTANCES: usize = 9;
+
+fn roster() -> Roster {
+    let mut roster = Roster::new(1);
+    (0..INSTANCES).for_each(|number| roster.insert(&member(number)));
+    roster
+}
+
+fn assigned(roster: &Roster, shards: u16) -> Assignments {
+    let mut assignments = Assignments::default();
+    let wanted: Vec<_> = (0..shards).map(shard).collect();
+    for command in plan_missing(roster, &assignments, &wanted) {
+        let index = LogIndex(assignments.applied().0 + 1);
+        assert!(assignments.apply(index, &command));
+    }
+    assignments
+}
+
+#[test]
+fn only_the_shards_of_a_lost_instance_move() {
+    let mut roster = roster();
+    let assignments = assigned(&roster, 500);
+    roster.remove(&instance(3));
+    let moves = plan_moves(&roster, &assignments);
+    let lost = assignments.iter().filter(|a| a.owner == instance(3));
+    assert_eq!(moves.len(), lost.count());
+    assert!(moves.len() < 2 * 500 / INSTANCES);
+}
+
+#[test]
+fn the_next_owner_waits_for_a_run_that_may_still_act() {
+    let mut roster = roster();
+    let assignments = assigned(&roster, 1);
+    let owner = assignments
+        .get(&shard(0))
+        .expect("it has an owner")
+        .owner
+        .clone();
+    let restarted = rerun(roster.get(&owner).expect("it is listed"), 2, 2);
+    roster.insert(&restarted);
+    let moves = plan_moves(&roster, &assignments);
+    assert_eq!(moves[0].predecessor, Predecessor::Live);
+    // A relay that is cut off may have renewed the lease of an instance that the leader misses.
+    roster.remove(&owner);
+    let moves = plan_moves(&roster, &assignments);
+    assert_eq!(moves[0].predecessor, Predecessor::Live);
+}
+
+#[test]
+fn a_draining_owner_is_not_waited_for() {
+    let mut roster = roster();
+    let assignments = assigned(&roster, 1);
+    let owner = assignments
+        .get(&shard(0))
+        .expect("it has an owner")
+        .owner
+        .clone();
+    let mut draining = roster.get(&owner).expect("it is listed").clone();
+    draining.state = MemberState::Draining;
+    roster.insert(&draining);
+    let moves = plan_moves(&roster, &assignments);
+    assert_eq!(moves[0].predecessor, Predecessor::Lapsed);
+    assert_eq!(moves[0].expected_epoch, Epoch(1));
+    assert_ne!(moves[0].owner, owner);
+}
