--- a/crates/gentiancleat/src/serve.rs
+++ b/crates/gentiancleat/src/serve.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::{panic, process};
 
 use node::Node;
 use slog::{info, warn};
@@ -13,6 +14,7 @@
 /// Runs an instance until it has been drained.
 pub(crate) fn run(options: &ServeOptions) -> Result<(), Error> {
     let settings = settings(options, &ProcessEnvironment)?;
+    stop_on_broken_invariants();
     let runtime = Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -29,6 +31,18 @@
     })
 }
 
+/// Ends the process when any of its tasks panics.
+///
+/// A task that has panicked would leave an instance that looks alive and does only a part of its
+/// work, such as one that serves callers and no longer votes.
+fn stop_on_broken_invariants() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |panic| {
+        print(panic);
+        process::abort();
+    }));
+}
+
 /// Begins to drain at the first signal; later ones only show what still runs.
 async fn drain_on_signals(node: Arc<Node>, mut terminate: Signal, mut interrupt: Signal) {
     loop {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -93,6 +93,11 @@
         self.folder.path()
     }
 
+    /// Keeps the folder when the fleet ends.
+    pub fn keep_folder(&mut self) {
+        self.folder.disable_cleanup(true);
+    }
+
     /// Kills an instance without notice.
     ///
     /// # Panics
@@ -197,6 +202,12 @@
         })
     }
 
+    /// Number of its process, while it runs.
+    #[must_use]
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether its process runs.
     #[must_use]
     pub fn runs(&self) -> bool {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -67,6 +67,10 @@
         operators.accepted.load(Ordering::Relaxed),
         operators.conflicts.load(Ordering::Relaxed),
     );
+    if !promises.hold() {
+        chaos.fleet.keep_folder();
+        println!("logs are kept in {}", chaos.fleet.folder().display());
+    }
     promises
 }
 
