Refuse proposals that wait when leadership is lost

Proposals wait while a write of their group is in progress; behind a stalled disk they waited on after the leader had stepped down. They are now refused as not run, with the new leader's name where known.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -165,7 +165,7 @@
         };
         let role = role_of(replica);
         if !role.is_leader {
-            self.requests.on_leadership_lost();
+            self.requests.on_not_leader(role.leader.as_ref());
         }
         let log = &self.settings.log;
         self.role.send_if_modified(|known| {
--- a/crates/control/src/host/requests.rs
+++ b/crates/control/src/host/requests.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use agreement::{Proposal, Refusal, RequestNumber, Term};
-use names::LogIndex;
+use names::{InstanceName, LogIndex};
 
 use super::Reply;
 use crate::{Answer, Error};
@@ -132,21 +132,29 @@
         placed.asker.succeed(index, answer);
     }
 
-    /// Requests with a position may or may not be committed by the next leader.
-    pub(super) fn on_leadership_lost(&mut self) {
-        for placed in self.placed.drain(..) {
-            placed.asker.fail(Error::Unknown);
+    /// Refuses proposals that are not appended; the others may or may not be committed.
+    pub(super) fn on_not_leader(&mut self, leader: Option<&InstanceName>) {
+        self.fail_placed();
+        for proposal in std::mem::take(&mut self.waiting) {
+            let leader = leader.cloned();
+            self.on_refused(proposal.request, Refusal::NotLeader { leader });
         }
     }
 
     pub(super) fn on_stopped(&mut self) {
-        self.on_leadership_lost();
+        self.fail_placed();
         self.waiting.clear();
         for open in self.open.drain(..) {
             open.asker.fail(Error::stopped());
         }
     }
 
+    fn fail_placed(&mut self) {
+        for placed in self.placed.drain(..) {
+            placed.asker.fail(Error::Unknown);
+        }
+    }
+
     fn add(&mut self, asker: Asker) -> RequestNumber {
         let request = self.add_unobserved();
         self.open.push(Open { asker, request });
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -3,12 +3,14 @@
 mod group;
 
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
 
 use agreement::GroupId;
 use control::{Control, Error, GroupParts, Settings, VoterChange};
 use group::{Commands, Group, name};
 use journal::{FolderStorage, Storage};
+use tokio::time;
 
 fn numbered(count: usize) -> Vec<Vec<u8>> {
     (0..count).map(|at| at.to_string().into_bytes()).collect()
@@ -257,14 +259,38 @@
     Control::close_all(controls).await;
 }
 
-/// Real folder whose disk is full from a moment on.
+/// Lets syncs through while it is open.
+#[derive(Debug, Default)]
+struct Gate {
+    is_closed: Mutex<bool>,
+    opened: Condvar,
+}
+
+impl Gate {
+    fn close(&self) {
+        *self.is_closed.lock().unwrap() = true;
+    }
+
+    fn open(&self) {
+        *self.is_closed.lock().unwrap() = false;
+        self.opened.notify_all();
+    }
+
+    fn pass(&self) {
+        let closed = self.is_closed.lock().unwrap();
+        drop(self.opened.wait_while(closed, |closed| *closed).unwrap());
+    }
+}
+
+/// Real folder whose disk is full after some writes, or stalls.
 #[derive(Debug)]
-struct FullStorage {
+struct FaultyStorage {
     folder: FolderStorage,
+    gate: Arc<Gate>,
     room: usize,
 }
 
-impl Storage for FullStorage {
+impl Storage for FaultyStorage {
     fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         self.room = self.room.checked_sub(1).ok_or(io::ErrorKind::StorageFull)?;
         self.folder.append(file, bytes)
@@ -295,28 +321,71 @@
     }
 
     fn sync(&mut self, file: &str) -> io::Result<()> {
+        self.gate.pass();
         self.folder.sync(file)
     }
 }
 
-#[tokio::test(start_paused = true)]
-async fn an_instance_with_a_full_disk_stops_to_take_part_and_says_so() {
-    let mut group = Group::open(3);
-    group.propose("0").await;
-    let full = group.leader().unwrap();
-    group.kill(full).await;
+/// Starts an instance again, on a storage with room for a number of writes.
+async fn start_faulty(group: &mut Group, at: usize, room: usize) -> Arc<Gate> {
+    group.kill(at).await;
     let commands = Commands::default();
-    let storage = FullStorage {
-        folder: FolderStorage::open(&group.folder(full)).unwrap(),
-        room: 3,
+    let gate = Arc::new(Gate::default());
+    let storage = FaultyStorage {
+        folder: FolderStorage::open(&group.folder(at)).unwrap(),
+        gate: gate.clone(),
+        room,
     };
     let control = Control::open_on(
         Box::new(storage),
-        group.settings(full),
+        group.settings(at),
         Box::new(commands.clone()),
         Arc::new(group.network.clone()),
     );
-    group.adopt(full, commands, control.unwrap());
+    group.adopt(at, commands, control.unwrap());
+    gate
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_whose_disk_stalls_steps_down_and_answers_every_proposal() {
+    let mut group = Group::open(3);
+    group.propose("0").await;
+    let gate = start_faulty(&mut group, 0, usize::MAX).await;
+    group
+        .until(async |group| match group.leader() {
+            Some(0) => true,
+            Some(leader) => {
+                drop(group.control(leader).hand_over(name(0)).await);
+                false
+            }
+            None => false,
+        })
+        .await;
+    group.control(0).propose(b"1".to_vec()).await.unwrap();
+    gate.close();
+    let control = group.instances[0].as_ref().unwrap().control.clone();
+    let propose = |command: &[u8]| {
+        let (control, command) = (control.clone(), command.to_vec());
+        tokio::spawn(async move { control.propose(command).await })
+    };
+    let appended = propose(b"2");
+    while control.status().await.unwrap().replica.last_index <= *control.applied().borrow() {}
+    let waiting = propose(b"3");
+    for _ in 0..2_000 {
+        time::advance(Duration::from_millis(10)).await;
+    }
+    gate.open();
+    assert!(appended.is_finished() && waiting.is_finished());
+    assert!(matches!(appended.await.unwrap(), Err(Error::Unknown)));
+    assert!(waiting.await.unwrap().unwrap_err().is_not_run());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_with_a_full_disk_stops_to_take_part_and_says_so() {
+    let mut group = Group::open(3);
+    group.propose("0").await;
+    let full = group.leader().unwrap();
+    start_faulty(&mut group, full, 3).await;
     for at in 1..10 {
         group.propose(&at.to_string()).await;
     }
--- a/crates/journal/src/folder.rs
+++ b/crates/journal/src/folder.rs
@@ -120,7 +120,8 @@
 
     fn remove(&mut self, file: &str) -> io::Result<()> {
         self.active.take_if(|active| active.name == file);
-        fs::remove_file(self.folder.join(file))
+        fs::remove_file(self.folder.join(file))?;
+        self.sync_folder()
     }
 
     fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
