Found a group only with voters that name each other

Blank instances with different lists of initial voters could have founded two groups that share fewer than a quorum. The test fails when lists are not compared.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -15,8 +15,8 @@
 //!   the identity that it lost. It joins again as a learner, and becomes a voter once it holds
 //!   everything committed.
 //! - **Founding.** Blank initial voters introduce themselves to each other. The one with the
-//!   least name founds the group once all of them have said that they are blank; the term of the
-//!   first entry comes from the founder's storage identity, so two foundings never share it.
+//!   least name founds the group once all of them have said that they are blank and named the same
+//!   initial voters; the term of the first entry comes from the founder's storage identity, so two foundings never share it.
 //! - **Stalled disks.** A leader whose write takes too long steps down, for its heartbeats would
 //!   keep the others from electing a leader that can commit.
 //! - **Proof of leadership** is a round of heartbeats that a quorum answers; no promise depends
@@ -46,8 +46,8 @@
 pub use member::{Member, StorageId};
 pub use membership::{Learner, Membership, MembershipChange};
 pub use message::{
-    Append, AppendAnswer, AppendResult, Envelope, GroupId, Introduction, Message, SnapshotAnswer,
-    SnapshotChunk, Standing, VoteAnswer, VoteRequest,
+    Append, AppendAnswer, AppendResult, Envelope, GroupId, Hello, Introduction, Message,
+    SnapshotAnswer, SnapshotChunk, Standing, VoteAnswer, VoteRequest,
 };
 pub use output::{Output, Synced, Write};
 pub use replica::{Recovered, Replica};
--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -40,7 +40,7 @@
     /// Answer to an append or to the last chunk of a snapshot.
     AppendAnswer(AppendAnswer),
     /// Introduces a replica to instances that may not know its storage.
-    Hello(Standing),
+    Hello(Hello),
     /// Passes an introduction on to the leader.
     Introduction(Introduction),
     /// Part of a snapshot.
@@ -55,6 +55,15 @@
     VoteRequest(VoteRequest),
 }
 
+/// Introduces a replica.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// Instances that the sender would found the group with, sorted.
+    pub initial_voters: Vec<InstanceName>,
+    /// What the sender knows of the group.
+    pub standing: Standing,
+}
+
 /// What a replica that introduces itself knows of the group.
 #[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Standing {
--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -202,8 +202,8 @@
         if !self.is_for_this(&envelope) || !is_well_formed(&envelope) {
             return;
         }
-        if let Message::Hello(standing) = envelope.message {
-            self.on_hello(envelope.from, standing);
+        if let Message::Hello(hello) = envelope.message {
+            self.on_hello(envelope.from, &hello);
             return;
         }
         if envelope.term > self.hard_state.term && !envelope.message.is_pre_vote() {
--- a/crates/agreement/src/replica/founding.rs
+++ b/crates/agreement/src/replica/founding.rs
@@ -2,7 +2,7 @@
 
 use super::Replica;
 use crate::{
-    Entry, Envelope, HardState, Introduction, Member, Membership, Message, Output, Payload,
+    Entry, Envelope, HardState, Hello, Introduction, Member, Membership, Message, Output, Payload,
     Standing, Term,
 };
 
@@ -41,11 +41,14 @@
         }
     }
 
-    pub(super) fn on_hello(&mut self, from: Member, standing: Standing) {
-        self.met_founded |= standing != Standing::Blank;
-        if standing == Standing::Settled {
-            return;
-        }
+    pub(super) fn on_hello(&mut self, from: Member, hello: &Hello) {
+        self.met_founded |= hello.standing != Standing::Blank;
+        let agrees = hello.initial_voters == self.sorted_initial_voters();
+        let standing = match hello.standing {
+            Standing::Blank if !agrees => Standing::Outsider,
+            Standing::Settled => return,
+            standing => standing,
+        };
         let name = from.name.clone();
         self.pass_on(from, standing);
         if !self.is_blank() {
@@ -57,6 +60,12 @@
         self.remember(introduction.member, introduction.standing);
     }
 
+    fn sorted_initial_voters(&self) -> Vec<InstanceName> {
+        let mut names = self.settings.initial_voters.clone();
+        names.sort();
+        names
+    }
+
     /// Initial voters, and the members that this replica knows.
     fn hello_targets(&self) -> Vec<InstanceName> {
         let members = self.log.membership().members();
@@ -180,10 +189,14 @@
         if to == self.settings.member.name {
             return;
         }
+        let hello = Hello {
+            initial_voters: self.sorted_initial_voters(),
+            standing,
+        };
         self.draft.outputs.push(Output::Send(Envelope {
             from: self.settings.member.clone(),
             group: self.settings.group,
-            message: Message::Hello(standing),
+            message: Message::Hello(hello),
             term: self.hard_state.term,
             to,
             to_storage: None,
--- a/crates/agreement/tests/replica/identity.rs
+++ b/crates/agreement/tests/replica/identity.rs
@@ -1,7 +1,9 @@
 //! Votes and acknowledgements count only for the storage that the membership names.
 
 use super::driver::{Driver, FOUNDED_TERM, member};
-use agreement::{AppendAnswer, AppendResult, Envelope, Message, RoleName, Standing, VoteAnswer};
+use agreement::{
+    AppendAnswer, AppendResult, Envelope, Hello, Message, RoleName, Standing, VoteAnswer,
+};
 use names::LogIndex;
 
 fn granted(pre_vote: bool) -> Message {
@@ -11,6 +13,13 @@
     })
 }
 
+fn hello(standing: Standing) -> Message {
+    Message::Hello(Hello {
+        initial_voters: (0..3).map(|number| member(number, 0).name).collect(),
+        standing,
+    })
+}
+
 #[test]
 fn a_vote_from_another_storage_of_a_voter_does_not_count() {
     let mut driver = Driver::voter();
@@ -55,18 +64,18 @@
 #[test]
 fn a_voter_with_a_new_storage_is_introduced_and_an_old_one_is_not() {
     let mut driver = Driver::leader();
-    driver.receive(&member(1, 1), Message::Hello(Standing::Blank), 0);
+    driver.receive(&member(1, 1), hello(Standing::Blank), 0);
     assert!(driver.status().introduced.is_empty());
-    driver.receive(&member(1, 99), Message::Hello(Standing::Blank), 0);
+    driver.receive(&member(1, 99), hello(Standing::Blank), 0);
     assert_eq!(driver.status().introduced, [member(1, 99)]);
 }
 
 #[test]
 fn a_blank_replica_founds_nothing_after_it_met_a_founded_one() {
     let mut driver = Driver::blank();
-    driver.receive(&member(1, 1), Message::Hello(Standing::Blank), 0);
-    driver.receive(&member(2, 2), Message::Hello(Standing::Settled), 0);
-    driver.receive(&member(2, 2), Message::Hello(Standing::Blank), 0);
+    driver.receive(&member(1, 1), hello(Standing::Blank), 0);
+    driver.receive(&member(2, 2), hello(Standing::Settled), 0);
+    driver.receive(&member(2, 2), hello(Standing::Blank), 0);
     driver.pass_time(100);
     assert_eq!(driver.status().last_index, LogIndex(0));
 }
@@ -74,8 +83,8 @@
 #[test]
 fn a_blank_replica_founds_nothing_while_an_initial_voter_holds_a_log() {
     let mut driver = Driver::blank();
-    driver.receive(&member(1, 1), Message::Hello(Standing::Blank), 0);
-    driver.receive(&member(2, 2), Message::Hello(Standing::Outsider), 0);
+    driver.receive(&member(1, 1), hello(Standing::Blank), 0);
+    driver.receive(&member(2, 2), hello(Standing::Outsider), 0);
     driver.pass_time(100);
     assert_eq!(driver.status().last_index, LogIndex(0));
 }
@@ -83,7 +92,7 @@
 #[test]
 fn a_follower_passes_an_introduction_on_to_its_leader() {
     let mut driver = Driver::follower();
-    let sent = driver.receive(&member(2, 99), Message::Hello(Standing::Blank), 0);
+    let sent = driver.receive(&member(2, 99), hello(Standing::Blank), 0);
     let passed_on = sent
         .iter()
         .find(|envelope| envelope.to == member(1, 1).name);
@@ -92,3 +101,19 @@
     leader.receive(&member(1, 1), introduction, 0);
     assert_eq!(leader.status().introduced, [member(2, 99)]);
 }
+
+#[test]
+fn a_group_is_founded_only_by_voters_that_name_each_other() {
+    for agrees in [false, true] {
+        let mut driver = Driver::blank();
+        driver.receive(&member(1, 1), hello(Standing::Blank), 0);
+        let others = if agrees { 0..3 } else { 1..4 };
+        let message = Message::Hello(Hello {
+            initial_voters: others.map(|number| member(number, 0).name).collect(),
+            standing: Standing::Blank,
+        });
+        driver.receive(&member(2, 2), message, 0);
+        driver.pass_time(100);
+        assert_eq!(driver.status().last_index.0 > 0, agrees);
+    }
+}
