--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -33,6 +33,7 @@
 pub(crate) struct Host {
     applied: watch::Sender<LogIndex>,
     compacted: LogIndex,
+    compacted_at_ms: u64,
     events: Events,
     failure: Option<String>,
     links: Links,
@@ -68,6 +69,7 @@
         let host = Self {
             applied,
             compacted: restored,
+            compacted_at_ms: 0,
             events,
             failure: None,
             links,
@@ -150,10 +152,15 @@
 
     fn compact_if_due(&mut self) {
         let applied = *self.applied.borrow();
-        if applied.0 - self.compacted.0 < self.settings.compact_after_entries {
+        let entries = applied.0 - self.compacted.0;
+        let age_ms = self.now_ms() - self.compacted_at_ms;
+        let is_due = entries >= self.settings.compact_after_entries
+            || entries > 0 && age_ms >= self.settings.compact_after_ms;
+        if !is_due {
             return;
         }
         self.compacted = applied;
+        self.compacted_at_ms = self.now_ms();
         let data = self.machine.snapshot();
         let index = applied;
         self.step(Input::Compact { data, index });
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,6 +9,9 @@
 pub struct Settings {
     /// Entries applied since the last snapshot after which a new one is made.
     pub compact_after_entries: u64,
+    /// Time after which a snapshot is made of however few entries applied since the last one; a
+    /// group that never made one would keep every file of the journal that it shares.
+    pub compact_after_ms: u64,
     /// Shortest time without a leader before an election; drawn up to twice as long.
     pub election_timeout_ms: u64,
     /// Data folder.
@@ -42,6 +45,7 @@
     ) -> Self {
         Self {
             compact_after_entries: 10_000,
+            compact_after_ms: 600_000,
             election_timeout_ms: 1_000,
             folder: folder.to_owned(),
             group: GroupId(1),
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -221,6 +221,19 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_group_with_few_commands_is_compacted_after_a_while() {
+    let group = Group::open(1);
+    group.propose("0").await;
+    let has_snapshot = async |group: &Group| {
+        let mut files = std::fs::read_dir(group.folder(0)).unwrap();
+        files.any(|file| file.unwrap().path().extension() == Some("snap".as_ref()))
+    };
+    assert!(!has_snapshot(&group).await);
+    time::sleep(Duration::from_mins(10)).await;
+    group.until(has_snapshot).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn groups_that_share_a_journal_keep_their_commands_apart() {
     let group = Group::open(1);
