--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -45,8 +45,8 @@
     fn default() -> Self {
         Self {
             backfill_flows: 4,
-            bypass_us_max: 500_000,
-            confidence_deviations: 1.5,
+            bypass_us_max: 3_000_000,
+            confidence_deviations: 0.8,
             debt_us_max: 60_000_000,
             length_memory_generations: 400.0,
             length_memory_half_life_us: 6 * 3_600_000_000,
