--- a/crates/entry/src/http/exchange.rs
+++ b/crates/entry/src/http/exchange.rs
@@ -20,7 +20,7 @@
 const LARGE_BYTES: usize = 16 << 10;
 
 /// Bytes of the small read buffer; also the largest head of an answer.
-const SMALL_BYTES: usize = 4 << 10;
+const SMALL_BYTES: usize = 2 << 10;
 
 /// Most headers of an endpoint's answer.
 const HEADERS_MAX: usize = 64;
