--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of the builders")]
 
+pub mod fleet;
+
 use names::{
     DataCentreName, EndpointName, Incarnation, InstanceName, LogIndex, ModelName, RegionName,
 };
