--- a/crates/gentiancleat/tests/common/mod.rs
+++ b/crates/gentiancleat/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Starts instances as separate processes beside fakes in the test's own process.
+#![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::net::SocketAddr;
 use std::path::Path;
