Test the relay's feed and refuse a lease with a misfit table

Cause: the relay's deltas had no test, and a publication whose content did not fit was dropped while its lease was taken: the instance would have admitted work on an old table. Found by reading. Change: Feed moves to the table crate with two tests; a renewal with a gap or a misfit renews nothing. Before: lease taken. Conclusion: lease and table stand or fall together.

--- a/crates/node/src/holdings.rs
+++ b/crates/node/src/holdings.rs
@@ -9,11 +9,10 @@
 use names::{Incarnation, InstanceName, LogIndex};
 use protocol::SyncUpdate;
 use session::{Assignment, Assignments, ConfigurationLease, Roster, Shard};
-use table::{Items, Publication, Revision, ViewOutcome};
+use table::{Feed, Items, Publication, Revision, ViewOutcome};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::feed::Feed;
 
 /// The published state as one instance holds it.
 #[derive(Debug)]
@@ -54,10 +53,11 @@
         let mut held = self.lock();
         let mut news = false;
         if let Some(publication) = update.table {
-            if held.feed.apply(publication) == ViewOutcome::Gap {
-                return false;
+            match held.feed.apply(publication) {
+                ViewOutcome::Applied => news = true,
+                ViewOutcome::Gap | ViewOutcome::Misfit => return false,
+                ViewOutcome::Stale => {}
             }
-            news = true;
         }
         if let Some(assignments) = &update.assignments {
             held.assignments.merge(assignments);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,7 +10,6 @@
 mod directory;
 mod drainer;
 mod error;
-mod feed;
 mod holdings;
 mod inner_server;
 mod interner;
--- a/crates/node/src/feed.rs
+++ b/crates/table/src/feed.rs
@@ -1,25 +1,23 @@
-//! The table as an instance holds it, with what it needs to pass changes on.
-//!
-//! A relay has no change log of its own, so it keeps the deltas that it received for a bounded
-//! number of revisions; a subscriber further behind gets a snapshot.
-
 use std::collections::VecDeque;
 
-use table::{Delta, Items, Publication, Revision, View, ViewOutcome};
+use crate::{Delta, Items, Publication, Revision, View, ViewOutcome};
 
 /// Deltas kept for subscribers that are behind.
 const DELTAS_MAX: usize = 4_096;
 
-/// The held table and its latest changes.
+/// A view that also passes changes on to subscribers of its own.
+///
+/// It keeps the deltas that it received, a bounded number of them; a subscriber further behind gets
+/// a snapshot.
 #[derive(Debug, Default)]
-pub(crate) struct Feed {
+pub struct Feed {
     deltas: VecDeque<Delta>,
     view: View,
 }
 
 impl Feed {
     /// Takes a publication; one that is older than the view changes nothing.
-    pub(crate) fn apply(&mut self, publication: Publication) -> ViewOutcome {
+    pub fn apply(&mut self, publication: Publication) -> ViewOutcome {
         let delta = match &publication {
             Publication::Delta(delta) => Some(delta.clone()),
             Publication::Snapshot(_) => None,
@@ -31,16 +29,21 @@
         outcome
     }
 
-    pub(crate) fn items(&self) -> &Items {
+    /// What the view holds.
+    #[must_use]
+    pub fn items(&self) -> &Items {
         self.view.items()
     }
 
-    pub(crate) fn revision(&self) -> Revision {
+    /// Revision of the view.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
         self.view.revision()
     }
 
     /// What a subscriber at `revision` needs; none where it is up to date.
-    pub(crate) fn since(&self, revision: Revision) -> Option<Publication> {
+    #[must_use]
+    pub fn since(&self, revision: Revision) -> Option<Publication> {
         if revision >= self.revision() {
             return None;
         }
--- a/crates/table/tests/publication.rs
+++ b/crates/table/tests/publication.rs
@@ -5,7 +5,8 @@
 use common::{Bench, KINDS, edit, key, row};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use table::{
-    Change, HISTORY_TARGETS_MAX, Item, Items, Publication, Revision, Target, View, ViewOutcome,
+    Change, Feed, HISTORY_TARGETS_MAX, Item, Items, Publication, Revision, Target, View,
+    ViewOutcome,
 };
 
 #[derive(Clone, Debug)]
@@ -163,3 +164,49 @@
     let near = bench.table.delta_since(Revision(bench.index - 1));
     assert!(matches!(near, Publication::Delta(_)));
 }
+
+#[test]
+fn a_view_behind_a_relay_ends_equal_to_the_table() {
+    fn property(steps: Vec<Step>) -> bool {
+        let mut bench = Bench::new();
+        let mut relay = Feed::default();
+        let mut view = View::default();
+        for step in steps {
+            match step {
+                Step::Deliver(_) => {
+                    if let Some(publication) = relay.since(view.revision()) {
+                        assert_eq!(view.apply(publication), ViewOutcome::Applied);
+                    }
+                    assert_eq!(view.revision(), relay.revision());
+                    assert_eq!(view.items(), relay.items());
+                }
+                Step::Edit(customer, kind, weight) => change(&mut bench, customer, kind, weight),
+                Step::Publish => {
+                    relay.apply(bench.table.delta_since(relay.revision()));
+                }
+            }
+        }
+        relay.apply(bench.table.delta_since(relay.revision()));
+        let last = relay.since(view.revision());
+        last.map(|publication| view.apply(publication));
+        view.items() == bench.table.items() && relay.since(view.revision()).is_none()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 13))
+        .tests(100)
+        .quickcheck(property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_relay_that_began_with_a_snapshot_sends_snapshots_to_those_behind_it() {
+    let mut bench = Bench::new();
+    bench.set("centre", "advice", 0, row(1));
+    let mut relay = Feed::default();
+    relay.apply(Publication::Snapshot(bench.table.publish()));
+    let sent = relay.since(Revision(1));
+    assert!(matches!(sent, Some(Publication::Snapshot(_))));
+    bench.set("centre", "syllabus", 0, row(1));
+    relay.apply(bench.table.delta_since(relay.revision()));
+    let sent = relay.since(Revision(2));
+    assert!(matches!(sent, Some(Publication::Delta(_))));
+}
