Split the shard owner by job

Change: owner/{actor,endpoints,permits,spawn}.rs; behaviour is unchanged. Conclusion: each file has one job.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,10 +5,14 @@
 //! Permits of an earlier owner are taken over from the reports of the instances that use them.
 
 mod actor;
+mod endpoints;
 mod holders;
 mod limits;
 mod messages;
+mod permits;
+mod spawn;
 mod waiting;
 
-pub(crate) use actor::{Identity, ShardOwner, spawn};
+pub(crate) use actor::{Identity, ShardOwner};
 pub(crate) use messages::{Acquire, Announce, Overview, Progress, Withdraw};
+pub(crate) use spawn::spawn;
--- /dev/null
+++ b/crates/node/src/owner/endpoints.rs
@@ -0,0 +1,148 @@
+//! Endpoints under lease and their news.
+
+use dispatch::{Event, ModelIndex, Profile, RegionIndex, Report};
+use names::EndpointId;
+use protocol::{AnnounceAnswer, EndpointReport, RunningPermit};
+use session::{Announcement, ENDPOINT_LEASE_MS, EndpointEvent, LoadReport, Offer};
+use slog::info;
+
+use super::actor::{MICROSECONDS_PER_MILLISECOND, ShardOwner};
+use super::messages::Announce;
+
+impl ShardOwner {
+    pub(super) fn announce(&mut self, announce: &Announce) -> AnnounceAnswer {
+        if !self.is_owner() {
+            return AnnounceAnswer::NotOwner;
+        }
+        let now_ms = self.clock.now_ms();
+        let Announce {
+            announcement,
+            endpoint,
+        } = announce;
+        let Ok(events) = self.endpoints.announce(now_ms, endpoint, announcement) else {
+            return AnnounceAnswer::Outdated;
+        };
+        for event in events {
+            self.endpoint_event(event);
+        }
+        self.report_load(announce);
+        AnnounceAnswer::Held {
+            lease_ms: ENDPOINT_LEASE_MS,
+        }
+    }
+
+    pub(super) fn endpoint_event(&mut self, event: EndpointEvent) {
+        match event {
+            EndpointEvent::Announced(endpoint) => {
+                let Some(profile) = self.profile(endpoint) else {
+                    return;
+                };
+                self.decide(Event::Announced {
+                    endpoint,
+                    profile: &profile,
+                });
+            }
+            EndpointEvent::Lapsed(endpoint) => {
+                info!(self.log, "endpoint lapsed"; "shard" => %self.identity.shard, "endpoint" => endpoint.0);
+                self.decide(Event::Lapsed { endpoint });
+                self.forget_ended();
+            }
+            EndpointEvent::Leaving(endpoint) => self.decide(Event::Leaving { endpoint }),
+        }
+    }
+
+    pub(super) fn endpoint_id(&self, running: &RunningPermit) -> Option<EndpointId> {
+        self.endpoints
+            .iter()
+            .find(|endpoint| endpoint.name == running.endpoint)
+            .map(|endpoint| endpoint.id)
+    }
+
+    pub(super) fn profile(&mut self, id: EndpointId) -> Option<Profile> {
+        let announcement = &self.endpoints.get(id)?.announcement;
+        let region = RegionIndex(self.regions.number(&announcement.region));
+        Some(profile(&announcement.offer, region))
+    }
+
+    pub(super) fn report_load(&mut self, announce: &Announce) {
+        let Announcement { cache, report, .. } = &announce.announcement;
+        let id = self
+            .endpoints
+            .iter()
+            .find(|endpoint| endpoint.name == announce.endpoint)
+            .map(|endpoint| endpoint.id);
+        let Some(endpoint) = id else {
+            return;
+        };
+        if let Some(load) = report {
+            self.decide(Event::Reported {
+                age_us: load.age_ms * MICROSECONDS_PER_MILLISECOND,
+                endpoint,
+                report: &load_of(load),
+            });
+        }
+        if let Some(news) = cache {
+            self.decide(Event::Cached {
+                endpoint,
+                hashes: &hashes(&news.added),
+            });
+            self.decide(Event::Evicted {
+                endpoint,
+                hashes: &hashes(&news.evicted),
+            });
+        }
+    }
+
+    pub(super) fn reports(&self) -> Vec<EndpointReport> {
+        let now_ms = self.clock.now_ms();
+        self.endpoints
+            .iter()
+            .map(|endpoint| EndpointReport {
+                age_ms: now_ms.saturating_sub(endpoint.heard_ms),
+                announcement: Announcement {
+                    cache: None,
+                    ..endpoint.announcement.clone()
+                },
+                endpoint: endpoint.name.clone(),
+                shard: self.identity.shard.clone(),
+            })
+            .collect()
+    }
+}
+
+fn hashes(texts: &[String]) -> Vec<u64> {
+    const HEXADECIMAL: u32 = 16;
+    texts
+        .iter()
+        .filter_map(|text| u64::from_str_radix(text, HEXADECIMAL).ok())
+        .collect()
+}
+
+fn load_of(report: &LoadReport) -> Report {
+    Report {
+        memory_used_tokens: report.memory_used_tokens,
+        preemptions: report.preemptions,
+        running: report.running,
+        token_interval_us: report.token_interval_us,
+        waiting: report.waiting,
+    }
+}
+
+fn profile(offer: &Offer, region: RegionIndex) -> Profile {
+    match offer {
+        Offer::Engine(engine) => Profile {
+            block_tokens: engine.block_tokens,
+            memory_tokens: engine.memory_tokens,
+            model: ModelIndex(0),
+            region,
+            sequences_max: engine.sequences_max,
+        },
+        Offer::Service(service) => Profile {
+            block_tokens: 0,
+            memory_tokens: u64::MAX,
+            model: ModelIndex(0),
+            region,
+            sequences_max: service.calls_max,
+        },
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/spawn.rs
@@ -0,0 +1,61 @@
+//! Starts an owner, its timer and its watch on the published state.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use slog::Logger;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use xtra::{Address, Mailbox, WeakAddress};
+
+use super::actor::{Identity, ShardOwner};
+use super::messages::{Published, Wake};
+use crate::clock::Clock;
+use crate::holdings::Holdings;
+
+/// Starts the owner of a shard.
+pub(crate) fn spawn(
+    identity: Identity,
+    holdings: &Arc<Holdings>,
+    draining: &Arc<AtomicBool>,
+    clock: Clock,
+    log: &Logger,
+) -> Address<ShardOwner> {
+    let (address, mailbox) = Mailbox::unbounded();
+    let (wake, wakes) = watch::channel(0);
+    let owner = ShardOwner::new(identity, holdings, draining, clock, log, wake);
+    tokio::spawn(xtra::run(mailbox, owner));
+    tokio::spawn(run_timer(address.downgrade(), clock, wakes));
+    tokio::spawn(follow(address.downgrade(), Arc::clone(holdings)));
+    address
+}
+
+/// Tells the owner of every change of the published state.
+async fn follow(owner: WeakAddress<ShardOwner>, holdings: Arc<Holdings>) {
+    let mut changes = holdings.changes();
+    while changes.changed().await.is_ok() {
+        if owner.send(Published).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Wakes the owner when it asked for it, and at least every `WAKE_MS_MAX`.
+async fn run_timer(owner: WeakAddress<ShardOwner>, clock: Clock, mut wakes: watch::Receiver<u64>) {
+    loop {
+        let wake_us = *wakes.borrow_and_update();
+        let left_us = wake_us.saturating_sub(clock.now_us());
+        let changed = timeout(Duration::from_micros(left_us), wakes.changed()).await;
+        match changed {
+            Ok(Ok(())) => continue,
+            Ok(Err(_)) => return,
+            Err(_) => {}
+        }
+        if owner.send(Wake).await.is_err() {
+            return;
+        }
+        // An owner that asks for a time in the past must not keep the timer spinning.
+        sleep(Duration::from_millis(1)).await;
+    }
+}
