--- a/crates/agreement/src/sender.rs
+++ b/crates/agreement/src/sender.rs
@@ -40,40 +40,37 @@
     }
 
     fn probe(&mut self, follower: &mut Progress) {
-        if !self.holds_entry_before(follower.next) {
-            self.start_snapshot(follower);
-            return;
-        }
         follower.mode = Mode::Probe { waiting: true };
         self.append(follower, Vec::new());
     }
 
     fn replicate(&mut self, follower: &mut Progress) {
-        while follower.next <= self.log.last_index()
+        while matches!(follower.mode, Mode::Replicate)
+            && follower.next <= self.log.last_index()
             && follower.in_flight_bytes() < self.settings.in_flight_bytes_max
         {
-            if !self.holds_entry_before(follower.next) {
-                self.start_snapshot(follower);
-                return;
-            }
             let entries = self
                 .log
                 .entries_from(follower.next, self.settings.append_bytes_max);
-            let length_bytes = entries.iter().map(Entry::length_bytes).sum();
-            let last = entries.last().expect("an entry follows").index;
             self.append(follower, entries);
-            follower.sent(last, length_bytes);
         }
-        if follower.commit_sent < self.commit && follower.is_idle() {
+        let is_replicating = matches!(follower.mode, Mode::Replicate);
+        if is_replicating && follower.is_idle() && follower.commit_sent < self.commit {
             self.append(follower, Vec::new());
         }
     }
 
+    /// Sends entries, or a snapshot where the log no longer holds the entry before them.
     fn append(&mut self, follower: &mut Progress, entries: Vec<Entry>) {
         let previous_index = LogIndex(follower.next.0 - 1);
         let Some(previous_term) = self.log.term_at(previous_index) else {
+            self.start_snapshot(follower);
             return;
         };
+        if let Some(last) = entries.last() {
+            let length_bytes = entries.iter().map(Entry::length_bytes).sum();
+            follower.sent(last.index, length_bytes);
+        }
         follower.commit_sent = self.commit;
         let append = Append {
             commit: self.commit,
@@ -124,10 +121,6 @@
         self.send(&follower.member, Message::SnapshotChunk(chunk));
     }
 
-    fn holds_entry_before(&self, index: LogIndex) -> bool {
-        self.log.term_at(LogIndex(index.0 - 1)).is_some()
-    }
-
     fn send(&mut self, to: &Member, message: Message) {
         self.outputs.push(Output::Send(Envelope {
             from: self.settings.member.clone(),
--- a/crates/agreement/tests/replica/driver.rs
+++ b/crates/agreement/tests/replica/driver.rs
@@ -85,9 +85,15 @@
         self.replica.status()
     }
 
-    pub fn pass_time(&mut self, elapsed_ms: u64) {
+    pub fn pass_time(&mut self, elapsed_ms: u64) -> Vec<Envelope> {
         self.now_ms += elapsed_ms;
-        self.handle(Input::Tick);
+        self.handle(Input::Tick)
+    }
+
+    pub fn compact(&mut self) {
+        let index = self.status().commit;
+        let data = vec![1];
+        self.handle(Input::Compact { data, index });
     }
 
     /// Takes a message of the current term, or of a later one.
@@ -113,7 +119,11 @@
 
     pub fn open(recovered: Recovered) -> Self {
         let names = voters().into_iter().map(|voter| voter.name).collect();
-        let settings = Settings::new(GroupId(1), member(0, 0), names);
+        let settings = Settings {
+            in_flight_bytes_max: 100,
+            retained_entries: 1,
+            ..Settings::new(GroupId(1), member(0, 0), names)
+        };
         Self {
             confirmed: Vec::new(),
             held_back: Vec::new(),
--- a/crates/agreement/tests/replica/leadership.rs
+++ b/crates/agreement/tests/replica/leadership.rs
@@ -56,3 +56,18 @@
     }
     assert_eq!(driver.status().role, RoleName::Follower);
 }
+
+#[test]
+fn a_follower_whose_window_is_full_is_still_sent_heartbeats_after_a_compaction() {
+    let mut driver = Driver::leader();
+    driver.receive(&member(2, 2), answer(LogIndex(2), 0), 0);
+    for _ in 0..10 {
+        driver.propose();
+    }
+    let last = driver.status().last_index;
+    driver.receive(&member(1, 1), answer(last, 0), 0);
+    assert_eq!(driver.status().commit, last);
+    driver.compact();
+    let sent = driver.pass_time(100);
+    assert!(sent.iter().any(|envelope| envelope.to == member(2, 2).name));
+}
