--- a/crates/agreement/examples/soak/simulation/schedule.rs
+++ b/crates/agreement/examples/soak/simulation/schedule.rs
@@ -13,6 +13,9 @@
         if simulation.random.random_range(0..150) == 0 && simulation.wipe_one() {
             wiped += 1;
         }
+        if step % 5_000 == 4_999 {
+            simulation.absent_follower();
+        }
         if step % 500 == 0 {
             simulation.check_logs();
         }
@@ -32,6 +35,25 @@
 }
 
 impl Simulation {
+    /// A follower misses more than its window and the retained log under one lasting leader.
+    fn absent_follower(&mut self) {
+        self.settle();
+        let leader = self.leader().expect("settled");
+        let follower = (leader + 1) % self.voters;
+        if follower == leader {
+            return;
+        }
+        self.crash(follower);
+        for _ in 0..40 {
+            self.propose(leader, 1);
+            self.exchange();
+            self.pass_time(10);
+        }
+        self.compact(leader);
+        self.start(follower);
+        self.settle();
+    }
+
     fn step(&mut self) {
         let at = self.random.random_range(0..self.nodes.len());
         match self.random.random_range(0..1_000) {
