--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -25,6 +25,14 @@
         /// The decoder's error.
         source: postcard::Error,
     },
+    /// The command is longer than allowed; it was not run.
+    #[error("the command is {length_bytes} bytes long, at most {length_bytes_max} are allowed")]
+    TooLarge {
+        /// Its length.
+        length_bytes: usize,
+        /// The longest allowed.
+        length_bytes_max: usize,
+    },
     /// The request was not run.
     #[error("the replicated state is unavailable: {reason}")]
     Unavailable {
--- a/crates/control/src/host/messages.rs
+++ b/crates/control/src/host/messages.rs
@@ -90,16 +90,27 @@
     }
 
     fn on_propose(&mut self, command: Vec<u8>, reply: Reply<Answer>) {
+        match self.check_proposal(&command) {
+            Ok(()) => self.requests.add_proposal(command, reply),
+            Err(error) => drop(reply.send(Err(error))),
+        }
+    }
+
+    fn check_proposal(&self, command: &[u8]) -> Result<(), Error> {
         if self.replica.is_none() {
-            drop(reply.send(Err(self.unavailable())));
-            return;
+            return Err(self.unavailable());
+        }
+        if command.len() > self.settings.command_bytes_max {
+            return Err(Error::TooLarge {
+                length_bytes: command.len(),
+                length_bytes_max: self.settings.command_bytes_max,
+            });
         }
         if self.requests.proposals() >= self.settings.proposals_waiting_max {
             let reason = "too many proposals wait".to_owned();
-            drop(reply.send(Err(Error::Unavailable { reason })));
-            return;
+            return Err(Error::Unavailable { reason });
         }
-        self.requests.add_proposal(command, reply);
+        Ok(())
     }
 
     fn on_tick(&mut self) {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -7,6 +7,8 @@
 /// What the host of a group is configured with.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// Longest command.
+    pub command_bytes_max: usize,
     /// Entries applied since the last snapshot after which a new one is made.
     pub compact_after_entries: u64,
     /// Time after which a snapshot is made of however few entries applied since the last one; a
@@ -44,6 +46,7 @@
         log: Logger,
     ) -> Self {
         Self {
+            command_bytes_max: 1024 * 1024,
             compact_after_entries: 10_000,
             compact_after_ms: 600_000,
             election_timeout_ms: 1_000,
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -234,6 +234,16 @@
     group.until(has_snapshot).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_command_that_is_too_large_is_refused_and_harms_nothing() {
+    let group = Group::open(1);
+    group.propose("0").await;
+    let bytes_max = group.settings(0).command_bytes_max;
+    let proposed = group.control(0).propose(vec![0; bytes_max + 1]).await;
+    assert!(matches!(proposed, Err(Error::TooLarge { .. })));
+    group.control(0).propose(vec![0; bytes_max]).await.unwrap();
+}
+
 #[tokio::test(start_paused = true)]
 async fn groups_that_share_a_journal_keep_their_commands_apart() {
     let group = Group::open(1);
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -109,9 +109,11 @@
         &self.identity
     }
 
-    /// Collects a record for the next sync.
+    /// Collects a record for the next sync; drops it after a failure, which that sync reports.
     pub fn append(&mut self, record: Record) {
-        self.pending.push(record);
+        if self.failure.is_none() {
+            self.pending.push(record);
+        }
     }
 
     /// Makes everything appended so far durable, with one sync.
