Never queue again what delivered tokens, and forecast no ending permit

When first tokens and an ordered cancellation crossed, the request was queued again if the tokens came only with the end; a new test showed it granted twice. An ending permit no longer gets a new forecast.

--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -2,7 +2,6 @@
 
 use super::Dispatcher;
 use crate::End;
-use crate::endpoint::Endpoint;
 use crate::forecast::Forecast;
 use crate::lengths::Observation;
 use crate::number::{difference, real, whole};
@@ -58,10 +57,12 @@
 
     /// Ends a permit; one that is not known has ended before.
     pub(super) fn finish(&mut self, now_us: u64, number: PermitId, end: End, generated: u32) {
-        if !self.permits.contains_key(&number) {
+        let Some(permit) = self.permits.get(&number) else {
             return;
+        };
+        if generated > permit.generated_tokens {
+            self.grow(now_us, number, generated);
         }
-        self.progress(now_us, number, generated);
         let permit = self.permits.remove(&number).expect("the permit is known");
         self.running.remove(&permit.request);
         self.release(number, &permit);
@@ -72,7 +73,7 @@
             self.endpoint_mut(permit.endpoint).paused_until_us = until_us;
         }
         let row = permit.work.row;
-        if permit.cancelling && end == End::Cancelled && !permit.withdrawn {
+        if permit.waits_again(end) {
             self.queue_again(now_us, permit);
         }
         self.refresh_row(now_us, row);
@@ -88,30 +89,21 @@
         let Some(permit) = self.permits.get(&number) else {
             return false;
         };
-        let before_tokens = permit.generated_tokens;
-        if generated_tokens <= before_tokens {
+        let started = permit.generated_tokens > 0;
+        if generated_tokens <= permit.generated_tokens {
             return false;
         }
-        let (row, endpoint_id) = (permit.work.row, permit.endpoint);
-        let observation = Observation {
-            before_tokens,
-            generated_tokens,
-            now_us,
-        };
-        let known = &mut self.rows[row.0 as usize];
-        self.lengths
-            .pass(known.kind, &mut known.lengths, observation);
-        self.forecast_again(number, generated_tokens);
-        let token_us = self.token_us(endpoint_id);
+        self.grow(now_us, number, generated_tokens);
+        self.forecast_again(number);
         let permit = self.permits.get_mut(&number).expect("the permit is known");
         permit.cancelling = false;
-        permit.used_us += f64::from(generated_tokens - before_tokens) * token_us;
+        let row = permit.work.row;
         let overrun_us = difference(whole(permit.used_us), permit.charged_us);
         if overrun_us > 0 {
             permit.charged_us = permit.charged_us.saturating_add_signed(overrun_us);
             self.correct(row, overrun_us);
         }
-        before_tokens == 0
+        !started
     }
 
     /// Puts a permit in force.
@@ -155,8 +147,9 @@
     }
 
     /// Replaces a permit's forecast and known size by those that follow from its length.
-    fn forecast_again(&mut self, number: PermitId, generated_tokens: u32) {
+    fn forecast_again(&mut self, number: PermitId) {
         let permit = &self.permits[&number];
+        let generated_tokens = permit.generated_tokens;
         let used_tokens = u64::from(permit.work.prompt_tokens) + u64::from(generated_tokens);
         let forecast = Forecast::of(&self.predict(&permit.work, generated_tokens), used_tokens);
         let index = self
@@ -164,19 +157,39 @@
             .expect("a permit's endpoint is known");
         let endpoint = &mut self.endpoints[index];
         let permit = self.permits.get_mut(&number).expect("the permit is known");
-        if permit.generated_tokens == 0 {
-            endpoint.prefill_tokens -= permit.prefill_tokens;
-            endpoint.unstarted.retain(|&unstarted| unstarted != number);
-        }
         let known_tokens = endpoint.occupied_tokens(used_tokens);
         endpoint.forecast.subtract(&permit.forecast);
         endpoint.forecast.add(&forecast);
         endpoint.known_tokens = endpoint.known_tokens - permit.known_tokens + known_tokens;
         permit.forecast = forecast;
-        permit.generated_tokens = generated_tokens;
         permit.known_tokens = known_tokens;
     }
 
+    /// Counts new tokens of a permit.
+    fn grow(&mut self, now_us: u64, number: PermitId, generated_tokens: u32) {
+        let permit = self.permits.get_mut(&number).expect("the permit is known");
+        let index = self
+            .endpoints
+            .binary_search_by_key(&permit.endpoint, |known| known.id)
+            .expect("a permit's endpoint is known");
+        let endpoint = &mut self.endpoints[index];
+        if permit.generated_tokens == 0 {
+            endpoint.prefill_tokens -= permit.prefill_tokens;
+            endpoint.unstarted.retain(|&unstarted| unstarted != number);
+        }
+        let observation = Observation {
+            before_tokens: permit.generated_tokens,
+            generated_tokens,
+            now_us,
+        };
+        let known = &mut self.rows[permit.work.row.0 as usize];
+        self.lengths
+            .pass(known.kind, &mut known.lengths, observation);
+        let token_us = endpoint.token_us().unwrap_or(self.settings.token_us);
+        permit.used_us += f64::from(generated_tokens - permit.generated_tokens) * token_us;
+        permit.generated_tokens = generated_tokens;
+    }
+
     fn learn(&mut self, now_us: u64, permit: &Permit, end: End) {
         let known = &mut self.rows[permit.work.row.0 as usize];
         let generated_tokens = permit.generated_tokens;
@@ -246,12 +259,7 @@
         }
     }
 
-    fn token_us(&self, endpoint: EndpointId) -> f64 {
-        let measured_us = self.endpoint(endpoint).and_then(Endpoint::token_us);
-        measured_us.unwrap_or(self.settings.token_us)
-    }
-
-    /// Mean number of tokens that a permit's row is expected to generate in all.
+    /// Engine time that a request is expected to take.
     pub(super) fn expected_cost_us(&self, pool: usize, work: &Work) -> u64 {
         let decode_us = self.predict(work, 0).mean_tokens() * self.pools[pool].token_us;
         let prefill_us = real(u64::from(work.prompt_tokens)) * self.settings.prefill_us_per_token;
--- a/crates/dispatch/src/permit.rs
+++ b/crates/dispatch/src/permit.rs
@@ -1,8 +1,8 @@
 use names::{EndpointId, PermitId, RequestId};
 
-use crate::Demand;
 use crate::forecast::Forecast;
 use crate::work::Work;
+use crate::{Demand, End};
 
 /// A running request.
 #[derive(Debug)]
@@ -29,6 +29,15 @@
     pub(crate) work: Work,
 }
 
+impl Permit {
+    /// Whether the request waits again after this end: only if it was cancelled as asked, and
+    /// nothing of it was delivered.
+    pub(crate) fn waits_again(&self, end: End) -> bool {
+        let undelivered = self.generated_tokens == 0 && end == End::Cancelled;
+        self.cancelling && undelivered && !self.withdrawn
+    }
+}
+
 /// A permit as an entry reports it to a new owner.
 #[derive(Debug, Clone)]
 pub struct HeldPermit {
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -138,6 +138,30 @@
     assert_eq!(host.fates[&third], Fate::Refused(RefusalReason::NoEndpoint));
 }
 
+#[test]
+fn a_request_that_delivered_tokens_never_runs_again() {
+    let mut host = host(100_000);
+    let request = host.request(&demand(0, 100, 400));
+    host.announce(1, &profile(100_000, 64));
+    host.pass_us(1_000_000);
+    let full = Report {
+        waiting: 1,
+        ..Report::default()
+    };
+    host.report(0, &full);
+    let Some(&Action::Cancel { permit }) = host.actions.last() else {
+        panic!("nothing is cancelled");
+    };
+    // The first tokens and the cancellation crossed.
+    let running = host.running.get_mut(&permit).expect("it runs");
+    running.generated_tokens = 3;
+    running.cancelling = false;
+    host.finish(permit, End::Cancelled);
+    assert_eq!(host.fates[&request], Fate::Ended);
+    assert_eq!(host.dispatcher.queued_requests(), 0);
+    assert_eq!(host.dispatcher.permits().count(), 0);
+}
+
 #[test]
 fn a_request_held_back_by_an_engine_moves_to_one_with_room() {
     let mut host = host(100_000);
