Never ask to be woken in the past, and take extreme sizes

After a hold or an endpoint's pause had passed, wake_us kept naming it, and a deadline that had passed on arrival was named too: a host would have ticked without end. A refusal at the queue's door also left rows that had just opened ungranted until the next event. Waits of u64::MAX ms overflowed (new test).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,6 +3,12 @@
 //! Requests wait in fair queues, one a model, until an endpoint has room. Rows, requests and permits
 //! are many and change with every event; a sorted vector would cost O(n) an insert, so they are kept
 //! in B-trees. Endpoints and models are few and are kept in sorted vectors.
+//!
+//! The host gives each request a number that is unique in the shard, reports the end of every permit
+//! it was granted, also of a cancelled one, and calls with `Event::Tick` when `wake_us` says so.
+//! Permits that end with their endpoint's lease need no report. Permits of an entry whose lease
+//! lapsed are ended as failed. Only a confirmed cancellation that the dispatcher asked for queues the
+//! request again; after any other end the entry asks again under a new number.
 
 mod granting;
 mod permits;
@@ -37,6 +43,8 @@
     lengths: Lengths,
     next_permit: u64,
     next_sequence: u64,
+    /// Time of the last event.
+    now_us: u64,
     /// Rows whose limits open with time.
     openings: BTreeSet<(u64, RowIndex)>,
     permits: BTreeMap<PermitId, Permit>,
@@ -94,6 +102,7 @@
             lengths: Lengths::new(&settings),
             next_permit: 1,
             next_sequence: 0,
+            now_us: 0,
             openings: BTreeSet::new(),
             permits: BTreeMap::new(),
             placement: PlacementMemory::default(),
@@ -192,6 +201,7 @@
 
 impl Policy for Dispatcher {
     fn handle(&mut self, now_us: u64, event: Event<'_>, actions: &mut Vec<Action>) {
+        self.now_us = now_us;
         self.expire(now_us, actions);
         self.open_rows(now_us);
         match event {
--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -64,7 +64,10 @@
         }
         let pauses = self.endpoints.iter().map(|known| known.paused_until_us);
         let held = std::iter::once(self.held_until_us);
-        pauses.chain(held).filter(|&at_us| at_us > 0).min()
+        pauses
+            .chain(held)
+            .filter(|&at_us| at_us > self.now_us)
+            .min()
     }
 
     pub(super) fn predict(&self, work: &Work, generated_tokens: u32) -> Prediction {
--- a/crates/dispatch/src/dispatcher/refusing.rs
+++ b/crates/dispatch/src/dispatcher/refusing.rs
@@ -47,7 +47,7 @@
         }
         if let Err(refusal) = self.enqueue(now_us, request, demand) {
             actions.push(refusal);
-            return;
+            return self.grant_all(now_us, actions);
         }
         self.unstick_for(request);
         self.grant_all(now_us, actions);
@@ -119,7 +119,8 @@
         let pool = self.pool_index(work.model);
         let cost_us = self.expected_cost_us(pool, &work);
         let limits = self.row(row).limits.as_ref();
-        let wait_us_max = limits.map_or(0, |limits| limits.queueing_ms_max * US_PER_MS);
+        let wait_us_max =
+            limits.map_or(0, |limits| limits.queueing_ms_max.saturating_mul(US_PER_MS));
         let expires_us = work
             .deadline_us
             .min(work.arrived_us.saturating_add(wait_us_max));
@@ -161,6 +162,9 @@
         if row.queued > limits.queued_max {
             return Some(RefusalReason::QueueFull);
         }
+        if queued.expires_us <= now_us {
+            return Some(RefusalReason::WaitedTooLong);
+        }
         let allowed_us = real(queued.expires_us.saturating_sub(now_us));
         let predicted_us = real(self.predicted_wait_us(&queued.work));
         let part = self.settings.wait_part_max;
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -7,6 +7,9 @@
     12_288, 16_384,
 ];
 
+/// Size from which on sequences count alike, so that sums of squares stay exact.
+const SIZE_TOKENS_MAX: f64 = 1e7;
+
 const MILLI: f64 = 1_000.0;
 
 /// Most tokens by which a partly filled block exceeds its content.
@@ -30,6 +33,7 @@
         for (index, alive) in survivals.into_iter().enumerate() {
             let grown = f64::from(HORIZONS[index]).min(remaining_max);
             let size = real(used_tokens + BLOCK_SLACK_TOKENS) + grown;
+            let size = size.min(SIZE_TOKENS_MAX);
             forecast.alive_milli[index] = whole(alive * MILLI);
             forecast.mean_tokens[index] = whole(size * alive);
             forecast.variance[index] = whole(size * size * alive * (1.0 - alive));
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -51,6 +51,20 @@
     }
 }
 
+#[test]
+fn extreme_sizes_and_waits_are_taken() {
+    let mut host = host(0);
+    let mut row = limits(0, 0);
+    row.queueing_ms_max = u64::MAX;
+    host.set_limits(row);
+    let mut service = profile(u64::MAX, 64);
+    service.block_tokens = 0;
+    host.announce(0, &service);
+    for _ in 0..64 {
+        place(&mut host, &demand(0, u32::MAX, u32::MAX));
+    }
+}
+
 #[test]
 fn the_callers_region_is_preferred() {
     let mut host = host(1);
--- a/crates/dispatch/tests/random_events.rs
+++ b/crates/dispatch/tests/random_events.rs
@@ -158,6 +158,9 @@
         } => {
             let mut asked = demand(customer, prompt_tokens, 1_000);
             asked.urgent = urgent;
+            if prompt_tokens % 16 == 0 {
+                asked.deadline_us = host.now_us;
+            }
             asked.region = RegionIndex(customer % 2);
             let template = u64::from(customer % 3) << 32;
             asked.prefix_hashes = (template..).take(prompt_tokens as usize / 16).collect();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -270,6 +270,11 @@
         for &action in &actions {
             self.check(action);
         }
+        let wake_us = self.dispatcher.wake_us();
+        assert!(
+            wake_us.is_none_or(|at_us| at_us > self.now_us),
+            "wants to be woken in the past"
+        );
         self.actions.extend(actions);
     }
 
