--- a/crates/entry/src/border/observer.rs
+++ b/crates/entry/src/border/observer.rs
@@ -48,6 +48,7 @@
     /// Times between tokens since the last call, in order.
     fn token_intervals(&self, _intervals_us: &[u64]) {}
 
-    /// Tokens that went to the caller since the last call.
+    /// Tokens taken for the caller since the last call; also those of a whole answer that is then
+    /// started again.
     fn tokens(&self, _count: u64) {}
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -27,6 +27,9 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 4_096;
 
+/// Smallest bound on a request head that hyper takes.
+const HEAD_BYTES_MIN: usize = 8 << 10;
+
 /// Running entry; stops at once when dropped.
 pub struct Entry {
     address: SocketAddr,
@@ -171,7 +174,7 @@
     };
     let connection = Builder::new()
         .header_read_timeout(idle)
-        .max_buf_size(limits.head_bytes)
+        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
         .max_headers(limits.headers)
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(GuardedStream::new(stream, idle)), service);
--- a/crates/entry/src/http/generation/mod.rs
+++ b/crates/entry/src/http/generation/mod.rs
@@ -19,6 +19,7 @@
 use crate::border::{End, Permit, PermitRequest, Refusal};
 use crate::core::{Action, Call, Event, Failure, FailurePoint, Mode};
 use crate::http::answer::Answer;
+use crate::http::attempts::Attempts;
 use crate::http::link::{Dial, Link, StartBody, cancel};
 use crate::http::measures::Measures;
 use crate::http::problem::Problem;
@@ -42,12 +43,11 @@
 /// Call in progress.
 struct Driver {
     actions: Vec<Action>,
+    attempts: Attempts,
     call: Call,
     /// When the permit was asked for.
     queued_us: u64,
     generation: Generation,
-    has_deposited: bool,
-    last_endpoint: Option<EndpointName>,
     permit: Option<Box<dyn Permit>>,
     received: u32,
     revoked: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
@@ -106,15 +106,8 @@
     }
 
     fn ask_budget(&mut self) {
-        let endpoint = self.last_endpoint.as_ref();
         let customer = &self.generation.permit_request.customer;
-        let granted = endpoint.is_some_and(|endpoint| {
-            self.generation
-                .shared
-                .budgets()
-                .withdraw(customer, endpoint)
-        });
-        if granted {
+        if self.attempts.retry(&self.generation.shared, customer) {
             self.generation.measures.observer().restarted();
             self.event(Event::BudgetGranted);
         } else {
@@ -168,11 +161,10 @@
         let wake = generation.shared.clock.instant(call.wake_us());
         Self {
             actions,
+            attempts: Attempts::First,
             call,
             queued_us: 0,
             generation,
-            has_deposited: false,
-            last_endpoint: None,
             permit: None,
             received: 0,
             revoked: None,
--- a/crates/entry/src/http/generation/steps.rs
+++ b/crates/entry/src/http/generation/steps.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use names::GenerationId;
 
-use super::{Driver, Step, Waiting};
-use crate::border::Permit;
+use super::{BUDGET_RETRY_AFTER_MS, Driver, Step, Waiting};
+use crate::border::{End, Permit, Refusal, RefusalReason};
 use crate::core::{Action, Event, FailurePoint, GenerationEnd, Status};
 use crate::http::event_reader::EngineEvent;
 use crate::http::link::Link;
@@ -118,13 +118,16 @@
             .measures
             .observer()
             .queued(now_us - self.queued_us);
-        if !self.has_deposited {
-            self.has_deposited = true;
-            let customer = &self.generation.permit_request.customer;
-            shared.budgets().deposit(customer, permit.endpoint());
+        let customer = &self.generation.permit_request.customer;
+        if !self.attempts.admit(&shared, customer, permit.endpoint()) {
+            permit.finish(End::Cancelled, 0);
+            self.event(Event::Refused(Refusal {
+                reason: RefusalReason::RetryBudget,
+                retry_after_ms: BUDGET_RETRY_AFTER_MS,
+            }));
+            return;
         }
         let patience = shared.patience(permit.endpoint());
-        self.last_endpoint = Some(permit.endpoint().clone());
         self.revoked = permit
             .revoked()
             .map(|token| Box::pin(token.cancelled_owned()));
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -6,6 +6,7 @@
 //! from which the outcome of a failed attempt follows.
 
 mod answer;
+mod attempts;
 mod body;
 mod caller;
 mod clock;
--- a/crates/entry/src/http/service/mod.rs
+++ b/crates/entry/src/http/service/mod.rs
@@ -15,7 +15,6 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use names::EndpointName;
 use slog::{info, warn};
 use tokio::select;
 use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
@@ -25,6 +24,7 @@
     ClaimRequest, Claimed, ClassObserver, End, Permit, PermitRequest, Refusal, StoredAnswer,
 };
 use crate::core::{Failure, FailurePoint, Repeat, ServiceAction, ServiceCall, ServiceEvent};
+use crate::http::attempts::Attempts;
 use crate::http::body::Piece;
 use crate::http::caller::Caller;
 use crate::http::exchange::{Exchange, ReadBuffer};
@@ -53,9 +53,8 @@
 struct Driver {
     actions: Vec<ServiceAction>,
     answer: Option<Answer>,
+    attempts: Attempts,
     call: ServiceCall,
-    endpoint: Option<EndpointName>,
-    has_deposited: bool,
     permit: Option<Box<dyn Permit>>,
     queued_us: u64,
     service: Service,
@@ -100,9 +99,8 @@
         let mut driver = Driver {
             actions,
             answer: None,
+            attempts: Attempts::First,
             call,
-            endpoint: None,
-            has_deposited: false,
             permit: None,
             queued_us: 0,
             service: self,
@@ -146,11 +144,7 @@
 
     fn ask_budget(&mut self) {
         let customer = &self.service.permit_request.customer;
-        let granted = self
-            .endpoint
-            .as_ref()
-            .is_some_and(|endpoint| self.service.shared.budgets().withdraw(customer, endpoint));
-        if granted {
+        if self.attempts.retry(&self.service.shared, customer) {
             self.service.observer.restarted();
             self.event(ServiceEvent::BudgetGranted);
         } else {
--- a/crates/entry/src/http/service/steps.rs
+++ b/crates/entry/src/http/service/steps.rs
@@ -1,6 +1,6 @@
 use super::answer::Answer;
 use super::{Driver, RETRY_AFTER_MS, Step, Waiting};
-use crate::border::{Claimed, Permit, Refusal};
+use crate::border::{Claimed, End, Permit, Refusal, RefusalReason};
 use crate::core::{ClaimState, FailurePoint, ServiceEvent};
 use crate::http::headers;
 
@@ -69,12 +69,15 @@
         self.service
             .observer
             .queued(shared.clock.now_us() - self.queued_us);
-        if !self.has_deposited {
-            self.has_deposited = true;
-            let customer = &self.service.permit_request.customer;
-            shared.budgets().deposit(customer, permit.endpoint());
+        let customer = &self.service.permit_request.customer;
+        if !self.attempts.admit(shared, customer, permit.endpoint()) {
+            permit.finish(End::Cancelled, 0);
+            self.event(ServiceEvent::Refused(Refusal {
+                reason: RefusalReason::RetryBudget,
+                retry_after_ms: RETRY_AFTER_MS,
+            }));
+            return;
         }
-        self.endpoint = Some(permit.endpoint().clone());
         self.permit = Some(permit);
         self.event(ServiceEvent::Granted);
     }
