--- a/crates/journal/src/opening.rs
+++ b/crates/journal/src/opening.rs
@@ -106,18 +106,18 @@
         .filter_map(|file| SnapshotName::parse(file))
         .collect();
     names.sort_unstable();
-    for (at, name) in names.iter().enumerate() {
-        let is_replaced = names
-            .get(at + 1)
-            .is_some_and(|next| next.group == name.group);
-        if is_replaced {
-            let file = name.file();
-            storage
-                .remove(&file)
-                .map_err(|source| Error::io("remove", &file, source))?;
-        } else {
-            recovery.take_snapshot(snapshot::read(storage, *name)?);
-        }
+    let (replaced, newest): (Vec<usize>, Vec<usize>) = (0..names.len()).partition(|at| {
+        let next = names.get(at + 1);
+        next.is_some_and(|next| next.group == names[*at].group)
+    });
+    for at in newest {
+        recovery.take_snapshot(snapshot::read(storage, names[at])?);
+    }
+    for at in replaced {
+        let file = names[at].file();
+        storage
+            .remove(&file)
+            .map_err(|source| Error::io("remove", &file, source))?;
     }
     Ok(())
 }
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -336,3 +336,16 @@
     write(&mut storage.open().unwrap().journal, [entry(1, 1)]);
     assert_eq!(recovered(&storage), [1]);
 }
+
+#[test]
+fn an_older_snapshot_is_kept_until_the_newer_one_is_read() {
+    let storage = MemoryStorage::default();
+    let mut journal = storage.open().unwrap().journal;
+    write(&mut journal, [entry(1, 1), entry(2, 1)]);
+    journal.save_snapshot(&snapshot(1, 1)).unwrap();
+    let name = |index: u64| format!("snapshot-1-{index:020}.snap");
+    storage.set(&name(2), b"damaged".to_vec());
+    let error = storage.open().unwrap_err();
+    assert!(error.to_string().contains(&name(2)), "{error}");
+    assert!(storage.names().contains(&name(1)));
+}
