--- a/crates/agreement/examples/soak/simulation/schedule.rs
+++ b/crates/agreement/examples/soak/simulation/schedule.rs
@@ -178,9 +178,9 @@
         self.change(leader, change);
     }
 
-    /// Wipes a voter, unless one is still to be repaired.
+    /// Wipes a voter, unless one is still to be repaired or the group could not bear it.
     fn wipe_one(&mut self) -> bool {
-        if self.lost_voters() > 0 {
+        if self.voters < 3 || self.lost_voters() > 0 {
             return false;
         }
         let at = self.random.random_range(0..self.voters);
--- a/crates/agreement/tests/randomised.rs
+++ b/crates/agreement/tests/randomised.rs
@@ -3,6 +3,7 @@
 #[path = "../examples/soak/simulation/mod.rs"]
 mod simulation;
 
+use quickcheck::{Gen, QuickCheck};
 use simulation::Summary;
 use simulation::schedule::run;
 
@@ -28,3 +29,14 @@
     assert!(summary.committed > 500, "{summary:?}");
     assert!(summary.wiped > 5, "{summary:?}");
 }
+
+#[test]
+fn groups_of_any_size_keep_their_promises() {
+    fn holds(seed: u64, size: u8) -> bool {
+        run(seed, 1 + usize::from(size % 7), 2_000).committed > 0
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(10, 31))
+        .tests(20)
+        .quickcheck(holds as fn(u64, u8) -> bool);
+}
