--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -58,10 +58,9 @@
     settings: Settings,
 }
 
-/// The endpoints and waiting requests of one model.
+/// The waiting requests of one model.
 #[derive(Debug)]
 struct Pool {
-    endpoints: Vec<EndpointId>,
     model: ModelIndex,
     queue: FairQueue,
     /// Nothing could be granted, and nothing has changed since that would allow it.
@@ -123,19 +122,9 @@
     }
 
     fn announce(&mut self, id: EndpointId, profile: &Profile) {
-        let pool = self.pool_index(profile.model);
-        if let Err(position) = self.pools[pool].endpoints.binary_search(&id) {
-            self.pools[pool].endpoints.insert(position, id);
-        }
         let endpoint = self.endpoint_mut(id);
-        let moved = endpoint
-            .profile
-            .replace(profile.clone())
-            .filter(|before| before.model != profile.model);
+        endpoint.profile = Some(profile.clone());
         endpoint.ready = true;
-        if let Some(before) = moved {
-            self.leave_pool(before.model, id);
-        }
     }
 
     fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
@@ -172,14 +161,6 @@
         };
         let mut endpoint = self.endpoints.remove(index);
         self.placement.forget(id, &mut endpoint.retention);
-        if let Some(profile) = endpoint.profile {
-            self.leave_pool(profile.model, id);
-        }
-    }
-
-    fn leave_pool(&mut self, model: ModelIndex, id: EndpointId) {
-        let pool = self.pool_index(model);
-        self.pools[pool].endpoints.retain(|&member| member != id);
     }
 
     /// The pool of a model, made if it is new.
@@ -187,7 +168,6 @@
         let found = self.pools.binary_search_by_key(&model, |pool| pool.model);
         found.unwrap_or_else(|index| {
             let pool = Pool {
-                endpoints: Vec::new(),
                 model,
                 queue: FairQueue::default(),
                 stuck: false,
--- a/crates/dispatch/src/dispatcher/granting.rs
+++ b/crates/dispatch/src/dispatcher/granting.rs
@@ -99,18 +99,19 @@
 
     /// Endpoints of a pool that may take another permit, from a position on.
     pub(super) fn open_endpoints(&self, now_us: u64, pool: usize, first: usize) -> Vec<&Endpoint> {
-        let members = &self.pools[pool].endpoints;
-        let rotated = members[first..].iter().chain(&members[..first]);
+        let model = self.pools[pool].model;
+        let rotated = self.endpoints[first..]
+            .iter()
+            .chain(&self.endpoints[..first]);
         rotated
-            .filter_map(|&id| self.endpoint(id))
-            .filter(|endpoint| endpoint.is_open(now_us))
+            .filter(|endpoint| endpoint.is_open(now_us) && endpoint.serves(model))
             .collect()
     }
 
     fn grant_one(&mut self, now_us: u64, pool: usize, actions: &mut Vec<Action>) -> bool {
         let flows = self.settings.backfill_flows + 1;
         let order: Vec<RowIndex> = self.pools[pool].queue.order().take(flows).collect();
-        let rotation = self.rotation(pool);
+        let rotation = self.rotation();
         let open = self.open_endpoints(now_us, pool, rotation);
         if order.is_empty() || open.is_empty() {
             return false;
@@ -259,9 +260,9 @@
         }
     }
 
-    /// Where to begin among the endpoints of a pool, so that equals take turns.
-    pub(super) fn rotation(&mut self, pool: usize) -> usize {
-        let members = self.pools[pool].endpoints.len() as u64;
+    /// Where to begin among the endpoints, so that equals take turns.
+    pub(super) fn rotation(&mut self) -> usize {
+        let members = self.endpoints.len() as u64;
         if members == 0 {
             return 0;
         }
--- a/crates/dispatch/src/dispatcher/refusing.rs
+++ b/crates/dispatch/src/dispatcher/refusing.rs
@@ -145,10 +145,10 @@
 
     /// Memory of the largest ready endpoint, if any is ready.
     fn largest_memory_tokens(&self, pool: usize) -> Option<u64> {
-        let members = self.pools[pool].endpoints.iter();
+        let model = self.pools[pool].model;
+        let members = self.endpoints.iter();
         members
-            .filter_map(|&id| self.endpoint(id))
-            .filter(|endpoint| endpoint.ready)
+            .filter(|endpoint| endpoint.ready && endpoint.serves(model))
             .filter_map(|endpoint| endpoint.profile.as_ref())
             .map(|profile| profile.memory_tokens)
             .max()
@@ -180,8 +180,8 @@
         let Some(backlog) = pool.queue.backlog(work.row) else {
             return 0;
         };
-        let ready = pool.endpoints.iter().filter_map(|&id| self.endpoint(id));
-        let ready = ready.filter(|endpoint| endpoint.ready).count() as u64;
+        let serving = self.endpoints.iter().filter(|e| e.serves(work.model));
+        let ready = serving.filter(|endpoint| endpoint.ready).count() as u64;
         let ready = real(ready.max(1));
         let all_us = real(backlog.total_us) / ready;
         let part = real(backlog.flow_weight_milli) / real(backlog.total_weight_milli.max(1));
--- a/crates/dispatch/src/dispatcher/relieving.rs
+++ b/crates/dispatch/src/dispatcher/relieving.rs
@@ -62,7 +62,7 @@
         })?;
         let work = self.permits[&number].work.clone();
         let pool = self.pool_index(work.model);
-        let first = self.rotation(pool);
+        let first = self.rotation();
         let open = self.open_endpoints(now_us, pool, first);
         let place = self.place(&open, &work)?;
         (place.endpoint != self.endpoints[index].id).then_some(number)
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -3,7 +3,7 @@
 use crate::forecast::Forecast;
 use crate::number::{real, whole};
 use crate::prefix::Retention;
-use crate::{Profile, Report, Settings};
+use crate::{ModelIndex, Profile, Report, Settings};
 
 /// Part of a new measurement in a running average.
 const AVERAGE_PART: f64 = 0.2;
@@ -71,6 +71,11 @@
         self.ready && now_us >= self.paused_until_us && self.running < self.running_max()
     }
 
+    pub(crate) fn serves(&self, model: ModelIndex) -> bool {
+        let profile = self.profile.as_ref();
+        profile.is_some_and(|profile| profile.model == model)
+    }
+
     /// Most permits at once.
     pub(crate) fn running_max(&self) -> u32 {
         let Some(profile) = &self.profile else {
