Take over a request once, also when its entry asked again before

A request reported under two permits stopped the owner by an assertion; the new test showed it. A request that waited when its entry reported a permit for it stayed in the queue; read from the code and covered by the same test, not seen failing alone.

--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -11,12 +11,17 @@
 impl Dispatcher {
     /// Takes over permits of an earlier owner, as the entries report them.
     ///
-    /// A permit that is already known is left as it is.
+    /// A permit that is already known is left as it is, and so is a request that already runs. A
+    /// request that waits runs from then on.
     pub fn adopt(&mut self, now_us: u64, held: &[HeldPermit]) {
         for report in held {
-            if self.permits.contains_key(&report.permit) {
+            let known = self.permits.contains_key(&report.permit);
+            if known || self.running.contains_key(&report.request) {
                 continue;
             }
+            if self.queued.contains_key(&report.request) {
+                self.unqueue(report.request);
+            }
             let demand = &report.demand;
             let row = self.row_index(demand.customer, demand.kind);
             let work = Work::new(demand, row, now_us, self.next_sequence);
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -87,6 +87,27 @@
     }
 }
 
+#[test]
+fn a_request_reported_late_by_its_entry_runs_once() {
+    let mut host = host(0);
+    host.announce(0, &profile(2_100, 8));
+    host.dispatcher.hold_until(3_000_000);
+    let waiting = host.request(&demand(0, 300, 100));
+    let held = |number, request| HeldPermit {
+        demand: demand(0, 300, 100),
+        endpoint: EndpointId(0),
+        generated_tokens: 0,
+        permit: PermitId(number),
+        request,
+    };
+    let first = held(7, waiting);
+    let again = held(8, waiting);
+    host.dispatcher.adopt(0, &[first, again]);
+    assert_eq!(host.dispatcher.queued_requests(), 0);
+    let permits = host.dispatcher.permits().map(|view| view.permit);
+    assert!(permits.eq([PermitId(7)]));
+}
+
 #[test]
 fn a_new_owner_counts_what_the_old_one_granted() {
     let mut host = host(0);
