--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,6 +3,12 @@
 //! Requests wait in fair queues, one a model, until an endpoint has room. Rows, requests and permits
 //! are many and change with every event; a sorted vector would cost O(n) an insert, so they are kept
 //! in B-trees. Endpoints and models are few and are kept in sorted vectors.
+//!
+//! The host gives each request a number that is unique in the shard, reports the end of every permit
+//! it was granted, also of a cancelled one, and calls with `Event::Tick` when `wake_us` says so.
+//! Permits that end with their endpoint's lease need no report. Permits of an entry whose lease
+//! lapsed are ended as failed. Only a confirmed cancellation that the dispatcher asked for queues the
+//! request again; after any other end the entry asks again under a new number.
 
 mod granting;
 mod permits;
@@ -37,6 +43,8 @@
     lengths: Lengths,
     next_permit: u64,
     next_sequence: u64,
+    /// Time of the last event.
+    now_us: u64,
     /// Rows whose limits open with time.
     openings: BTreeSet<(u64, RowIndex)>,
     permits: BTreeMap<PermitId, Permit>,
@@ -50,10 +58,9 @@
     settings: Settings,
 }
 
-/// The endpoints and waiting requests of one model.
+/// The waiting requests of one model.
 #[derive(Debug)]
 struct Pool {
-    endpoints: Vec<EndpointId>,
     model: ModelIndex,
     queue: FairQueue,
     /// Nothing could be granted, and nothing has changed since that would allow it.
@@ -94,6 +101,7 @@
             lengths: Lengths::new(&settings),
             next_permit: 1,
             next_sequence: 0,
+            now_us: 0,
             openings: BTreeSet::new(),
             permits: BTreeMap::new(),
             placement: PlacementMemory::default(),
@@ -114,19 +122,9 @@
     }
 
     fn announce(&mut self, id: EndpointId, profile: &Profile) {
-        let pool = self.pool_index(profile.model);
-        if let Err(position) = self.pools[pool].endpoints.binary_search(&id) {
-            self.pools[pool].endpoints.insert(position, id);
-        }
         let endpoint = self.endpoint_mut(id);
-        let moved = endpoint
-            .profile
-            .replace(profile.clone())
-            .filter(|before| before.model != profile.model);
+        endpoint.profile = Some(profile.clone());
         endpoint.ready = true;
-        if let Some(before) = moved {
-            self.leave_pool(before.model, id);
-        }
     }
 
     fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
@@ -163,14 +161,6 @@
         };
         let mut endpoint = self.endpoints.remove(index);
         self.placement.forget(id, &mut endpoint.retention);
-        if let Some(profile) = endpoint.profile {
-            self.leave_pool(profile.model, id);
-        }
-    }
-
-    fn leave_pool(&mut self, model: ModelIndex, id: EndpointId) {
-        let pool = self.pool_index(model);
-        self.pools[pool].endpoints.retain(|&member| member != id);
     }
 
     /// The pool of a model, made if it is new.
@@ -178,7 +168,6 @@
         let found = self.pools.binary_search_by_key(&model, |pool| pool.model);
         found.unwrap_or_else(|index| {
             let pool = Pool {
-                endpoints: Vec::new(),
                 model,
                 queue: FairQueue::default(),
                 stuck: false,
@@ -192,6 +181,7 @@
 
 impl Policy for Dispatcher {
     fn handle(&mut self, now_us: u64, event: Event<'_>, actions: &mut Vec<Action>) {
+        self.now_us = now_us;
         self.expire(now_us, actions);
         self.open_rows(now_us);
         match event {
--- a/crates/dispatch/src/dispatcher/refusing.rs
+++ b/crates/dispatch/src/dispatcher/refusing.rs
@@ -47,7 +47,7 @@
         }
         if let Err(refusal) = self.enqueue(now_us, request, demand) {
             actions.push(refusal);
-            return;
+            return self.grant_all(now_us, actions);
         }
         self.unstick_for(request);
         self.grant_all(now_us, actions);
@@ -119,7 +119,8 @@
         let pool = self.pool_index(work.model);
         let cost_us = self.expected_cost_us(pool, &work);
         let limits = self.row(row).limits.as_ref();
-        let wait_us_max = limits.map_or(0, |limits| limits.queueing_ms_max * US_PER_MS);
+        let wait_us_max =
+            limits.map_or(0, |limits| limits.queueing_ms_max.saturating_mul(US_PER_MS));
         let expires_us = work
             .deadline_us
             .min(work.arrived_us.saturating_add(wait_us_max));
@@ -144,10 +145,10 @@
 
     /// Memory of the largest ready endpoint, if any is ready.
     fn largest_memory_tokens(&self, pool: usize) -> Option<u64> {
-        let members = self.pools[pool].endpoints.iter();
+        let model = self.pools[pool].model;
+        let members = self.endpoints.iter();
         members
-            .filter_map(|&id| self.endpoint(id))
-            .filter(|endpoint| endpoint.ready)
+            .filter(|endpoint| endpoint.ready && endpoint.serves(model))
             .filter_map(|endpoint| endpoint.profile.as_ref())
             .map(|profile| profile.memory_tokens)
             .max()
@@ -161,6 +162,9 @@
         if row.queued > limits.queued_max {
             return Some(RefusalReason::QueueFull);
         }
+        if queued.expires_us <= now_us {
+            return Some(RefusalReason::WaitedTooLong);
+        }
         let allowed_us = real(queued.expires_us.saturating_sub(now_us));
         let predicted_us = real(self.predicted_wait_us(&queued.work));
         let part = self.settings.wait_part_max;
@@ -176,8 +180,8 @@
         let Some(backlog) = pool.queue.backlog(work.row) else {
             return 0;
         };
-        let ready = pool.endpoints.iter().filter_map(|&id| self.endpoint(id));
-        let ready = ready.filter(|endpoint| endpoint.ready).count() as u64;
+        let serving = self.endpoints.iter().filter(|e| e.serves(work.model));
+        let ready = serving.filter(|endpoint| endpoint.ready).count() as u64;
         let ready = real(ready.max(1));
         let all_us = real(backlog.total_us) / ready;
         let part = real(backlog.flow_weight_milli) / real(backlog.total_weight_milli.max(1));
