--- a/crates/node/src/publication.rs
+++ b/crates/node/src/publication.rs
@@ -124,6 +124,7 @@
 
     /// Answers a subscriber when there is news for it, or after a heartbeat interval.
     pub(crate) async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
+        let received_ms = self.clock.now_ms();
         let heard = self.hear(request);
         // A publisher without a lease may know only of runs that are long gone.
         if !self.may_publish() {
@@ -136,7 +137,7 @@
         }
         self.holdings.want(&request.wanted);
         let mut changes = self.holdings.changes();
-        let interval = Duration::from_millis(HEARTBEAT_INTERVAL_MS);
+        let interval = Duration::from_millis(request.wait_ms.min(HEARTBEAT_INTERVAL_MS));
         let waiting = async {
             while !self.has_news(request) {
                 if changes.changed().await.is_err() {
@@ -147,7 +148,7 @@
         };
         // Without news the answer is a heartbeat.
         let _ = timeout(interval, waiting).await;
-        self.answer(request).await
+        self.answer(request, received_ms).await
     }
 
     /// Shards that have no owner yet.
@@ -155,14 +156,16 @@
         self.holdings.lock().wanted.clone()
     }
 
-    async fn answer(&self, request: &SyncRequest) -> SyncAnswer {
+    async fn answer(&self, request: &SyncRequest, received_ms: u64) -> SyncAnswer {
         let leads = self.confirmed_term().await.is_some();
         if leads {
             self.pull();
         }
         let held = self.holdings.lock();
-        let (Some(leader), Some(lease_ms)) = (held.leader.clone(), self.lease_ms(&held, leads))
-        else {
+        let (Some(leader), Some(lease_ms)) = (
+            held.leader.clone(),
+            self.lease_ms(&held, leads, received_ms),
+        ) else {
             return SyncAnswer::NotPublisher {
                 leader: held.leader.clone(),
             };
@@ -242,11 +245,11 @@
         progress.publisher.heard(now_ms, own)
     }
 
-    fn lease_ms(&self, held: &Held, leads: bool) -> Option<u64> {
+    fn lease_ms(&self, held: &Held, leads: bool, received_ms: u64) -> Option<u64> {
         if leads {
             return Some(CONFIGURATION_LEASE_MS);
         }
-        held.lease.relayed_ms(self.clock.now_ms())
+        held.lease.relayed_ms(self.clock.now_ms(), received_ms)
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
@@ -255,9 +258,15 @@
 
     /// Whether an answer may carry a lease, as far as can be told without asking the quorum.
     fn may_publish(&self) -> bool {
+        let now_ms = self.clock.now_ms();
         let leads = |control: &Arc<Control>| control.role().borrow().is_leader;
         self.control.as_ref().is_some_and(leads)
-            || self.lease_ms(&self.holdings.lock(), false).is_some()
+            || self
+                .holdings
+                .lock()
+                .lease
+                .relayed_ms(now_ms, now_ms)
+                .is_some()
     }
 
     fn publish_roster(held: &mut Held, progress: &Progress) -> bool {
--- a/crates/node/src/subscription.rs
+++ b/crates/node/src/subscription.rs
@@ -92,7 +92,7 @@
 
     async fn renew(&self, upstream: &mut Upstream, publisher: &InstanceName) {
         let sent_ms = self.clock.now_ms();
-        match self.ask(publisher).await {
+        match self.ask(publisher, upstream.wait_ms()).await {
             Some(SyncAnswer::NotPublisher { leader }) => {
                 upstream.failed(self.clock.now_ms(), publisher);
                 self.learn_leader(upstream, leader);
@@ -115,9 +115,9 @@
         }
     }
 
-    async fn ask(&self, publisher: &InstanceName) -> Option<SyncAnswer> {
+    async fn ask(&self, publisher: &InstanceName, wait_ms: u64) -> Option<SyncAnswer> {
         let client = self.peers.client(publisher).await.ok()?;
-        let request = self.request();
+        let request = self.request(wait_ms);
         let answer = client.sync(within(UPSTREAM_TIMEOUT_MS), request).await;
         answer.inspect_err(|_| self.peers.failed(publisher)).ok()
     }
@@ -131,7 +131,7 @@
         }
     }
 
-    fn request(&self) -> SyncRequest {
+    fn request(&self, wait_ms: u64) -> SyncRequest {
         let own = self.heartbeat();
         let mut heartbeats = self.publication.heartbeats();
         heartbeats.retain(|heartbeat| heartbeat.member.name != own.member.name);
@@ -143,6 +143,7 @@
             roster_epoch: held.roster.epoch(),
             roster_version: held.roster.version(),
             table: LogIndex(held.feed.revision().0),
+            wait_ms,
             wanted: held.wanted.clone(),
         }
     }
--- a/crates/protocol/src/sync.rs
+++ b/crates/protocol/src/sync.rs
@@ -15,6 +15,8 @@
     pub roster_version: u64,
     /// Revision of the table that the subscriber holds.
     pub table: LogIndex,
+    /// Longest time to keep the request open without news.
+    pub wait_ms: u64,
     /// Shards that endpoints announced and that have no owner yet.
     pub wanted: Vec<Shard>,
 }
--- a/crates/session/src/lease.rs
+++ b/crates/session/src/lease.rs
@@ -28,14 +28,17 @@
         matches!(self.state(now_ms), LeaseState::Live { .. })
     }
 
-    /// Time left that may be passed on to subscribers; none where too little is left.
+    /// Lease for a subscriber whose request came at `received_ms`; none where too little is left.
     ///
-    /// A holder that misses renewals stops passing the lease on while its subscribers still have
-    /// time to find another publisher.
+    /// The subscriber counts from when it sent the request, so the lease is told from `received_ms`
+    /// on and ends no later than this one. A holder that misses renewals stops passing the lease on
+    /// while its subscribers still have time to find another publisher.
     #[must_use]
-    pub fn relayed_ms(&self, now_ms: u64) -> Option<u64> {
+    pub fn relayed_ms(&self, now_ms: u64, received_ms: u64) -> Option<u64> {
         match self.state(now_ms) {
-            LeaseState::Live { left_ms } if left_ms >= RELAYED_LEASE_MIN_MS => Some(left_ms),
+            LeaseState::Live { left_ms } if left_ms >= RELAYED_LEASE_MIN_MS => {
+                Some(now_ms.saturating_sub(received_ms) + left_ms)
+            }
             LeaseState::Lapsed | LeaseState::Live { .. } => None,
         }
     }
--- a/crates/session/src/upstream.rs
+++ b/crates/session/src/upstream.rs
@@ -7,7 +7,7 @@
 
 use names::InstanceName;
 
-use crate::{Member, Role, Roster, rendezvous_order};
+use crate::{HEARTBEAT_INTERVAL_MS, Member, Role, Roster, rendezvous_order};
 
 /// Most doublings of `RETRY_AFTER_MS`.
 const DOUBLINGS_MAX: u32 = 3;
@@ -29,6 +29,8 @@
     failed: Vec<Failure>,
     own: InstanceName,
     turn: usize,
+    /// Set where the last attempt failed.
+    unsettled: bool,
 }
 
 impl Upstream {
@@ -39,6 +41,7 @@
             failed: Vec::new(),
             own: own.clone(),
             turn: 0,
+            unsettled: true,
         }
     }
 
@@ -65,7 +68,8 @@
 
     /// Notes that a candidate answered.
     pub fn answered(&mut self, name: &InstanceName) {
-        self.failed.retain(|failure| failure.name != *name);
+        self.unsettled = false;
+        self.forget(name);
     }
 
     /// Notes that a candidate did not answer or cannot publish.
@@ -78,7 +82,8 @@
                 failures = failure.failures;
             }
         }
-        self.answered(name);
+        self.forget(name);
+        self.unsettled = true;
         self.failed.push(Failure {
             failures: failures + 1,
             name: name.clone(),
@@ -91,6 +96,22 @@
         self.failed.clear();
     }
 
+    /// Longest time that the next publisher may keep a request open without news.
+    ///
+    /// After a failure the first answer is wanted at once, since the lease is running out.
+    #[must_use]
+    pub fn wait_ms(&self) -> u64 {
+        if self.unsettled {
+            0
+        } else {
+            HEARTBEAT_INTERVAL_MS
+        }
+    }
+
+    fn forget(&mut self, name: &InstanceName) {
+        self.failed.retain(|failure| failure.name != *name);
+    }
+
     fn must_wait(&self, now_ms: u64, name: &InstanceName) -> bool {
         self.failed
             .iter()
--- a/crates/session/tests/support/fleet/node.rs
+++ b/crates/session/tests/support/fleet/node.rs
@@ -1,9 +1,9 @@
 use names::{Epoch, InstanceName, LogIndex};
 use protocol::{SyncAnswer, SyncRequest, SyncUpdate};
 use session::{
-    AssignCommand, AssignmentAges, Assignments, CONFIGURATION_LEASE_MS, ConfigurationLease,
-    HEARTBEAT_INTERVAL_MS, Heard, Heartbeat, Member, MemberState, Predecessor, Publisher, Roster,
-    Shard, UPSTREAM_TIMEOUT_MS, Upstream, plan_missing, plan_moves,
+    AssignCommand, AssignmentAges, Assignments, CONFIGURATION_LEASE_MS, ConfigurationLease, Heard,
+    Heartbeat, Member, MemberState, Predecessor, Publisher, Roster, Shard, UPSTREAM_TIMEOUT_MS,
+    Upstream, plan_missing, plan_moves,
 };
 use table::{Delta, Publication, Revision, Versioned, View};
 
@@ -47,6 +47,7 @@
     from: usize,
     has_news: bool,
     number: u64,
+    received_ms: u64,
     request: SyncRequest,
 }
 
@@ -246,18 +247,19 @@
         }
         let elsewhere = !self.leads && self.held.roster.supersedes(&own.member);
         let superseded = elsewhere || self.publisher.heard(now_ms, own) == Heard::Superseded;
-        let publishes = leads || self.held.lease.relayed_ms(now_ms).is_some();
+        let publishes = leads || self.held.lease.relayed_ms(now_ms, now_ms).is_some();
         let at_once = superseded || !publishes;
         self.want(&request.wanted);
         self.waiting.push(Waiting {
             answer_ms: if at_once {
                 now_ms
             } else {
-                now_ms + HEARTBEAT_INTERVAL_MS
+                now_ms + request.wait_ms
             },
             from,
             has_news: at_once,
             number,
+            received_ms: now_ms,
             request,
         });
     }
@@ -324,7 +326,7 @@
         let lease_ms = if leads {
             Some(CONFIGURATION_LEASE_MS)
         } else {
-            held.lease.relayed_ms(now_ms)
+            held.lease.relayed_ms(now_ms, asker.received_ms)
         };
         let answer = match (lease_ms, held.leader.clone()) {
             // A publisher without a lease may know only of runs that are long gone.
@@ -443,6 +445,7 @@
             roster_epoch: held.roster.epoch(),
             roster_version: held.roster.version(),
             table: LogIndex(self.table()),
+            wait_ms: self.upstream.wait_ms(),
             wanted: held.wanted.clone(),
         }
     }
