--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,12 @@
 //! was not appended ([`Error::is_not_run`]); or [`Error::Unknown`] when leadership was lost in
 //! between, after which it may or may not be committed. A repeat must then be idempotent.
 //!
+//! A group is founded once, when every initial voter runs with an empty data folder and names the
+//! same initial voters. Later instances introduce themselves and join by
+//! [`Control::change_voters`]. A voter that comes back with an empty folder joins again by itself
+//! once its old identity is silent, as a learner until it holds everything committed; see
+//! [`Settings::rejoin_blank_voters`].
+//!
 //! When the journal fails, the replica is dropped: the instance stops voting and acknowledging,
 //! and every call says why.
 
