--- /dev/null
+++ b/crates/orders/src/orders.rs
@@ -0,0 +1,234 @@
+use std::collections::VecDeque;
+
+use names::{DataCentreName, EndpointName, LogIndex};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Answer, Change, Command, Error, Fencing, Order, OrderId, OrderState, Outcome, SETTLED_MAX,
+};
+
+/// The replicated orders.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Orders {
+    applied: LogIndex,
+    loads_max: u32,
+    /// At most one for each endpoint, sorted by endpoint.
+    open: Vec<Order>,
+    /// Oldest first.
+    settled: VecDeque<SettledOrder>,
+}
+
+/// An order that has ended.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SettledOrder {
+    /// When its end was recorded, as the leader stamped it.
+    pub at_ms: u64,
+    /// The order.
+    pub order: Order,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+impl Orders {
+    /// No orders yet; at most `loads_max` loads run at once.
+    #[must_use]
+    pub fn new(loads_max: u32) -> Self {
+        Self {
+            loads_max,
+            ..Self::default()
+        }
+    }
+
+    /// Restores the state that [`Orders::snapshot`] encoded.
+    ///
+    /// # Errors
+    ///
+    /// Refuses bytes that do not decode.
+    pub fn restore(snapshot: &[u8]) -> Result<Self, Error> {
+        postcard::from_bytes(snapshot).map_err(|source| Error::SnapshotDecode { source })
+    }
+
+    /// Applies a command from the log; `at_ms` is the time that the leader stamped.
+    ///
+    /// # Panics
+    ///
+    /// Where `index` is not greater than that of the command before, or an invariant is broken.
+    pub fn apply(&mut self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
+        assert!(index > self.applied, "log entries applied out of order");
+        self.applied = index;
+        match command {
+            Command::Cancel { id } => self.cancel(at_ms, *id),
+            Command::Order {
+                change,
+                data_centre,
+                endpoint,
+                id,
+            } => self.order(Fencing(index.0), *id, endpoint, data_centre, change),
+            Command::Record {
+                endpoint,
+                fencing,
+                outcome,
+            } => self.record(at_ms, endpoint, *fencing, *outcome),
+            Command::SetBudget { loads_max } => {
+                self.loads_max = *loads_max;
+                Answer::Done
+            }
+            Command::Start { endpoint, fencing } => self.start(endpoint, *fencing),
+        }
+    }
+
+    /// Most loads at once over the whole fleet.
+    #[must_use]
+    pub fn loads_max(&self) -> u32 {
+        self.loads_max
+    }
+
+    /// Loads that have started and not ended.
+    #[must_use]
+    pub fn loads_running(&self) -> usize {
+        let running = |order: &&Order| order.state == OrderState::Started && order.change.is_load();
+        self.open.iter().filter(running).count()
+    }
+
+    /// Open orders, by endpoint.
+    #[must_use]
+    pub fn open(&self) -> &[Order] {
+        &self.open
+    }
+
+    /// Orders that have ended, oldest first.
+    pub fn settled(&self) -> impl Iterator<Item = &SettledOrder> {
+        self.settled.iter()
+    }
+
+    /// Encodes the whole state.
+    ///
+    /// # Panics
+    ///
+    /// Never: the state holds nothing that the encoding refuses.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("orders encode without failure")
+    }
+
+    fn cancel(&mut self, at_ms: u64, id: OrderId) -> Answer {
+        let cancellable = |order: &Order| order.id == id && order.state == OrderState::Waiting;
+        let Some(position) = self.open.iter().position(cancellable) else {
+            return Answer::NotOpen;
+        };
+        self.settle(at_ms, position, Outcome::Cancelled);
+        Answer::Done
+    }
+
+    fn find(&self, endpoint: &EndpointName) -> Result<usize, usize> {
+        self.open
+            .binary_search_by(|order| order.endpoint.cmp(endpoint))
+    }
+
+    fn find_in_state(
+        &self,
+        endpoint: &EndpointName,
+        fencing: Fencing,
+        state: OrderState,
+    ) -> Option<usize> {
+        let position = self.find(endpoint).ok()?;
+        let order = &self.open[position];
+        (order.fencing == fencing && order.state == state).then_some(position)
+    }
+
+    fn order(
+        &mut self,
+        fencing: Fencing,
+        id: OrderId,
+        endpoint: &EndpointName,
+        data_centre: &DataCentreName,
+        change: &Change,
+    ) -> Answer {
+        if let Some(answer) = self.repeated(id, endpoint, change) {
+            return answer;
+        }
+        match self.find(endpoint) {
+            Ok(position) => Answer::Busy {
+                open: self.open[position].id,
+            },
+            Err(position) => {
+                let order = Order {
+                    change: change.clone(),
+                    data_centre: data_centre.clone(),
+                    endpoint: endpoint.clone(),
+                    fencing,
+                    id,
+                    state: OrderState::Waiting,
+                };
+                self.open.insert(position, order);
+                Answer::Accepted { fencing }
+            }
+        }
+    }
+
+    fn record(
+        &mut self,
+        at_ms: u64,
+        endpoint: &EndpointName,
+        fencing: Fencing,
+        outcome: Outcome,
+    ) -> Answer {
+        let Some(position) = self.find_in_state(endpoint, fencing, OrderState::Started) else {
+            return Answer::NotOpen;
+        };
+        self.settle(at_ms, position, outcome);
+        Answer::Done
+    }
+
+    /// Answer to an order whose name was used before.
+    fn repeated(&self, id: OrderId, endpoint: &EndpointName, change: &Change) -> Option<Answer> {
+        let same = |order: &Order| order.endpoint == *endpoint && order.change == *change;
+        if let Some(order) = self.open.iter().find(|order| order.id == id) {
+            let fencing = order.fencing;
+            let answer = Answer::Accepted { fencing };
+            return Some(if same(order) {
+                answer
+            } else {
+                Answer::Mismatch
+            });
+        }
+        let settled = self.settled.iter().find(|settled| settled.order.id == id)?;
+        let answer = Answer::Settled {
+            fencing: settled.order.fencing,
+            outcome: settled.outcome,
+        };
+        Some(if same(&settled.order) {
+            answer
+        } else {
+            Answer::Mismatch
+        })
+    }
+
+    fn settle(&mut self, at_ms: u64, position: usize, outcome: Outcome) {
+        let order = self.open.remove(position);
+        self.settled.push_back(SettledOrder {
+            at_ms,
+            order,
+            outcome,
+        });
+        if self.settled.len() > SETTLED_MAX {
+            self.settled.pop_front();
+        }
+    }
+
+    fn start(&mut self, endpoint: &EndpointName, fencing: Fencing) -> Answer {
+        let Some(position) = self.find_in_state(endpoint, fencing, OrderState::Waiting) else {
+            return Answer::NotOpen;
+        };
+        let is_load = self.open[position].change.is_load();
+        if is_load && self.loads_running() >= self.loads_max as usize {
+            return Answer::Full;
+        }
+        self.open[position].state = OrderState::Started;
+        assert!(
+            !is_load || self.loads_running() <= self.loads_max as usize,
+            "more loads than the budget of the weight store"
+        );
+        Answer::Done
+    }
+}
