Reserve all ports of a fleet before any is used

Ruled out: a fault of the founding (it waits for all first voters by design). Change: ports are held until all are chosen. Before: an instance could not listen and the group was never founded. Conclusion: a fault of the scaffolding.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -65,11 +65,13 @@
     ///
     /// Panics if a process or a socket cannot be had.
     pub async fn start(binary: &Path, layout: Layout) -> Self {
-        let ip = unused_ip();
+        let mut ports = Ports::new(unused_ip());
         let mut instances = Vec::new();
         for number in 0..layout.instances {
-            instances.push(Instance::new(number, layout, ip).await.expect("sockets"));
+            let instance = Instance::new(number, layout, &mut ports).await;
+            instances.push(instance.expect("sockets"));
         }
+        drop(ports);
         let mut fleet = Self {
             binary: binary.to_owned(),
             folder: TempDir::new().expect("a temporary folder"),
@@ -187,16 +189,16 @@
 }
 
 impl Instance {
-    async fn new(number: usize, layout: Layout, ip: IpAddr) -> io::Result<Self> {
-        let inner = free_address(ip)?;
+    async fn new(number: usize, layout: Layout, ports: &mut Ports) -> io::Result<Self> {
+        let inner = ports.reserve()?;
         Ok(Self {
-            admin: free_address(ip)?,
-            caller: free_address(ip)?,
+            admin: ports.reserve()?,
+            caller: ports.reserve()?,
             child: None,
-            endpoint: free_address(ip)?,
+            endpoint: ports.reserve()?,
             inner,
             name: format!("instance-{number}"),
-            proxy: Proxy::bind(SocketAddr::new(ip, 0), inner).await?,
+            proxy: Proxy::bind(SocketAddr::new(ports.ip, 0), inner).await?,
             region: format!("region-{}", number % layout.regions),
             votes: number < layout.voters,
         })
@@ -248,9 +250,28 @@
     }
 }
 
-/// A port that the kernel chose; nobody else uses the address, so it stays free.
-fn free_address(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0))?.local_addr()
+/// Ports that the kernel chose, held until all are chosen, so that none is chosen twice.
+///
+/// Nobody else uses the address, so they stay free afterwards.
+struct Ports {
+    held: Vec<TcpListener>,
+    ip: IpAddr,
+}
+
+impl Ports {
+    fn new(ip: IpAddr) -> Self {
+        Self {
+            held: Vec::new(),
+            ip,
+        }
+    }
+
+    fn reserve(&mut self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((self.ip, 0))?;
+        let address = listener.local_addr()?;
+        self.held.push(listener);
+        Ok(address)
+    }
 }
 
 /// A loopback address for one fleet; connections between others take no port of it.
