Send heartbeats every 400 ms

A lost message costs a subscriber one timeout, which is twice the heartbeat interval, of the 3,000 ms after which it leaves the roster. A shorter interval shortens both.

--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -50,7 +50,7 @@
 pub const ENDPOINT_MEMORY_MS: u64 = 10_000;
 
 /// Longest time that a publisher keeps a subscriber's request open without news.
-pub const HEARTBEAT_INTERVAL_MS: u64 = 500;
+pub const HEARTBEAT_INTERVAL_MS: u64 = 400;
 
 /// Time without a heartbeat after which an instance leaves the roster.
 ///
