Pause endpoints whose permits fail, and tell starts of one millisecond apart

Cause: until a dead engine's lease lapsed (3 s) its owner granted to it again and again; two starts of an instance in one millisecond had one incarnation; a leader's answer could take longer than its subscriber waits. Ruled out: a pause as long as the lease (one cut link would idle a healthy engine for 3 s). Change: 0.25 s after a failure, doubled up to 1 s while they go on, nothing for failures during a pause; 12 random bits below an incarnation's milliseconds; the leader's confirmation is given up after 0.3 s. The tests' host may see an endpoint idle for 1 s after a failure, as it may after a refusal. An entry whose own links fail can pause endpoints for others; its budget of retries bounds that.

--- a/crates/dispatch/src/dispatcher/permits.rs
+++ b/crates/dispatch/src/dispatcher/permits.rs
@@ -73,9 +73,13 @@
         self.release(number, &permit);
         self.settle(now_us, &permit);
         self.learn(now_us, &permit, end);
-        if end == End::Refused {
-            let until_us = now_us + self.settings.pause_after_refusal_us;
-            self.endpoint_mut(permit.endpoint).paused_until_us = until_us;
+        let pause_us = self.settings.pause_after_refusal_us;
+        let endpoint = self.endpoint_mut(permit.endpoint);
+        match end {
+            End::Cancelled => {}
+            End::Completed => endpoint.succeeded(permit.granted_us),
+            End::Failed => endpoint.failed(now_us, pause_us),
+            End::Refused => endpoint.paused_until_us = now_us + pause_us,
         }
         let row = permit.work.row;
         if permit.waits_again(end) {
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -5,12 +5,17 @@
 use crate::prefix::Retention;
 use crate::{ModelIndex, Profile, Report, Settings};
 
+/// Doublings of the pause after failures in a row.
+const FAILURE_DOUBLINGS_MAX: u32 = 2;
+
 /// Part of a new measurement in a running average.
 const AVERAGE_PART: f64 = 0.2;
 
 /// What an owner knows of one endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
+    /// Pauses after failures since the last success.
+    failures: u32,
     /// Forecast memory of all permits.
     pub(crate) forecast: Forecast,
     pub(crate) id: EndpointId,
@@ -36,6 +41,7 @@
 impl Endpoint {
     pub(crate) fn new(id: EndpointId, settings: &Settings) -> Self {
         Self {
+            failures: 0,
             forecast: Forecast::default(),
             id,
             known_tokens: 0,
@@ -53,6 +59,24 @@
         }
     }
 
+    /// Pauses grants after a failure, twice as long after each in a row.
+    ///
+    /// Failures during a pause are of permits granted before it and add nothing.
+    pub(crate) fn failed(&mut self, now_us: u64, pause_us: u64) {
+        if now_us < self.paused_until_us {
+            return;
+        }
+        self.paused_until_us = now_us + (pause_us << self.failures.min(FAILURE_DOUBLINGS_MAX));
+        self.failures += 1;
+    }
+
+    /// Forgets failures once a permit granted after the last pause has completed.
+    pub(crate) fn succeeded(&mut self, granted_us: u64) {
+        if granted_us >= self.paused_until_us {
+            self.failures = 0;
+        }
+    }
+
     /// Whether the known sizes of permits fit the memory.
     pub(crate) fn fits(&self) -> bool {
         let memory_tokens = self.profile.as_ref().map(|profile| profile.memory_tokens);
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -136,3 +136,43 @@
     }
     assert_eq!(host.fates[&request], Fate::Granted(PermitId(4)));
 }
+
+#[test]
+fn a_dead_endpoint_receives_few_requests_until_its_lease_lapses() {
+    const LEASE_US: u64 = 3_000_000;
+    const LOOK_US: u64 = 10_000;
+    let mut host = host(2);
+    let mut failed = 0;
+    for _ in 0..LEASE_US / LOOK_US {
+        host.pass_us(LOOK_US);
+        host.request(&demand(0, 100, 100));
+        let permits: Vec<PermitId> = host.running.keys().copied().collect();
+        for permit in permits {
+            match host.running[&permit].endpoint {
+                EndpointId(1) => {
+                    host.finish(permit, dispatch::End::Failed);
+                    failed += 1;
+                }
+                _ => host.finish(permit, dispatch::End::Completed),
+            }
+        }
+    }
+    assert!((1..=6).contains(&failed), "{failed} requests failed");
+}
+
+#[test]
+fn an_endpoint_whose_permits_all_fail_at_once_is_paused_briefly() {
+    let mut host = host(1);
+    for _ in 0..10 {
+        host.request(&demand(0, 100, 100));
+    }
+    let permits: Vec<PermitId> = host.running.keys().copied().collect();
+    assert_eq!(permits.len(), 10);
+    for permit in permits {
+        host.finish(permit, dispatch::End::Failed);
+    }
+    let request = host.request(&demand(0, 100, 100));
+    assert_eq!(host.fates[&request], Fate::Waiting);
+    host.pass_us(300_000);
+    assert!(matches!(host.fates[&request], Fate::Granted(_)));
+}
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -43,6 +43,9 @@
 use crate::subscription::Subscription;
 use crate::transport::PeerTransport;
 
+/// Random low bits of an incarnation, below the milliseconds since 1970.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
 /// Parts that the tasks of an instance share.
 pub(crate) struct Parts {
     book: Arc<PermitBook>,
@@ -258,10 +261,16 @@
     }
 }
 
+/// A number that grows with each start and differs between two starts in one millisecond.
+fn incarnation() -> Incarnation {
+    let random: u64 = rand::rng().random_range(0..1 << INCARNATION_RANDOM_BITS);
+    Incarnation((unix_ms() << INCARNATION_RANDOM_BITS) | random)
+}
+
 fn member(settings: &Settings, inner_address: SocketAddr) -> Member {
     Member {
         data_centre: settings.data_centre.clone(),
-        incarnation: Incarnation(unix_ms()),
+        incarnation: incarnation(),
         inner_address: settings.inner_advertised.unwrap_or(inner_address),
         name: settings.name.clone(),
         region: settings.region.clone(),
--- a/crates/node/src/publication.rs
+++ b/crates/node/src/publication.rs
@@ -19,7 +19,7 @@
 const COLLECT_MS: u64 = 10;
 
 /// Longest time for a quorum to confirm the leader.
-const CONFIRM_TIMEOUT_MS: u64 = 500;
+const CONFIRM_TIMEOUT_MS: u64 = 300;
 
 /// Publisher of one instance.
 #[derive(Debug)]
