--- a/crates/node/src/proposer.rs
+++ b/crates/node/src/proposer.rs
@@ -112,11 +112,11 @@
         self.confirm().await?;
         let state = self.state.lock();
         let before = Revision(request.before.0);
-        let mut revised: Vec<Revised> = state.table.history().cloned().collect();
-        revised.sort_by_key(|revised| std::cmp::Reverse(revised.revision));
-        revised.retain(|revised| revised.revision < before);
-        revised.truncate(request.limit as usize);
-        Ok(revised)
+        let older = state
+            .table
+            .history()
+            .filter(|revised| revised.revision < before);
+        Ok(older.take(request.limit as usize).cloned().collect())
     }
 
     /// The live instances.
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -44,7 +44,7 @@
 pub const CONFIGURATION_LEASE_MS: u64 = 2_500;
 
 /// Longest time without an announcement before an endpoint's lease lapses.
-pub const ENDPOINT_LEASE_MS: u64 = 3_000;
+pub const ENDPOINT_LEASE_MS: u64 = 2_500;
 
 /// Time after the end of an endpoint's lease for which late announcements are still told apart.
 pub const ENDPOINT_MEMORY_MS: u64 = 10_000;
