--- a/crates/gentiancleat/src/client.rs
+++ b/crates/gentiancleat/src/client.rs
@@ -7,7 +7,7 @@
 use tokio::runtime::Builder;
 
 use crate::error::Error;
-use crate::options::{ArgumentOptions, ClientOptions, FileOptions, KeyCommand, TableCommand};
+use crate::options::{ArgumentOptions, ClientOptions, KeyCommand, TableCommand};
 use crate::source::{ProcessEnvironment, value};
 
 /// Edits listed by `table history`.
@@ -104,8 +104,8 @@
     }
 }
 
-fn apply(options: &FileOptions) -> Result<(), Error> {
-    let csv = read(options)?;
+fn apply(options: &ArgumentOptions) -> Result<(), Error> {
+    let csv = read(options, "table apply FILE")?;
     let target = target(&options.client())?;
     let difference = run(target.client.table_diff(&csv))?;
     if difference.is_success() && !target.json {
@@ -119,8 +119,8 @@
         .map_err(|_| Error::usage(&format!("usage: gentiancleat {usage}")))
 }
 
-fn diff(options: &FileOptions) -> Result<(), Error> {
-    let csv = read(options)?;
+fn diff(options: &ArgumentOptions) -> Result<(), Error> {
+    let csv = read(options, "table diff FILE")?;
     let target = target(&options.client())?;
     let difference = run(target.client.table_diff(&csv))?;
     if difference.is_success() {
@@ -141,11 +141,9 @@
     Ok(())
 }
 
-fn read(options: &FileOptions) -> Result<String, Error> {
-    let Some(path) = &options.file else {
-        return Err(Error::usage("no FILE was given"));
-    };
-    fs::read_to_string(path)
+fn read(options: &ArgumentOptions, usage: &str) -> Result<String, Error> {
+    let [path] = arguments(options, usage)?;
+    fs::read_to_string(&path)
         .map_err(|error| Error::Failed(format!("cannot read `{path}`: {error}")))
 }
 
--- a/crates/gentiancleat/src/options.rs
+++ b/crates/gentiancleat/src/options.rs
@@ -178,10 +178,10 @@
 /// What to do with the table.
 #[derive(Debug, Options)]
 pub(crate) enum TableCommand {
-    #[options(help = "make the table equal to a CSV file, after showing the difference")]
-    Apply(FileOptions),
-    #[options(help = "show how a CSV file differs from the table")]
-    Diff(FileOptions),
+    #[options(help = "make the table equal to a CSV file: FILE")]
+    Apply(ArgumentOptions),
+    #[options(help = "show how a CSV file differs from the table: FILE")]
+    Diff(ArgumentOptions),
     #[options(help = "show who changed what and when")]
     History(ClientOptions),
     #[options(help = "add a kind of work: NAME")]
@@ -192,21 +192,6 @@
     Show(ClientOptions),
 }
 
-/// Flags of table commands that read a file.
-#[derive(Debug, Default, Options)]
-pub(crate) struct FileOptions {
-    #[options(help = "print this text")]
-    pub(crate) help: bool,
-    #[options(help = "admin address of an instance", meta = "IP:PORT", no_short)]
-    pub(crate) admin_address: Option<String>,
-    #[options(free, help = "CSV file")]
-    pub(crate) file: Option<String>,
-    #[options(help = "print JSON instead of aligned text", no_short)]
-    pub(crate) json: bool,
-    #[options(help = "operator's key", meta = "KEY", no_short)]
-    pub(crate) operator_key: Option<String>,
-}
-
 impl ArgumentOptions {
     pub(crate) fn client(&self) -> ClientOptions {
         ClientOptions {
@@ -217,14 +202,3 @@
         }
     }
 }
-
-impl FileOptions {
-    pub(crate) fn client(&self) -> ClientOptions {
-        ClientOptions {
-            admin_address: self.admin_address.clone(),
-            help: self.help,
-            json: self.json,
-            operator_key: self.operator_key.clone(),
-        }
-    }
-}
