Take endpoints' names of any script, and decode paths in one place

Cause: an announcement under a percent-encoded Cyrillic name was refused with 400; the port had no test of bad input. Percent-decoding stood twice, and the entry's copy took a sign for a digit. Ruled out: a library for 15 lines that were there.

--- a/crates/admin/src/route.rs
+++ b/crates/admin/src/route.rs
@@ -1,8 +1,7 @@
 use hyper::Method;
-use names::{CustomerName, KindName};
+use names::{CustomerName, KindName, percent_decode};
 use table::{KeyHash, Role, RowKey, Target};
 
-use crate::percent::decode;
 use crate::problem_document::ProblemDocument;
 
 /// What a request asks for.
@@ -37,7 +36,7 @@
         let segments: Option<Vec<String>> = path
             .trim_start_matches('/')
             .split('/')
-            .map(decode)
+            .map(percent_decode)
             .collect();
         let segments = segments
             .ok_or_else(|| ProblemDocument::bad_request("the path is not percent-encoded UTF-8"))?;
@@ -127,7 +126,7 @@
 pub(crate) fn query_value(query: &str, name: &str) -> Option<String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut values = pairs.filter(|(held, _)| *held == name);
-    decode(values.next()?.1)
+    percent_decode(values.next()?.1)
 }
 
 /// Reads a SHA-256 in hexadecimal digits.
--- a/crates/entry/src/http/service_route.rs
+++ b/crates/entry/src/http/service_route.rs
@@ -5,7 +5,7 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
-use names::{CustomerName, ServiceName};
+use names::{CustomerName, ServiceName, percent_decode};
 use sha2::{Digest, Sha256};
 
 use super::body::AnswerBody;
@@ -89,24 +89,6 @@
     }
 }
 
-/// Decodes `%XX` in a path segment.
-fn decode(segment: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(segment.len());
-    let mut rest = segment.as_bytes();
-    while let [first, tail @ ..] = rest {
-        rest = tail;
-        if *first != b'%' {
-            bytes.push(*first);
-            continue;
-        }
-        let digits = tail.get(..2)?;
-        let digits = std::str::from_utf8(digits).ok()?;
-        bytes.push(u8::from_str_radix(digits, 16).ok()?);
-        rest = &tail[2..];
-    }
-    String::from_utf8(bytes).ok()
-}
-
 fn key(head: &Parts) -> Result<Option<String>, Problem> {
     let Some(key) = head.headers.get(&IDEMPOTENCY_KEY) else {
         return Ok(None);
@@ -155,7 +137,7 @@
     let (name, inner) = rest
         .find('/')
         .map_or((rest, "/"), |slash| rest.split_at(slash));
-    let name = decode(name)
+    let name = percent_decode(name)
         .and_then(|name| ServiceName::new(&name).ok())
         .ok_or_else(|| bad("the path names no service"))?;
     let target = match uri.query() {
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -9,6 +9,7 @@
 mod log_clock;
 mod name;
 mod number;
+mod percent;
 
 pub use error::Error;
 pub use generation_id::GenerationId;
@@ -18,3 +19,4 @@
     RegionName, ServiceName,
 };
 pub use number::{EndpointId, Epoch, Incarnation, LogIndex, PermitId, RequestId};
+pub use percent::percent_decode;
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use names::EndpointName;
+use names::{EndpointName, percent_decode};
 use protocol::{AnnounceAnswer, AnnounceRequest};
 use serde::Serialize;
 use session::{Announcement, Shard};
@@ -182,13 +182,16 @@
             format!("announcements go to {PATH_PREFIX}NAME{PATH_SUFFIX}"),
         )));
     };
-    EndpointName::new(name).map_err(|error| {
+    let malformed = |detail: String| {
         Box::new(problem(
             StatusCode::BAD_REQUEST,
             "endpoint's name is malformed",
-            error.to_string(),
+            detail,
         ))
-    })
+    };
+    let name = percent_decode(name)
+        .ok_or_else(|| malformed("its percent-encoding is broken".to_owned()))?;
+    EndpointName::new(&name).map_err(|error| malformed(error.to_string()))
 }
 
 fn held(lease_ms: u64) -> Answer {
