Look a shard's permits up in one place

Cause: read once more: five functions of the permit book searched for a shard by themselves; the result of taking a publisher's answer was read by nobody; one doc comment promised a lease that the function does not check. Change: find() in the permit book, Holdings::apply without a result, the comment mended. Behaviour is the same.

--- a/crates/node/src/holdings.rs
+++ b/crates/node/src/holdings.rs
@@ -48,14 +48,14 @@
 
     /// Takes a publisher's answer to a request sent at `sent_ms`.
     ///
-    /// Returns false where the update does not connect to what is held; then no lease is taken.
-    pub(crate) fn apply(&self, sent_ms: u64, update: SyncUpdate) -> bool {
+    /// An update that does not connect to what is held renews no lease.
+    pub(crate) fn apply(&self, sent_ms: u64, update: SyncUpdate) {
         let mut held = self.lock();
         let mut news = false;
         if let Some(publication) = update.table {
             match held.feed.apply(publication) {
                 ViewOutcome::Applied => news = true,
-                ViewOutcome::Gap | ViewOutcome::Misfit => return false,
+                ViewOutcome::Gap | ViewOutcome::Misfit => return,
                 ViewOutcome::Stale => {}
             }
         }
@@ -77,10 +77,9 @@
         if news {
             self.notify();
         }
-        true
     }
 
-    /// Assignment of a shard under a live lease.
+    /// Assignment of a shard.
     pub(crate) fn assignment(&self, shard: &Shard) -> Option<Assignment> {
         self.lock().assignments.get(shard).cloned()
     }
--- a/crates/node/src/permit_book.rs
+++ b/crates/node/src/permit_book.rs
@@ -79,8 +79,7 @@
     /// Notes that a permit ended.
     pub(crate) fn end(&self, shard: &Shard, ended: EndedPermit) {
         let mut book = self.lock();
-        if let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(shard)) {
-            let permits = &mut book[position];
+        if let Some(permits) = find(&mut book, shard) {
             permits
                 .running
                 .retain(|running| running.permit.permit != ended.permit);
@@ -129,10 +128,9 @@
     /// Notes the present owner of a shard; a new one is told of all permits granted before it.
     pub(crate) fn owned(&self, shard: &Shard, epoch: Epoch) {
         let mut book = self.lock();
-        let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(shard)) else {
+        let Some(permits) = find(&mut book, shard) else {
             return;
         };
-        let permits = &mut book[position];
         if permits.epoch.replace(epoch) == Some(epoch) {
             return;
         }
@@ -144,21 +142,21 @@
     /// Notes which permits the owner does not know.
     pub(crate) fn ask(&self, shard: &Shard, unknown: &[PermitKey]) {
         let mut book = self.lock();
-        let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(shard)) else {
+        let Some(permits) = find(&mut book, shard) else {
             return;
         };
-        for running in &mut book[position].running {
+        for running in &mut permits.running {
             running.asked = unknown.contains(&running.permit.permit);
         }
     }
 
     /// Takes back permits that their owner revoked.
     pub(crate) fn revoke(&self, shard: &Shard, revoked: &[PermitKey]) {
-        let book = self.lock();
-        let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(shard)) else {
+        let mut book = self.lock();
+        let Some(permits) = find(&mut book, shard) else {
             return;
         };
-        book[position]
+        permits
             .running
             .iter()
             .filter(|running| revoked.contains(&running.permit.permit))
@@ -168,14 +166,14 @@
     /// Forgets ended permits that the owner has heard of.
     pub(crate) fn taken(&self, report: &ProgressReport) {
         let mut book = self.lock();
-        if let Ok(position) = book.binary_search_by(|permits| permits.shard.cmp(&report.shard)) {
+        if let Some(permits) = find(&mut book, &report.shard) {
             let is_taken = |ended: &EndedPermit| {
                 report
                     .ended
                     .iter()
                     .any(|taken| taken.permit == ended.permit)
             };
-            book[position].ended.retain(|ended| !is_taken(ended));
+            permits.ended.retain(|ended| !is_taken(ended));
         }
     }
 
@@ -228,3 +226,11 @@
         }
     }
 }
+
+/// The permits of a shard.
+fn find<'a>(book: &'a mut [ShardPermits], shard: &Shard) -> Option<&'a mut ShardPermits> {
+    let position = book
+        .binary_search_by(|permits| permits.shard.cmp(shard))
+        .ok()?;
+    Some(&mut book[position])
+}
