--- /dev/null
+++ b/crates/catalog/src/repeat.rs
@@ -0,0 +1,26 @@
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, Eq, PartialEq)]
+pub enum Repeat {
+    /// A stream that may go on at another endpoint after its last event.
+    ResumableStream,
+    /// A request that may run more than once.
+    Safe,
+    /// A stream that runs at most once.
+    Stream,
+    /// A request that runs at most once.
+    Unsafe,
+}
+
+impl Repeat {
+    /// Whether a request may run again after it may have run.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Self::ResumableStream | Self::Safe)
+    }
+
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::ResumableStream | Self::Stream)
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/service.rs
@@ -0,0 +1,31 @@
+/// A service behind the routes.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Connections that one endpoint takes from all callers together.
+    pub connections_max: u32,
+    /// Its engines, if it generates.
+    pub engine: Option<Engine>,
+    /// Name.
+    pub name: String,
+}
+
+/// Sizes of one engine, equal for all endpoints of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Longest time that a copy of a run is kept.
+    pub copy_ttl_ms: u64,
+    /// Whether a running request can be copied as it grows.
+    pub has_backups: bool,
+    /// Whether a running request can be moved.
+    pub has_moves: bool,
+    /// Memory for this many tokens.
+    pub memory_tokens: u64,
+    /// Speed of an engine's link for copies.
+    pub link_mbps: f64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Memory of one token.
+    pub token_bytes: u64,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: u64,
+}
--- /dev/null
+++ b/crates/gateway/src/attempts.rs
@@ -0,0 +1,380 @@
+//! Sends one request to endpoints until it is answered or given up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::http::response;
+use hyper::{Request, Response, StatusCode, header};
+use slog::{debug, info};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::connection::{Answer, Connection, SendError};
+use crate::fleet::{Slot, Want};
+use crate::handler::Call;
+use crate::outcome::{Outcome, Refusal};
+use crate::relay::Relay;
+use crate::reply::{ReplyBody, strip_connection_headers, whole_body};
+use crate::shared::Shared;
+use crate::{AnswerHead, Dispatch, RunCopy};
+
+/// Least time left for which a request is sent at all.
+const LEFT_MS_MIN: u64 = 20;
+
+/// Sendings in vain, to endpoints that rejected the request or could not be reached, after which
+/// it is refused.
+const MISSES_MAX: u32 = 3;
+
+/// Longest answer that is collected before it is passed on; streams are not.
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Part of the target latency for which a request waits for room, in percent; the rest is for
+/// the way and the work.
+const WAIT_PERCENT: u64 = 70;
+
+/// Prompt tokens that an engine reads in a millisecond, as the engines' data sheets say.
+const READ_TOKENS_PER_MS: u64 = 14;
+
+/// Least time for a sending that may be followed by another, so that ordinary slow answers are
+/// waited for.
+const ATTEMPT_MS_MIN: u64 = 350;
+
+/// Time for which a repeat waits for room.
+const REPEAT_WAIT_MS: u64 = 200;
+
+/// Statuses that promise that the request has not run, which only the endpoint may say.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+];
+
+/// The sendings of one request.
+pub(crate) struct Attempts {
+    pub(crate) call: Arc<Call>,
+    /// Endpoints that have had it.
+    pub(crate) excluded: Vec<String>,
+    /// Answer of an endpoint that failed it, where nothing better comes.
+    failure: Option<Response<ReplyBody>>,
+    misses: u32,
+    /// Sendings that may have run.
+    pub(crate) runs: u32,
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// Where a stream goes on from.
+#[derive(Debug, Default)]
+pub(crate) struct Resumption<'a> {
+    pub(crate) copy: Option<&'a RunCopy>,
+    pub(crate) last_event: Option<u64>,
+}
+
+/// Head of an answer that belongs to the request.
+pub(crate) struct Accepted {
+    pub(crate) answer: Answer,
+    pub(crate) said: AnswerHead,
+}
+
+/// Why a sending gave no answer.
+#[derive(Debug, Error)]
+pub(crate) enum Miss {
+    /// It may have run.
+    #[error("the endpoint failed: {0}")]
+    Failed(String),
+    /// It did not run; the endpoint rejected it.
+    #[error("the endpoint did not run it: {0}")]
+    Rejected(String),
+    /// It may run still.
+    #[error("the endpoint did not answer in time")]
+    TimedOut,
+    /// It did not run; the endpoint could not be reached.
+    #[error("the endpoint was not reached: {0}")]
+    Unreachable(String),
+}
+
+impl Attempts {
+    pub(crate) fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
+        Self {
+            call,
+            excluded: Vec::new(),
+            failure: None,
+            misses: 0,
+            runs: 0,
+            shared,
+        }
+    }
+
+    /// Answer of an endpoint, or why there is none.
+    pub(crate) async fn answer(mut self) -> Result<Response<ReplyBody>, Refusal> {
+        self.shared.note_request(&self.call.service);
+        loop {
+            if self.call.left_ms() < LEFT_MS_MIN {
+                return self.give_up("its time is over");
+            }
+            let slot = match self.shared.fleet.admit(&self.want()).await {
+                Ok(slot) => slot,
+                Err(refusal) if self.runs == 0 => return Err(refusal),
+                Err(refusal) => return self.give_up(&refusal.reason),
+            };
+            let is_repeat = self.runs + self.misses > 0;
+            if is_repeat && !self.shared.take_repeat(&self.call.service) {
+                return self.give_up("the budget for repeats is spent");
+            }
+            let limit_ms = self.limit_ms();
+            let sent = self.send(&slot, &Resumption::default(), limit_ms).await;
+            let miss = match sent {
+                Ok(accepted) => {
+                    self.runs += 1;
+                    if let Some(ended) = self.pass_on(accepted, slot).await {
+                        return ended;
+                    }
+                    continue;
+                }
+                Err(miss) => miss,
+            };
+            self.excluded.push(slot.endpoint.id.clone());
+            drop(slot);
+            if let Some(refusal) = self.note_miss(&miss) {
+                return self.failure.take().ok_or(refusal);
+            }
+        }
+    }
+
+    /// Sends the request once, until the head of its answer has come.
+    pub(crate) async fn send(
+        &self,
+        slot: &Slot,
+        resumption: &Resumption<'_>,
+        limit_ms: u64,
+    ) -> Result<Accepted, Miss> {
+        let endpoint = &slot.endpoint;
+        let request = self.request(&endpoint.id, resumption);
+        let may_reuse = self.call.route.repeat.is_idempotent();
+        let sent = endpoint.pool.send(request, may_reuse);
+        let now_ms = self.shared.fleet.now_ms();
+        let answer = match timeout(Duration::from_millis(limit_ms), sent).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(SendError::NotSent(reason))) => {
+                endpoint.own().health.miss(now_ms);
+                return Err(Miss::Unreachable(reason));
+            }
+            Ok(Err(SendError::MayHaveRun(reason))) => {
+                endpoint.own().health.fail(now_ms);
+                return Err(Miss::Failed(reason));
+            }
+            Err(_) => {
+                endpoint.own().health.fail(now_ms);
+                return Err(Miss::TimedOut);
+            }
+        };
+        let status = answer.head.status;
+        let said = self
+            .shared
+            .dialect
+            .read_answer(status, &answer.head.headers);
+        if said.is_misdirected {
+            endpoint.leave();
+            return Err(Miss::Rejected(
+                "another endpoint has the address".to_owned(),
+            ));
+        }
+        if said.is_not_run {
+            return Err(Miss::Rejected(format!("the endpoint answered {status}")));
+        }
+        if said.request_id.as_deref() != self.call.head.request_id.as_deref() {
+            endpoint.own().health.fail(now_ms);
+            return Err(Miss::Failed("the answer is another request's".to_owned()));
+        }
+        if said.closes && !self.call.route.repeat.is_stream() {
+            debug!(self.shared.log, "endpoint closes a connection"; "endpoint" => &endpoint.id);
+        }
+        Ok(Accepted { answer, said })
+    }
+
+    /// Passes an answer on; none where another endpoint is to be tried.
+    async fn pass_on(
+        &mut self,
+        accepted: Accepted,
+        slot: Slot,
+    ) -> Option<Result<Response<ReplyBody>, Refusal>> {
+        let status = accepted.answer.head.status;
+        if status == StatusCode::OK && self.call.route.repeat.is_stream() {
+            return Some(Ok(Relay::spawn(self, accepted, slot)));
+        }
+        let Accepted { answer, said } = accepted;
+        let Answer {
+            body,
+            connection,
+            head,
+        } = answer;
+        let endpoint = Arc::clone(&slot.endpoint);
+        let left = Duration::from_millis(self.call.left_ms());
+        let collected = Limited::new(body, ANSWER_BYTES_MAX).collect();
+        let now_ms = self.shared.fleet.now_ms();
+        let bytes = match timeout(left, collected).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(error)) => {
+                endpoint.own().health.fail(now_ms);
+                self.excluded.push(endpoint.id.clone());
+                return self.retry(&format!("the answer broke off: {error}"));
+            }
+            Err(_) => {
+                endpoint.own().health.fail(now_ms);
+                return Some(Err(Refusal::timed_out("the answer did not end in time")));
+            }
+        };
+        if status.is_server_error() {
+            endpoint.own().health.fail(now_ms);
+        } else {
+            endpoint.own().health.succeed(now_ms);
+        }
+        if !said.closes {
+            release(connection, &said, &slot);
+        }
+        if PROMISES.contains(&status) {
+            self.excluded.push(endpoint.id.clone());
+            return self.retry(&format!("the endpoint answered {status}"));
+        }
+        let response = response(head, bytes);
+        if status.is_server_error() && self.may_run_again() {
+            self.excluded.push(endpoint.id.clone());
+            self.failure = Some(response);
+            return None;
+        }
+        let call = &self.call;
+        info!(self.shared.log, "request ended"; "request" => call.id(),
+            "outcome" => ?Outcome::Answered, "status" => status.as_u16(),
+            "route" => &call.route.name, "customer" => call.customer.as_deref(),
+            "endpoint" => &endpoint.id, "sendings" => self.runs + self.misses,
+            "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
+        Some(Ok(response))
+    }
+
+    /// Tries again after an answer that cannot be passed on, or says why not.
+    fn retry(&self, reason: &str) -> Option<Result<Response<ReplyBody>, Refusal>> {
+        if self.may_run_again() {
+            debug!(self.shared.log, "request sent again"; "request" => self.call.id(),
+                "reason" => reason);
+            return None;
+        }
+        Some(Err(Refusal::failed(reason)))
+    }
+
+    /// Notes a sending without an answer; says why there is no other one, if so.
+    fn note_miss(&mut self, miss: &Miss) -> Option<Refusal> {
+        let reason = miss.to_string();
+        debug!(self.shared.log, "sending failed"; "request" => self.call.id(),
+            "endpoint" => self.excluded.last(), "reason" => &reason);
+        match miss {
+            Miss::Failed(_) => {
+                self.runs += 1;
+                (!self.may_run_again()).then(|| Refusal::failed(reason))
+            }
+            Miss::TimedOut => {
+                self.runs += 1;
+                (!self.may_run_again()).then(|| Refusal::timed_out(reason))
+            }
+            Miss::Rejected(_) | Miss::Unreachable(_) => {
+                self.misses += 1;
+                (self.misses >= MISSES_MAX).then(|| self.unserved(&reason))
+            }
+        }
+    }
+
+    fn unserved(&self, reason: &str) -> Refusal {
+        if self.runs > 0 {
+            return Refusal::failed(reason);
+        }
+        Refusal::not_run(reason, REPEAT_WAIT_MS)
+    }
+
+    fn give_up(&mut self, reason: &str) -> Result<Response<ReplyBody>, Refusal> {
+        let refusal = self.unserved(reason);
+        self.failure.take().ok_or(refusal)
+    }
+
+    fn may_run_again(&self) -> bool {
+        let route = &self.call.route;
+        route.repeat.is_idempotent() && self.runs < route.attempts_max
+    }
+
+    fn want(&self) -> Want {
+        let call = &self.call;
+        let demand = call.demand();
+        let read_ms = demand.prefill_tokens / READ_TOKENS_PER_MS;
+        let target_ms = call.route.target_latency_ms * WAIT_PERCENT / 100;
+        let wait_ms = target_ms.saturating_sub(read_ms + call.elapsed_ms());
+        let wait_ms = if self.runs + self.misses > 0 {
+            wait_ms.max(REPEAT_WAIT_MS)
+        } else {
+            wait_ms
+        };
+        Want {
+            demand,
+            excluded: self.excluded.clone(),
+            priority: call.priority,
+            service: call.service.clone(),
+            wait_ms: wait_ms.min(call.left_ms()),
+        }
+    }
+
+    /// Time for the head of an answer, after which another endpoint may be tried.
+    fn limit_ms(&self) -> u64 {
+        let route = &self.call.route;
+        let is_last = !route.repeat.is_idempotent() || self.runs + 1 >= route.attempts_max;
+        let left_ms = self.call.left_ms();
+        if is_last {
+            return left_ms;
+        }
+        left_ms.min(route.target_latency_ms.max(ATTEMPT_MS_MIN))
+    }
+
+    fn request(&self, endpoint: &str, resumption: &Resumption<'_>) -> Request<Full<Bytes>> {
+        let call = &self.call;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.path.clone().into();
+        let mut headers = call.headers.clone();
+        let is_generation = call.head.prompt.is_some();
+        let dispatch = Dispatch {
+            copy: resumption.copy,
+            customer: call.customer.as_deref(),
+            deadline_ms: call.left_ms(),
+            endpoint,
+            last_event: resumption.last_event.or(call.resumed_from()),
+            priority: is_generation.then_some(call.priority),
+        };
+        self.shared.dialect.write_dispatch(&mut headers, &dispatch);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+impl Call {
+    /// Last event that the client has, if the route lets it resume.
+    fn resumed_from(&self) -> Option<u64> {
+        let may_resume = self.route.repeat.is_idempotent();
+        self.head.last_event.filter(|_| may_resume)
+    }
+}
+
+/// Keeps a connection whose answer has ended.
+pub(crate) fn release(connection: Connection, said: &AnswerHead, slot: &Slot) {
+    if !connection.is_closed() {
+        slot.endpoint.pool.keep(connection, said.keep_alive_ms);
+    }
+}
+
+/// Head of an answer as clients get it.
+pub(crate) fn client_head(mut head: response::Parts) -> response::Parts {
+    strip_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head
+}
+
+fn response(head: response::Parts, bytes: Bytes) -> Response<ReplyBody> {
+    Response::from_parts(client_head(head), whole_body(bytes))
+}
--- /dev/null
+++ b/crates/gateway/src/endpoint.rs
@@ -0,0 +1,60 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use registry::{EndpointState, Registration};
+use tokio::sync::watch;
+
+use crate::connection::Pool;
+use crate::{Health, Load};
+
+/// One incarnation of an endpoint as this instance uses it.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) data_centre: String,
+    pub(crate) id: String,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) service: String,
+    leaving: watch::Sender<bool>,
+    own: Mutex<Own>,
+}
+
+/// What this instance does there.
+#[derive(Debug, Default)]
+pub(crate) struct Own {
+    pub(crate) health: Health,
+    pub(crate) load: Load,
+}
+
+impl Endpoint {
+    pub(crate) fn new(registration: &Registration) -> Arc<Self> {
+        let is_leaving = registration.state != EndpointState::Ready;
+        Arc::new(Self {
+            data_centre: registration.data_centre.clone(),
+            id: registration.id.clone(),
+            pool: Pool::new(registration.address),
+            service: registration.service.clone(),
+            leaving: watch::channel(is_leaving).0,
+            own: Mutex::new(Own::default()),
+        })
+    }
+
+    /// Whether it takes nothing new, as it changes.
+    pub(crate) fn leaving(&self) -> watch::Receiver<bool> {
+        self.leaving.subscribe()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.send_if_modified(|is_leaving| {
+            let is_changed = !*is_leaving;
+            *is_leaving = true;
+            is_changed
+        });
+    }
+
+    pub(crate) fn own(&self) -> MutexGuard<'_, Own> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,138 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use registry::Subscription;
+use slog::{debug, info};
+use thiserror::Error as ThisError;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::clock::elapsed_ms;
+use crate::fleet::Fleet;
+use crate::ingress::Ingress;
+use crate::settings::GatewaySettings;
+use crate::shared::{Catalogs, Shared};
+
+/// Time between two exchanges of loads while requests run.
+const EXCHANGE_INTERVAL_MS: u64 = 150;
+
+/// Time without an exchange after which the others' load is assumed.
+const EXCHANGE_AGE_MS_MAX: u64 = 1_000;
+
+/// Time between two looks at idle connections, in exchanges.
+const TRIM_EXCHANGES: u32 = 4;
+
+/// Why a gateway cannot be bound.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+/// Handle of a running gateway.
+pub struct Gateway {
+    ingress: Ingress,
+    shared: Arc<Shared>,
+}
+
+impl Gateway {
+    /// Listens for clients and for the balancer, and follows the registries.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be listened on.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub async fn bind(settings: GatewaySettings) -> Result<Self, Error> {
+        let GatewaySettings {
+            client_address,
+            dialect,
+            drain_timeout_ms,
+            log,
+            place,
+            ready_address,
+            ready_path,
+            retry_limits,
+            subscription,
+        } = settings;
+        let fleet = Fleet::new(place);
+        let catalogs = Catalogs::new(&dialect, &fleet, &log);
+        let subscription = Subscription::spawn(subscription, catalogs.clone());
+        let shared = Arc::new(Shared {
+            budgets: Mutex::new(Vec::new()),
+            catalogs,
+            dialect,
+            drain_timeout_ms,
+            draining: watch::channel(false).0,
+            fleet,
+            log,
+            retry_limits,
+            subscription,
+        });
+        let ingress = Ingress::bind(&shared, client_address, ready_address, ready_path).await?;
+        tokio::spawn(follow_endpoints(Arc::clone(&shared)));
+        tokio::spawn(exchange_loads(Arc::clone(&shared)));
+        Ok(Self { ingress, shared })
+    }
+
+    /// Follows further registries, such as new seeds.
+    pub fn add_registries(&self, addresses: &[SocketAddr]) {
+        self.shared.subscription.add_registries(addresses);
+    }
+
+    /// Takes no new connections, ends what runs, and returns once all has ended or the time for a
+    /// planned stop is over.
+    pub async fn drain(self) {
+        let began = Instant::now();
+        info!(self.shared.log, "draining"; "connections" => self.ingress.connections());
+        self.shared.draining.send_replace(true);
+        self.ingress.drain(self.shared.drain_timeout_ms).await;
+        info!(self.shared.log, "drained"; "duration_ms" => elapsed_ms(began));
+    }
+}
+
+async fn follow_endpoints(shared: Arc<Shared>) {
+    let mut endpoints = shared.subscription.endpoints();
+    loop {
+        let known = Arc::clone(&endpoints.borrow_and_update());
+        shared.fleet.set_endpoints(&known);
+        if endpoints.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn exchange_loads(shared: Arc<Shared>) {
+    let mut last_answer = Instant::now();
+    let mut round = 0_u32;
+    loop {
+        sleep(Duration::from_millis(EXCHANGE_INTERVAL_MS)).await;
+        round = round.wrapping_add(1);
+        if round.is_multiple_of(TRIM_EXCHANGES) {
+            shared.fleet.trim();
+        }
+        match shared.subscription.exchange(shared.fleet.loads()).await {
+            Ok(totals) => {
+                last_answer = Instant::now();
+                shared.fleet.set_totals(&totals);
+            }
+            Err(error) => {
+                debug!(shared.log, "loads not exchanged"; "error" => %error);
+                if last_answer.elapsed() >= Duration::from_millis(EXCHANGE_AGE_MS_MAX) {
+                    shared
+                        .fleet
+                        .assume_totals(shared.subscription.subscribers());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement.rs
@@ -0,0 +1,114 @@
+//! Chooses the endpoint for a request.
+//!
+//! Pattern: a burst of long prompts on engines whose memory fills while they decode. Each engine
+//! is filled only to what its requests are predicted to hold at their ends, so that none preempts
+//! another, and a prompt goes where it is read first, which also keeps the pauses between events
+//! of the requests beside it short.
+
+/// Part of an engine's memory that predictions may fill, in percent. The rest takes what
+/// predictions miss and what other instances have sent since the last exchange.
+const MEMORY_PERCENT: u64 = 92;
+
+/// Part of an engine's slots that is filled, in percent.
+const SLOTS_PERCENT: u32 = 95;
+
+/// Requests in service per slot up to which plain endpoints are filled, in percent; more would
+/// wait in the endpoint's queue, which is rejected at its end.
+const PLAIN_FILL_PERCENT: u32 = 250;
+
+/// Prompt tokens that an engine reads in a millisecond, as the engines' data sheets say.
+const READ_TOKENS_PER_MS: u64 = 14;
+
+/// Delay that one more request in a batch means to the others, in ms.
+const CROWD_MS_PER_RUN: u64 = 6;
+
+/// Delay by which a nearly full engine is disfavoured, in ms at a fill of 100 %.
+const FILL_MS: u64 = 250;
+
+/// Delay by which an endpoint is disfavoured that is slow after its start.
+const COLD_MS: u64 = 150;
+
+/// Service time of a plain request, in ms, before any was measured.
+const PLAIN_SERVICE_MS: u64 = 60;
+
+/// Odd factor that spreads numbers over all of `u64`, from the golden ratio.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Demand {
+    /// Prompt tokens to be read.
+    pub prefill_tokens: u64,
+    /// Tokens that it holds at its end, as predicted; 0 for plain requests.
+    pub tokens: u64,
+}
+
+/// What an endpoint runs for all instances.
+#[derive(Debug, Clone, Copy, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Prompt tokens that wait to be read.
+    pub prefill_tokens: u64,
+    /// Requests.
+    pub runs: u32,
+    /// Tokens that they hold at their ends, as predicted.
+    pub tokens: u64,
+}
+
+/// An endpoint that a request may be sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Time of a round trip.
+    pub distance_ms: u64,
+    /// Whether it is slow after its start.
+    pub is_cold: bool,
+    /// What it runs.
+    pub load: Load,
+    /// Memory of its engine; 0 for plain endpoints.
+    pub memory_tokens: u64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+impl Candidate {
+    /// Whether the request has room.
+    #[must_use]
+    pub fn has_room(&self, demand: &Demand) -> bool {
+        if self.memory_tokens == 0 {
+            return self.load.runs * 100 < self.slots.max(1) * PLAIN_FILL_PERCENT;
+        }
+        let is_idle = self.load.runs == 0;
+        let tokens = self.load.tokens + demand.tokens;
+        let fits = tokens * 100 <= self.memory_tokens * MEMORY_PERCENT;
+        (fits || is_idle) && self.load.runs * 100 < self.slots.max(1) * SLOTS_PERCENT
+    }
+
+    /// Expected delay of the request's first answer, with what it costs the others.
+    #[must_use]
+    pub fn cost_ms(&self, demand: &Demand) -> u64 {
+        let cold_ms = if self.is_cold { COLD_MS } else { 0 };
+        if self.memory_tokens == 0 {
+            let waiting = u64::from((self.load.runs + 1).saturating_sub(self.slots));
+            let slots = u64::from(self.slots.max(1));
+            let busy_ms = u64::from(self.load.runs) * PLAIN_SERVICE_MS / (4 * slots);
+            return self.distance_ms + waiting * PLAIN_SERVICE_MS / slots + busy_ms + cold_ms;
+        }
+        let read_ms = (self.load.prefill_tokens + demand.prefill_tokens) / READ_TOKENS_PER_MS;
+        let fill_ms = (self.load.tokens + demand.tokens) * FILL_MS / self.memory_tokens;
+        let crowd_ms = u64::from(self.load.runs) * CROWD_MS_PER_RUN;
+        self.distance_ms + read_ms + fill_ms + crowd_ms + cold_ms
+    }
+}
+
+/// Position of the best candidate with room; `draw` decides between equal ones.
+#[must_use]
+pub fn choose(candidates: &[Candidate], demand: &Demand, draw: u64) -> Option<usize> {
+    let count = candidates.len();
+    (0..count)
+        .filter(|&at| candidates[at].has_room(demand))
+        .min_by_key(|&at| {
+            (
+                candidates[at].cost_ms(demand),
+                (draw ^ at as u64).wrapping_mul(SPREAD),
+            )
+        })
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,415 @@
+//! Passes the events of a stream on to its client, whatever happens to the endpoint behind it.
+//!
+//! The stream goes on elsewhere in three ways. A run on an endpoint that leaves is moved with its
+//! memory before the endpoint is gone. A run whose endpoint is gone goes on from a copy, if one was
+//! made. A stream that may be resumed is asked for again after its last event. Whatever is left is
+//! broken off, so that it never looks complete.
+
+mod motion;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use slog::{info, warn};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::attempts::{Accepted, Attempts, Resumption, client_head, release};
+use crate::clock::elapsed_ms;
+use crate::connection::Connection;
+use crate::fleet::{Slot, Want};
+use crate::outcome::Outcome;
+use crate::reply::{BrokenOff, ReplyBody, relayed_body};
+use crate::{AnswerHead, Demand, EventReader, RunCopy};
+use motion::{Motion, Moved};
+
+/// Pieces that wait for a slow client.
+const PIECES_WAITING_MAX: usize = 16;
+
+/// Time without an event after which a stream that may be resumed is asked for elsewhere, as a
+/// multiple of the pause that is undisturbed; clients leave after eight.
+const STALL_PAUSES: u64 = 4;
+
+/// Shortest such time.
+const STALL_MS_MIN: u64 = 700;
+
+/// Longest time for the head of a stream that goes on elsewhere; clients leave after two seconds.
+const RESUME_TIMEOUT_MS: u64 = 1_200;
+
+/// Time for which the rest of a stopped stream is read.
+const REST_TIMEOUT_MS: u64 = 100;
+
+/// Time for which a resumed stream waits for room.
+const RESUME_WAIT_MS: u64 = 300;
+
+/// Margin by which an output that is longer than predicted is predicted anew, in percent.
+const GROWTH_PERCENT: u64 = 125;
+
+/// One stream on its way to a client.
+pub(crate) struct Relay {
+    attempts: Attempts,
+    body: Incoming,
+    connection: Connection,
+    first_ms: Option<u64>,
+    last_event_at: Instant,
+    motion: Motion,
+    moves: u32,
+    pieces: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    predicted_tokens: u64,
+    reader: EventReader,
+    said: AnswerHead,
+    slot: Slot,
+}
+
+/// What a stream waits for.
+enum Step {
+    ClientLeft,
+    Frame(Option<Bytes>),
+    Ended,
+    Moved(Moved),
+    Stalled,
+    TimedOut,
+}
+
+/// How a stream ended.
+#[derive(Debug)]
+enum End {
+    Broken(String),
+    ClientLeft,
+    Complete,
+    TimedOut,
+}
+
+impl Relay {
+    /// Begins to pass a stream on, and gives the head of its answer.
+    pub(crate) fn spawn(
+        attempts: &mut Attempts,
+        accepted: Accepted,
+        slot: Slot,
+    ) -> Response<ReplyBody> {
+        let Accepted { answer, said } = accepted;
+        let (pieces, waiting) = mpsc::channel(PIECES_WAITING_MAX);
+        let head = client_head(answer.head);
+        let call = Arc::clone(&attempts.call);
+        let mut own = Attempts::new(Arc::clone(&attempts.shared), call);
+        own.excluded.append(&mut attempts.excluded);
+        own.runs = attempts.runs;
+        let predicted_tokens = own.call.demand().tokens;
+        let relay = Self {
+            attempts: own,
+            body: answer.body,
+            connection: answer.connection,
+            first_ms: None,
+            last_event_at: Instant::now(),
+            motion: Motion::watch(&slot.endpoint),
+            moves: 0,
+            pieces,
+            predicted_tokens,
+            reader: EventReader::default(),
+            said,
+            slot,
+        };
+        tokio::spawn(relay.run());
+        Response::from_parts(head, relayed_body(waiting))
+    }
+
+    async fn run(mut self) {
+        let end = loop {
+            let step = self.step().await;
+            if let Some(end) = self.react(step).await {
+                break end;
+            }
+        };
+        self.finish(end).await;
+    }
+
+    async fn step(&mut self) -> Step {
+        let stall_at = self.stall_at();
+        tokio::select! {
+            biased;
+            () = self.pieces.closed() => Step::ClientLeft,
+            () = sleep_until(self.attempts.call.deadline) => Step::TimedOut,
+            frame = self.body.frame() => match frame {
+                Some(Ok(frame)) => Step::Frame(frame.into_data().ok()),
+                Some(Err(_)) => Step::Frame(None),
+                None => Step::Ended,
+            },
+            moved = self.motion.next() => Step::Moved(moved),
+            () = sleep_until(stall_at) => Step::Stalled,
+        }
+    }
+
+    async fn react(&mut self, step: Step) -> Option<End> {
+        match step {
+            Step::ClientLeft => Some(End::ClientLeft),
+            Step::Ended if self.reader.has_partial() => self.recover("within an event").await,
+            Step::Ended => Some(End::Complete),
+            Step::Frame(Some(bytes)) => self.pass_on(bytes).await,
+            Step::Frame(None) => self.recover("without its end").await,
+            Step::Moved(moved) => self.advance(moved).await,
+            Step::Stalled => self.resume("no event came in time").await,
+            Step::TimedOut => Some(End::TimedOut),
+        }
+    }
+
+    async fn pass_on(&mut self, bytes: Bytes) -> Option<End> {
+        let whole = self.reader.push(bytes);
+        if self.reader.is_overlong() {
+            return Some(End::Broken("an event is too long".to_owned()));
+        }
+        if whole.is_empty() {
+            return None;
+        }
+        self.last_event_at = Instant::now();
+        if self.first_ms.is_none() {
+            self.first_ms = Some(self.attempts.call.elapsed_ms());
+            self.slot.note_first_event();
+        }
+        self.predict();
+        if self.pieces.send(Ok(whole)).await.is_err() {
+            return Some(End::ClientLeft);
+        }
+        None
+    }
+
+    /// Corrects the prediction where the output is longer.
+    fn predict(&mut self) {
+        let Some(prompt) = &self.attempts.call.head.prompt else {
+            return;
+        };
+        let held = prompt.prompt_tokens + self.made_tokens();
+        if held > self.predicted_tokens {
+            let output = self.made_tokens() * GROWTH_PERCENT / 100;
+            let output = output.min(prompt.output_tokens_max.max(self.made_tokens()));
+            self.predicted_tokens = prompt.prompt_tokens + output;
+            self.slot.predict(self.predicted_tokens);
+        }
+    }
+
+    fn made_tokens(&self) -> u64 {
+        let call = &self.attempts.call;
+        let service = call.catalog.service(&call.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
+        self.reader.events() * per_event
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.attempts.call.route.repeat.is_idempotent()
+    }
+
+    fn stall_at(&self) -> Instant {
+        let call = &self.attempts.call;
+        if !self.is_resumable() || self.attempts.runs >= call.route.attempts_max {
+            return call.deadline;
+        }
+        let stall_ms = match self.first_ms {
+            Some(_) => (call.route.gap_target_ms * STALL_PAUSES).max(STALL_MS_MIN),
+            None => call.route.target_latency_ms.max(STALL_MS_MIN),
+        };
+        self.last_event_at + Duration::from_millis(stall_ms)
+    }
+
+    /// Goes on after the endpoint broke the stream off.
+    async fn recover(&mut self, how: &str) -> Option<End> {
+        self.reader.reset();
+        if let Some((slot, copy)) = self.motion.take_copy().await {
+            info!(self.attempts.shared.log, "stream goes on from a copy";
+                "request" => self.attempts.call.id(), "endpoint" => &slot.endpoint.id,
+                "broke_off" => how);
+            return self.go_on(slot, Some(copy)).await;
+        }
+        let now_ms = self.attempts.shared.fleet.now_ms();
+        self.slot.endpoint.own().health.fail(now_ms);
+        self.resume(&format!("the endpoint broke off {how}")).await
+    }
+
+    /// Asks another endpoint for the events after the last one.
+    async fn resume(&mut self, reason: &str) -> Option<End> {
+        let call = Arc::clone(&self.attempts.call);
+        let shared = Arc::clone(&self.attempts.shared);
+        if !self.is_resumable() || self.attempts.runs >= call.route.attempts_max {
+            return Some(End::Broken(reason.to_owned()));
+        }
+        self.attempts.excluded.push(self.slot.endpoint.id.clone());
+        let want = Want {
+            demand: call.demand(),
+            excluded: self.attempts.excluded.clone(),
+            priority: call.priority,
+            service: call.service.clone(),
+            wait_ms: RESUME_WAIT_MS.min(call.left_ms()),
+        };
+        let Ok(slot) = shared.fleet.admit(&want).await else {
+            return Some(End::Broken(format!(
+                "{reason}, and there is no room elsewhere"
+            )));
+        };
+        if !shared.take_repeat(&call.service) {
+            return Some(End::Broken(format!("{reason}, and the budget is spent")));
+        }
+        info!(shared.log, "stream resumed"; "request" => call.id(),
+            "endpoint" => &slot.endpoint.id, "last_event" => self.reader.last_id(),
+            "reason" => reason);
+        self.attempts.runs += 1;
+        self.go_on(slot, None).await
+    }
+
+    /// Takes the next step of a move.
+    async fn advance(&mut self, moved: Moved) -> Option<End> {
+        match moved {
+            Moved::Due => {
+                self.begin_move();
+                None
+            }
+            Moved::Nothing => None,
+            Moved::Stopped { copy, slot } => {
+                self.read_rest().await;
+                self.reader.reset();
+                self.go_on(slot, Some(copy)).await
+            }
+        }
+    }
+
+    /// Chooses where the run goes, and begins to copy it.
+    fn begin_move(&mut self) {
+        let call = Arc::clone(&self.attempts.call);
+        let shared = Arc::clone(&self.attempts.shared);
+        let service = call.catalog.service(&call.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            self.motion = Motion::Fixed;
+            return;
+        };
+        if !engine.has_moves || self.is_resumable() && self.reader.events() == 0 {
+            self.motion = Motion::Fixed;
+            return;
+        }
+        let held = self.made_tokens();
+        let output = call.head.prompt.as_ref().map_or(0, |prompt| {
+            self.predicted_tokens.saturating_sub(prompt.prompt_tokens)
+        });
+        let tokens_left = output.saturating_sub(held);
+        let tokens_on_engine = shared.fleet.tokens_on(&self.slot.endpoint.id);
+        let mut excluded = self.motion.full().to_vec();
+        excluded.push(self.slot.endpoint.id.clone());
+        let want = Want {
+            demand: Demand {
+                prefill_tokens: 0,
+                tokens: self.predicted_tokens,
+            },
+            excluded,
+            priority: call.priority,
+            service: call.service.clone(),
+            wait_ms: 0,
+        };
+        self.motion.begin(
+            &shared,
+            &call,
+            engine,
+            &self.slot,
+            tokens_left,
+            tokens_on_engine,
+            &want,
+        );
+    }
+
+    /// Reads what a stopped run had sent before it stopped.
+    async fn read_rest(&mut self) {
+        let rest = async {
+            while let Some(Ok(frame)) = self.body.frame().await {
+                let Ok(bytes) = frame.into_data() else {
+                    continue;
+                };
+                let whole = self.reader.push(bytes);
+                if !whole.is_empty() && self.pieces.send(Ok(whole)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        // A stream that does not end is cut; what it had sent after that is made again.
+        let _ = timeout(Duration::from_millis(REST_TIMEOUT_MS), rest).await;
+    }
+
+    /// Sends the request to another endpoint, from a copy or after the last event.
+    async fn go_on(&mut self, slot: Slot, copy: Option<RunCopy>) -> Option<End> {
+        let shared = Arc::clone(&self.attempts.shared);
+        let call = Arc::clone(&self.attempts.call);
+        if copy.is_some() && !shared.take_repeat(&call.service) {
+            return Some(End::Broken("the budget for repeats is spent".to_owned()));
+        }
+        let resumption = Resumption {
+            copy: copy.as_ref(),
+            last_event: self.reader.last_id(),
+        };
+        let limit_ms = RESUME_TIMEOUT_MS.min(call.left_ms());
+        let began = Instant::now();
+        let accepted = match self.attempts.send(&slot, &resumption, limit_ms).await {
+            Ok(accepted) if accepted.answer.head.status.is_success() => accepted,
+            Ok(accepted) => {
+                let status = accepted.answer.head.status;
+                return Some(End::Broken(format!("the stream did not go on: {status}")));
+            }
+            Err(miss) => {
+                return Some(End::Broken(format!("the stream did not go on: {miss}")));
+            }
+        };
+        info!(shared.log, "stream goes on"; "request" => call.id(),
+            "from" => &self.slot.endpoint.id, "to" => &slot.endpoint.id,
+            "is_copied" => copy.is_some(), "last_event" => resumption.last_event,
+            "head_ms" => elapsed_ms(began));
+        self.moves += 1;
+        self.body = accepted.answer.body;
+        self.connection = accepted.answer.connection;
+        self.said = accepted.said;
+        self.motion = Motion::watch(&slot.endpoint);
+        self.last_event_at = Instant::now();
+        self.slot = slot;
+        None
+    }
+
+    async fn finish(self, end: End) {
+        let Self {
+            attempts,
+            connection,
+            first_ms,
+            moves,
+            pieces,
+            reader,
+            said,
+            slot,
+            ..
+        } = self;
+        let (shared, call) = (&attempts.shared, &attempts.call);
+        let now_ms = shared.fleet.now_ms();
+        let outcome = match &end {
+            End::Broken(_) => Outcome::Failed,
+            End::ClientLeft => Outcome::ClientLeft,
+            End::Complete => Outcome::Answered,
+            End::TimedOut => Outcome::TimedOut,
+        };
+        match &end {
+            End::Complete => {
+                slot.endpoint.own().health.succeed(now_ms);
+                if !said.closes {
+                    release(connection, &said, &slot);
+                }
+            }
+            End::Broken(_) | End::TimedOut => {
+                // The client may have left as well.
+                let _ = pieces.send(Err(BrokenOff)).await;
+            }
+            End::ClientLeft => {}
+        }
+        if let End::Broken(reason) = &end {
+            warn!(shared.log, "stream broken off"; "request" => call.id(), "reason" => reason);
+        }
+        info!(shared.log, "request ended"; "request" => call.id(), "outcome" => ?outcome,
+            "status" => 200, "route" => &call.route.name,
+            "customer" => call.customer.as_deref(), "endpoint" => &slot.endpoint.id,
+            "events" => reader.events(), "moves" => moves, "first_ms" => first_ms,
+            "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,104 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use catalog::Catalog;
+use registry::{Document, DocumentSink, Subscription};
+use slog::{Logger, warn};
+use tokio::sync::watch;
+
+use crate::fleet::Fleet;
+use crate::{Dialect, RetryBudget, RetryLimits};
+
+/// What all requests of an instance share.
+pub(crate) struct Shared {
+    /// Sorted by service.
+    pub(crate) budgets: Mutex<Vec<(String, RetryBudget)>>,
+    pub(crate) catalogs: Arc<Catalogs>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) drain_timeout_ms: u64,
+    pub(crate) draining: watch::Sender<bool>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) log: Logger,
+    pub(crate) retry_limits: RetryLimits,
+    pub(crate) subscription: Subscription,
+}
+
+/// The catalog in force.
+pub(crate) struct Catalogs {
+    current: Mutex<Option<Arc<Catalog>>>,
+    dialect: Arc<dyn Dialect>,
+    fleet: Arc<Fleet>,
+    log: Logger,
+}
+
+impl Shared {
+    /// Counts a request of a client to a service.
+    pub(crate) fn note_request(&self, service: &str) {
+        let now_ms = self.fleet.now_ms();
+        let limits = &self.retry_limits;
+        self.with_budget(service, |budget| budget.note_request(now_ms, limits));
+    }
+
+    /// Takes one repeated sending to a service, if the limits allow it.
+    pub(crate) fn take_repeat(&self, service: &str) -> bool {
+        let now_ms = self.fleet.now_ms();
+        let instances = self.subscription.subscribers();
+        let limits = &self.retry_limits;
+        self.with_budget(service, |budget| budget.take(now_ms, limits, instances))
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Whether new requests may be admitted by the catalog in force.
+    pub(crate) fn is_current(&self) -> bool {
+        self.catalogs.current().is_some() && self.subscription.is_current()
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        let found = budgets.binary_search_by(|known| known.0.as_str().cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            budgets.insert(at, (service.to_owned(), RetryBudget::default()));
+            at
+        });
+        act(&mut budgets[at].1)
+    }
+}
+
+impl Catalogs {
+    pub(crate) fn new(dialect: &Arc<dyn Dialect>, fleet: &Arc<Fleet>, log: &Logger) -> Arc<Self> {
+        Arc::new(Self {
+            current: Mutex::new(None),
+            dialect: Arc::clone(dialect),
+            fleet: Arc::clone(fleet),
+            log: log.clone(),
+        })
+    }
+
+    pub(crate) fn current(&self) -> Option<Arc<Catalog>> {
+        lock(&self.current).clone()
+    }
+}
+
+impl DocumentSink for Catalogs {
+    fn install(&self, document: &Document) -> bool {
+        match self.dialect.read_document(&document.bytes) {
+            Ok(catalog) => {
+                let catalog = Arc::new(catalog);
+                *lock(&self.current) = Some(Arc::clone(&catalog));
+                self.fleet.set_catalog(&catalog);
+                true
+            }
+            Err(error) => {
+                warn!(self.log, "document refused"; "version" => document.version,
+                    "error" => error);
+                false
+            }
+        }
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gentiancleat/src/lib.rs
+++ b/crates/gentiancleat/src/lib.rs
@@ -4,6 +4,7 @@
 mod client;
 mod error;
 mod options;
+mod platform_instance;
 mod problem;
 mod serve;
 mod serve_settings;
@@ -53,6 +54,7 @@
         Command::Endpoints(options) => client::endpoints(&options),
         Command::Instances(options) => client::instances(&options),
         Command::Key(options) => client::key(options.command),
+        Command::Platform(options) => platform_instance::run(&options),
         Command::Serve(options) => serve::run(&options),
         Command::Status(options) => client::status(&options),
         Command::Table(options) => client::table(options.command),
--- a/crates/gentiancleat/src/options.rs
+++ b/crates/gentiancleat/src/options.rs
@@ -30,6 +30,8 @@
     Instances(ClientOptions),
     #[options(help = "make a key of a customer or operator")]
     Key(KeyTopOptions),
+    #[options(help = "run an instance on the users' platform, by its settings file")]
+    Platform(PlatformOptions),
     #[options(help = "run an instance")]
     Serve(ServeOptions),
     #[options(help = "show the state of an instance")]
@@ -95,6 +97,15 @@
     pub(crate) operator_key: Option<String>,
 }
 
+/// Flags of `platform`.
+#[derive(Debug, Default, Options)]
+pub(crate) struct PlatformOptions {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(help = "least severity that is logged", meta = "LEVEL", no_short)]
+    pub(crate) log_level: Option<String>,
+}
+
 /// Flags of `serve`.
 #[derive(Debug, Default, Options)]
 pub(crate) struct ServeOptions {
--- /dev/null
+++ b/crates/gentiancleat/src/platform_instance.rs
@@ -0,0 +1,106 @@
+//! Runs an instance on the users' platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::Gateway;
+use platform::{ControlApi, Settings};
+use registry::Registry;
+use slog::{Logger, info, warn};
+use telemetry::{Level, logger};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::sleep;
+
+use crate::error::Error;
+use crate::options::PlatformOptions;
+use crate::serve::stop_on_broken_invariants;
+
+/// Level that is logged where no flag names one.
+const LOG_LEVEL_DEFAULT: &str = "info";
+
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_INTERVAL_MS: u64 = 2_000;
+
+/// Runs the roles that the settings file names until the process is told to stop.
+pub(crate) fn run(options: &PlatformOptions) -> Result<(), Error> {
+    let level = options.log_level.as_deref().unwrap_or(LOG_LEVEL_DEFAULT);
+    let level: Level = level
+        .parse()
+        .map_err(|error| Error::usage(&format!("{error}")))?;
+    let settings = Settings::read().map_err(|error| Error::usage(&error.to_string()))?;
+    stop_on_broken_invariants();
+    // The platform's machines have one core, of which a process gets a part.
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::failed)?;
+    let log = logger(level);
+    runtime.block_on(serve(settings, &log))
+}
+
+async fn serve(settings: Settings, log: &Logger) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::failed)?;
+    let hangup = signal(SignalKind::hangup()).map_err(Error::failed)?;
+    let registry = match settings.registry(log) {
+        Some(registry) => Some(Arc::new(
+            Registry::open(registry).await.map_err(Error::failed)?,
+        )),
+        None => None,
+    };
+    if let (Some(registry), Some(address)) = (&registry, settings.control_address()) {
+        ControlApi::bind(address, Arc::clone(registry), log)
+            .await
+            .map_err(Error::failed)?;
+    }
+    let gateway = match settings.gateway(log) {
+        Some(gateway) => Some(Gateway::bind(gateway).await.map_err(Error::failed)?),
+        None => None,
+    };
+    info!(log, "started"; "instance" => settings.name(),
+        "version" => env!("CARGO_PKG_VERSION"), "settings" => ?settings);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        () = follow_settings(&settings, gateway.as_ref(), hangup, log) => {}
+    }
+    info!(log, "stopping"; "instance" => settings.name());
+    if let Some(gateway) = gateway {
+        gateway.drain().await;
+    }
+    if let Some(registry) = registry {
+        registry.hand_over().await;
+    }
+    info!(log, "stopped"; "instance" => settings.name());
+    Ok(())
+}
+
+/// Takes new seeds from the settings file, at a signal and from time to time.
+async fn follow_settings(
+    first: &Settings,
+    gateway: Option<&Gateway>,
+    mut hangup: Signal,
+    log: &Logger,
+) {
+    let mut seeds = first.seeds();
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => info!(log, "reloading"),
+            () = sleep(Duration::from_millis(SETTINGS_INTERVAL_MS)) => {}
+        }
+        let settings = match Settings::read() {
+            Ok(settings) => settings,
+            Err(error) => {
+                warn!(log, "settings not reloaded"; "error" => %error);
+                continue;
+            }
+        };
+        let latest = settings.seeds();
+        if latest != seeds {
+            info!(log, "seeds changed"; "seeds" => ?latest);
+            if let Some(gateway) = gateway {
+                gateway.add_registries(&latest);
+            }
+            seeds = latest;
+        }
+    }
+}
--- a/crates/gentiancleat/src/serve.rs
+++ b/crates/gentiancleat/src/serve.rs
@@ -35,7 +35,7 @@
 ///
 /// A task that has panicked would leave an instance that looks alive and does only a part of its
 /// work, such as one that serves callers and no longer votes.
-fn stop_on_broken_invariants() {
+pub(crate) fn stop_on_broken_invariants() {
     let print = panic::take_hook();
     panic::set_hook(Box::new(move |panic| {
         print(panic);
--- /dev/null
+++ b/crates/registry/src/boot_clock.rs
@@ -0,0 +1,14 @@
+use rustix::time::{ClockId, clock_gettime};
+
+/// Time since the machine booted, in ms, which also passes while the machine is suspended.
+///
+/// # Panics
+///
+/// Panics if the system's clock runs backwards past its start.
+#[must_use]
+pub fn boot_time_ms() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).expect("boot time is not negative");
+    let nanoseconds = u64::try_from(now.tv_nsec).expect("boot time is not negative");
+    seconds * 1_000 + nanoseconds / 1_000_000
+}
--- /dev/null
+++ b/crates/registry/src/document.rs
@@ -0,0 +1,68 @@
+use control::StateMachine;
+use names::LogIndex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+/// A configuration document as it was accepted.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Document {
+    /// Content; empty before the first document.
+    pub bytes: Vec<u8>,
+    /// Version; the highest is in force.
+    pub version: u64,
+}
+
+/// Replicated register that keeps the document with the highest version.
+///
+/// A document whose version is not higher changes nothing, so a repeated or overtaken command has
+/// no effect, and of two documents with one version the first to be committed stays.
+#[derive(Debug)]
+pub struct DocumentMachine {
+    held: watch::Sender<Document>,
+}
+
+impl DocumentMachine {
+    /// A machine that holds no document, and the document as it changes.
+    #[must_use]
+    pub fn new() -> (Self, watch::Receiver<Document>) {
+        let (held, receiver) = watch::channel(Document::default());
+        (Self { held }, receiver)
+    }
+
+    /// Encodes a document as a command.
+    ///
+    /// # Panics
+    ///
+    /// Panics if memory runs out.
+    #[must_use]
+    pub fn command(document: &Document) -> Vec<u8> {
+        postcard::to_stdvec(document).expect("a document can be encoded")
+    }
+
+    fn take(&self, bytes: &[u8]) {
+        let document: Document =
+            postcard::from_bytes(bytes).expect("committed commands are documents");
+        self.held.send_if_modified(|held| {
+            let is_newer = document.version > held.version;
+            if is_newer {
+                *held = document;
+            }
+            is_newer
+        });
+    }
+}
+
+impl StateMachine for DocumentMachine {
+    fn apply(&mut self, _index: LogIndex, _at_ms: u64, command: &[u8]) -> Vec<u8> {
+        self.take(command);
+        Vec::new()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        self.take(snapshot);
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Self::command(&self.held.borrow())
+    }
+}
--- /dev/null
+++ b/crates/registry/src/inner.rs
@@ -0,0 +1,118 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Document, Registration};
+
+/// Calls between the instances of a deployment.
+#[tarpc::service]
+pub(crate) trait Inner {
+    /// Takes messages of another voter.
+    async fn agree(messages: Vec<Vec<u8>>);
+    /// Position that was committed when a quorum confirmed, after the call, that this one leads.
+    async fn confirm() -> Option<u64>;
+    /// Takes what the caller runs on each endpoint, and gives the sums over all instances.
+    async fn exchange(report: LoadReport) -> LoadTotals;
+    /// Waits for news and gives them.
+    async fn poll(request: PollRequest) -> PollAnswer;
+    /// Replicates a document; whether it is committed.
+    async fn propose(document: Document) -> bool;
+    /// Takes heartbeats that another registry received.
+    async fn share(notices: Vec<Notice>);
+}
+
+/// News of an endpoint.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub enum Notice {
+    /// It has left.
+    Left {
+        /// Start of the incarnation, where known.
+        born_ms: Option<u64>,
+        /// Name of the endpoint.
+        id: String,
+    },
+    /// It was heard.
+    Heard(Registration),
+}
+
+/// An endpoint as a registry knows it.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// Whether it has not been heard lately.
+    pub is_silent: bool,
+    /// What it says of itself.
+    pub registration: Registration,
+}
+
+/// What a subscriber knows, and how long it waits for more.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct PollRequest {
+    /// Number of the last change of the directory that it knows.
+    pub directory_cursor: u64,
+    /// Epoch of the registry that the number belongs to.
+    pub directory_epoch: u64,
+    /// Version of its document.
+    pub document_version: u64,
+    /// Longest time to wait for news.
+    pub hold_ms: u64,
+    /// Name of the subscriber.
+    pub instance: String,
+    /// Whether it asks for the proof that the document is the newest.
+    pub wants_proof: bool,
+}
+
+/// News since a poll began.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct PollAnswer {
+    /// Number of the last change of the directory.
+    pub directory_cursor: u64,
+    /// Epoch of the registry; another one than that asked for means that `records` are all.
+    pub directory_epoch: u64,
+    /// Document, if it is newer than the subscriber's.
+    pub document: Option<Document>,
+    /// Whether the document held was the newest at some time after the poll arrived.
+    pub is_proven: bool,
+    /// Whether the registry leads the group.
+    pub is_leader: bool,
+    /// Endpoints that changed.
+    pub records: Vec<Record>,
+    /// Inner addresses of all registries.
+    pub registries: Vec<SocketAddr>,
+    /// Subscribers that polled lately.
+    pub subscribers: u32,
+}
+
+/// What runs on one endpoint.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointLoad {
+    /// Requests that failed there lately.
+    pub failures: u32,
+    /// Name of the endpoint.
+    pub id: String,
+    /// Prompt tokens that wait to be read.
+    pub prefill_tokens: u64,
+    /// Requests.
+    pub runs: u32,
+    /// Requests that succeeded there lately.
+    pub successes: u32,
+    /// Tokens that the requests will hold at their ends, as predicted.
+    pub tokens: u64,
+}
+
+/// What one instance runs.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct LoadReport {
+    /// Name of the instance.
+    pub instance: String,
+    /// Its load, sorted by endpoint.
+    pub loads: Vec<EndpointLoad>,
+}
+
+/// What all instances run.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadTotals {
+    /// Instances that reported lately.
+    pub instances: u32,
+    /// Sums, sorted by endpoint.
+    pub loads: Vec<EndpointLoad>,
+}
--- /dev/null
+++ b/crates/registry/src/server.rs
@@ -0,0 +1,108 @@
+//! Serves the calls of other instances.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use agreement::Envelope;
+use futures::StreamExt;
+use slog::{Logger, debug, warn};
+use tarpc::context::Context;
+use tarpc::serde_transport::new;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use crate::group::Group;
+use crate::inner::{Inner, LoadReport, LoadTotals, PollAnswer, PollRequest};
+use crate::link::codec;
+use crate::prover::Prover;
+use crate::publisher::Publisher;
+use crate::{Document, DocumentMachine, Error, LoadBoard, Notice};
+
+/// What the calls of other instances reach.
+#[derive(Clone)]
+pub(crate) struct Server {
+    pub(crate) group: Arc<Group>,
+    pub(crate) loads: Arc<Mutex<LoadBoard>>,
+    pub(crate) log: Logger,
+    pub(crate) prover: Arc<Prover>,
+    pub(crate) publisher: Arc<Publisher>,
+}
+
+impl Server {
+    /// Listens on `address` and serves from then on.
+    pub(crate) async fn bind(self, address: SocketAddr) -> Result<(), Error> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|source| Error::Listen { address, source })?;
+        tokio::spawn(self.run(listener));
+        Ok(())
+    }
+
+    async fn run(self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    while connections.try_join_next().is_some() {}
+                    connections.spawn(self.clone().serve_connection(stream));
+                }
+                Err(error) => warn!(self.log, "connection not accepted"; "error" => %error),
+            }
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream) {
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!(self.log, "connection lost"; "error" => %error);
+            return;
+        }
+        let transport = new(codec().new_framed(stream), Bincode::default());
+        let mut calls = JoinSet::new();
+        let mut requests = Box::pin(BaseChannel::with_defaults(transport).execute(self.serve()));
+        while let Some(call) = requests.next().await {
+            while calls.try_join_next().is_some() {}
+            calls.spawn(call);
+        }
+    }
+}
+
+impl Inner for Server {
+    async fn agree(self, _context: Context, messages: Vec<Vec<u8>>) {
+        for message in messages {
+            match postcard::from_bytes::<Envelope>(&message) {
+                Ok(envelope) => self.group.deliver(envelope).await,
+                Err(error) => warn!(self.log, "message not understood"; "error" => %error),
+            }
+        }
+    }
+
+    async fn confirm(self, _context: Context) -> Option<u64> {
+        self.prover.confirm().await
+    }
+
+    async fn exchange(self, _context: Context, report: LoadReport) -> LoadTotals {
+        let now_ms = self.publisher.now_ms();
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        loads.exchange(now_ms, report)
+    }
+
+    async fn poll(self, _context: Context, request: PollRequest) -> PollAnswer {
+        self.publisher.poll(request).await
+    }
+
+    async fn propose(self, _context: Context, document: Document) -> bool {
+        let Some(control) = self.group.control() else {
+            return false;
+        };
+        let proposed = control.propose(DocumentMachine::command(&document)).await;
+        proposed.is_ok()
+    }
+
+    async fn share(self, _context: Context, notices: Vec<Notice>) {
+        for notice in notices {
+            self.publisher.record(notice);
+        }
+    }
+}
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -27,9 +27,9 @@
     }
 }
 
-/// A logger that writes one line of key=value pairs per event to standard error.
+/// A logger that writes one line of key=value pairs per event to standard output.
 pub fn logger(level: Level) -> Logger {
-    let lines = Logfmt::new(io::stderr())
+    let lines = Logfmt::new(io::stdout())
         .set_prefix(write_event)
         .build()
         .fuse();
