Move runs only to endpoints of the same data centre or region

Cause: drafts were cut at notices although copies were ordered. Copies to another region took 1.36 to 1.65 s (0.23 s for as many tokens in the same data centre), held up the source's link and made it reject further ones with 503; an engine leaves 1.5 to 2.1 s after its notice.

Ruled out: want of memory at the destinations (rejected within one round trip, by endpoints that had room, while two far copies were pending).

Change: a move goes to the nearest endpoints only; a connection to the destination is opened while the run still goes on.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -152,7 +152,8 @@
     ) -> Result<Accepted, Miss> {
         let endpoint = &slot.endpoint;
         let request = self.request(&endpoint.id, resumption);
-        let may_reuse = self.call.route.repeat.is_idempotent();
+        let is_copied = resumption.copy.is_some();
+        let may_reuse = is_copied || self.call.route.repeat.is_idempotent();
         let sent = endpoint.pool.send(request, may_reuse);
         let now_ms = self.shared.fleet.now_ms();
         let answer = match timeout(Duration::from_millis(limit_ms), sent).await {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -111,6 +111,14 @@
         connection.send(request).await.map_err(|failed| failed.0)
     }
 
+    /// Opens a connection for a request that is about to come.
+    pub(crate) async fn warm(&self) {
+        // The request opens one itself if this fails.
+        if let Ok(connection) = self.connect().await {
+            self.keep(connection, Some(IDLE_MS_MAX));
+        }
+    }
+
     /// Keeps a connection whose last answer has ended.
     pub(crate) fn keep(&self, connection: Connection, keep_alive_ms: Option<u64>) {
         let named_ms = keep_alive_ms.map(|named_ms| named_ms * IDLE_PERCENT / 100);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::clock::elapsed_ms;
 use crate::endpoint::Endpoint;
 use crate::outcome::Refusal;
-use crate::{Candidate, Demand, Load, Place, ReturnSchedule, WaitQueue, choose};
+use crate::{Candidate, Demand, Distance, Load, Place, ReturnSchedule, WaitQueue, choose};
 
 /// Spacing of returns before any request was served from the queue.
 const SPACING_MS_DEFAULT: u64 = 200;
@@ -250,10 +250,25 @@
         }
     }
 
-    /// Room for a run elsewhere, without waiting.
-    pub(crate) fn place_now(self: &Arc<Self>, want: &Want) -> Option<Slot> {
+    /// Room for a run that moves, on the nearest endpoints that a copy reaches in time.
+    pub(crate) fn place_move(self: &Arc<Self>, want: &Want, source: &Endpoint) -> Option<Slot> {
         let mut inner = self.lock();
-        self.place(&mut inner, &want.service, &want.demand, &want.excluded)
+        for farthest in [Distance::SameDataCentre, Distance::SameRegion] {
+            let mut excluded = want.excluded.clone();
+            let members = inner.members.iter().map(|member| &member.endpoint);
+            let far = members.filter(|endpoint| {
+                let distance = self
+                    .place
+                    .distance(&source.data_centre, &endpoint.data_centre);
+                distance > farthest
+            });
+            excluded.extend(far.map(|endpoint| endpoint.id.clone()));
+            let slot = self.place(&mut inner, &want.service, &want.demand, &excluded);
+            if slot.is_some() {
+                return slot;
+            }
+        }
+        None
     }
 
     /// Tokens that all instances hold on an endpoint, as predicted.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,6 @@
 pub use placement::{Candidate, Demand, Load, choose};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use return_schedule::ReturnSchedule;
-pub use settings::{GatewaySettings, Place};
+pub use settings::{Distance, GatewaySettings, Place};
 pub use transfer::{CopyPlan, copy_plan};
 pub use wait_queue::{WaitQueue, Waiter};
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -148,7 +148,7 @@
             *self = Self::Waiting { at, full };
             return;
         };
-        let Some(target) = shared.fleet.place_now(want) else {
+        let Some(target) = shared.fleet.place_move(want, &slot.endpoint) else {
             let at = now + Duration::from_millis(RETRY_MS);
             let full = Vec::new();
             *self = Self::Waiting { at, full };
@@ -162,7 +162,10 @@
             source: Arc::clone(&slot.endpoint.pool),
         };
         info!(shared.log, "move begins"; "request" => call.id(), "from" => &slot.endpoint.id,
-            "to" => &target.endpoint.id, "tokens_on_engine" => tokens_on_engine,
+            "to" => &target.endpoint.id,
+            "from_data_centre" => &slot.endpoint.data_centre,
+            "to_data_centre" => &target.endpoint.data_centre, "tokens" => want.demand.tokens,
+            "tokens_on_engine" => tokens_on_engine,
             "tokens_left" => tokens_left, "stop_after_ms" => stop_after_ms);
         *self = Self::Copying {
             copy: departure.copy(&target, false),
@@ -216,14 +219,18 @@
         };
         departure.note("run copied", &target, &outcome);
         *self = match outcome {
-            CopyOutcome::Copied { handle } => Self::Copied {
-                copied: Copied {
-                    departure,
-                    handle,
-                    target,
-                },
-                stop_at,
-            },
+            CopyOutcome::Copied { handle } => {
+                let pool = Arc::clone(&target.endpoint.pool);
+                tokio::spawn(async move { pool.warm().await });
+                Self::Copied {
+                    copied: Copied {
+                        departure,
+                        handle,
+                        target,
+                    },
+                    stop_at,
+                }
+            }
             CopyOutcome::NoSuchRun => Self::Fixed,
             CopyOutcome::NoRoom { .. } => {
                 departure.full.push(target.endpoint.id.clone());
@@ -269,12 +276,15 @@
         let to = target.endpoint.pool.address();
         let request = self.dialect.copy_request(&self.run, to, is_last);
         let source = Arc::clone(&self.source);
+        let (log, run) = (self.log.clone(), self.run.clone());
         let dialect = Arc::clone(&self.dialect);
         Box::pin(async move {
             let asked = async {
                 let answer = source.send(request, false).await.ok()?;
                 let status = answer.head.status;
                 let body = answer.body.collect().await.ok()?.to_bytes();
+                info!(log, "copy answered"; "request" => &run, "is_last" => is_last, "to" => %to,
+                    "status" => status.as_u16(), "body" => String::from_utf8_lossy(&body).as_ref());
                 Some(dialect.read_copy(status, &body))
             };
             let time = Duration::from_millis(COPY_TIMEOUT_MS);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -47,16 +47,37 @@
 /// Round trip between regions, as the deployments' sheets say.
 const FAR_MS: u64 = 24;
 
+/// How far two data centres lie apart, nearest first.
+#[derive(Debug, Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// Not at all.
+    SameDataCentre,
+    /// In one region.
+    SameRegion,
+    /// In different regions.
+    OtherRegion,
+}
+
 impl Place {
-    /// Round trip to a data centre.
+    /// Round trip from here to a data centre.
     #[must_use]
     pub fn distance_ms(&self, data_centre: &str) -> u64 {
-        if data_centre == self.data_centre {
-            return NEAR_MS;
+        match self.distance(&self.data_centre, data_centre) {
+            Distance::SameDataCentre => NEAR_MS,
+            Distance::SameRegion => REGION_MS,
+            Distance::OtherRegion => FAR_MS,
+        }
+    }
+
+    /// How far two data centres lie apart.
+    #[must_use]
+    pub fn distance(&self, one: &str, other: &str) -> Distance {
+        if one == other {
+            return Distance::SameDataCentre;
         }
-        match (self.region(data_centre), self.region(&self.data_centre)) {
-            (Some(there), Some(here)) if there == here => REGION_MS,
-            _ => FAR_MS,
+        match (self.region(one), self.region(other)) {
+            (Some(one), Some(other)) if one == other => Distance::SameRegion,
+            _ => Distance::OtherRegion,
         }
     }
 
