Choose engines by fresher sums, and read prompts in time

Cause: prompts waited over 2 s on engines that several gateways had chosen within one exchange of loads (six within 0.3 s on a new engine), moves stopped runs at once where an endpoint left without notice of draining (its load was forgotten with it), and moves were refused by the budget for repeats of one instance while the others had not used theirs.

Ruled out: slow moves (no move to a near endpoint took longer than its memory needs), processor time (entry below 0.01 of a core).

Change: loads are exchanged every 50 ms in small deployments, costs have a random part, a prompt is sent only where it is read in time beside decodes; an endpoint keeps its load until its last run ends; the budget for repeats is shared by what the others report; elections after 300 ms.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{Slot, Want};
 use crate::handler::Call;
 use crate::outcome::{Outcome, Refusal};
+use crate::placement::READ_TOKENS_PER_MS;
 use crate::relay::Relay;
 use crate::reply::{ReplyBody, strip_connection_headers, whole_body};
 use crate::shared::Shared;
@@ -34,9 +35,6 @@
 /// the way and the work.
 const WAIT_PERCENT: u64 = 70;
 
-/// Prompt tokens that an engine reads in a millisecond, as the engines' data sheets say.
-const READ_TOKENS_PER_MS: u64 = 14;
-
 /// Least time for a sending that may be followed by another, so that ordinary slow answers are
 /// waited for.
 const ATTEMPT_MS_MIN: u64 = 350;
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Own {
     pub(crate) health: Health,
     pub(crate) load: Load,
+    /// What the other instances run there.
+    pub(crate) others: Load,
 }
 
 impl Endpoint {
@@ -54,6 +56,14 @@
         });
     }
 
+    /// What all instances run there.
+    pub(crate) fn load(&self) -> Load {
+        let own = self.own();
+        let mut load = own.load;
+        load.add(&own.others);
+        load
+    }
+
     pub(crate) fn own(&self) -> MutexGuard<'_, Own> {
         self.own.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -48,7 +48,6 @@
     failures_elsewhere: u32,
     is_cold: bool,
     is_silent: bool,
-    others: Load,
     reported: Load,
     reported_outcomes: (u32, u32),
     slots: u32,
@@ -206,11 +205,11 @@
     pub(crate) fn assume_totals(&self, instances: u32) {
         let others = instances.saturating_sub(1);
         for member in &mut self.lock().members {
-            let own = member.endpoint.own().load;
-            member.others = Load {
-                prefill_tokens: own.prefill_tokens * u64::from(others),
-                runs: own.runs * others,
-                tokens: own.tokens * u64::from(others),
+            let mut own = member.endpoint.own();
+            own.others = Load {
+                prefill_tokens: own.load.prefill_tokens * u64::from(others),
+                runs: own.load.runs * others,
+                tokens: own.load.tokens * u64::from(others),
             };
         }
     }
@@ -271,15 +270,6 @@
         None
     }
 
-    /// Tokens that all instances hold on an endpoint, as predicted.
-    pub(crate) fn tokens_on(&self, id: &str) -> u64 {
-        let inner = self.lock();
-        match inner.position(id) {
-            Ok(at) => inner.members[at].load().tokens,
-            Err(_) => 0,
-        }
-    }
-
     /// Closes idle connections whose time is over.
     pub(crate) fn trim(&self) {
         for member in &self.lock().members {
@@ -345,7 +335,7 @@
             .map(|member| Candidate {
                 distance_ms: self.place.distance_ms(&member.endpoint.data_centre),
                 is_cold: member.is_cold,
-                load: member.load(),
+                load: member.endpoint.load(),
                 memory_tokens,
                 slots: member.slots,
             })
@@ -388,11 +378,6 @@
 }
 
 impl Inner {
-    fn position(&self, id: &str) -> Result<usize, usize> {
-        self.members
-            .binary_search_by(|member| member.endpoint.id.as_str().cmp(id))
-    }
-
     fn memory_tokens(&self, service: &str) -> u64 {
         let catalog = self.catalog.as_ref();
         let service = catalog.and_then(|catalog| catalog.service(service));
@@ -415,7 +400,6 @@
             failures_elsewhere: 0,
             is_cold: false,
             is_silent: false,
-            others: Load::default(),
             reported: Load::default(),
             reported_outcomes: (0, 0),
             slots: registration.slots,
@@ -429,12 +413,6 @@
             && self.endpoint.service == registration.service
     }
 
-    fn load(&self) -> Load {
-        let mut load = self.endpoint.own().load;
-        load.add(&self.others);
-        load
-    }
-
     fn set_total(&mut self, now_ms: u64, total: Option<&EndpointLoad>) {
         let (own_failures, own_successes) = self.reported_outcomes;
         let (others, failures, successes) = match total {
@@ -451,21 +429,13 @@
             ),
             None => (Load::default(), 0, 0),
         };
-        self.others = others;
         self.failures_elsewhere = failures;
         self.successes_elsewhere = successes;
         let mut own = self.endpoint.own();
+        own.others = others;
         let (failures, successes) = own.health.counts(now_ms);
         let failures = failures + self.failures_elsewhere;
         let successes = successes + self.successes_elsewhere;
         own.health.judge(now_ms, failures, successes);
     }
 }
-
-impl Load {
-    fn add(&mut self, other: &Self) {
-        self.prefill_tokens += other.prefill_tokens;
-        self.runs += other.runs;
-        self.tokens += other.tokens;
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,14 +14,21 @@
 use crate::settings::GatewaySettings;
 use crate::shared::{Catalogs, Shared};
 
-/// Time between two exchanges of loads while requests run.
-const EXCHANGE_INTERVAL_MS: u64 = 150;
+/// Shortest time between two exchanges of loads; about the time between two generations that
+/// arrive at all instances of a small deployment.
+const EXCHANGE_MS_MIN: u64 = 50;
+
+/// Longest time between two exchanges of loads.
+const EXCHANGE_MS_MAX: u64 = 250;
+
+/// Time between two exchanges for each instance, which bounds what reaches the one that sums.
+const EXCHANGE_MS_PER_INSTANCE: u64 = 4;
 
 /// Time without an exchange after which the others' load is assumed.
 const EXCHANGE_AGE_MS_MAX: u64 = 1_000;
 
 /// Time between two looks at idle connections, in exchanges.
-const TRIM_EXCHANGES: u32 = 4;
+const TRIM_EXCHANGES: u32 = 8;
 
 /// Why a gateway cannot be bound.
 #[derive(Debug, ThisError)]
@@ -115,15 +122,20 @@
     let mut last_answer = Instant::now();
     let mut round = 0_u32;
     loop {
-        sleep(Duration::from_millis(EXCHANGE_INTERVAL_MS)).await;
+        let instances = u64::from(shared.subscription.subscribers());
+        let interval_ms = instances * EXCHANGE_MS_PER_INSTANCE;
+        let interval_ms = interval_ms.clamp(EXCHANGE_MS_MIN, EXCHANGE_MS_MAX);
+        sleep(Duration::from_millis(interval_ms)).await;
         round = round.wrapping_add(1);
         if round.is_multiple_of(TRIM_EXCHANGES) {
             shared.fleet.trim();
         }
-        match shared.subscription.exchange(shared.fleet.loads()).await {
+        let (loads, services) = (shared.fleet.loads(), shared.service_loads());
+        match shared.subscription.exchange(loads, services).await {
             Ok(totals) => {
                 last_answer = Instant::now();
                 shared.fleet.set_totals(&totals);
+                shared.set_service_totals(&totals.services);
             }
             Err(error) => {
                 debug!(shared.log, "loads not exchanged"; "error" => %error);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -69,6 +69,7 @@
         match &self.head.prompt {
             Some(prompt) => Demand {
                 prefill_tokens: prompt.prompt_tokens,
+                read_ms_max: self.route.target_latency_ms * READ_PERCENT / 100,
                 tokens: prompt.prompt_tokens + prompt.output_tokens(),
             },
             None => Demand::default(),
@@ -88,6 +89,10 @@
     }
 }
 
+/// Part of the target latency in which a prompt is to be read, in percent; the rest is for the
+/// way, for the first tokens and for what the estimate misses.
+const READ_PERCENT: u64 = 75;
+
 /// Answers a request of a client.
 pub(crate) async fn serve(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
     let started = Instant::now();
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -85,7 +85,7 @@
     }
 
     fn forget(&mut self, now_ms: u64) {
-        let is_old = |at_ms: &u64| at_ms + WINDOW_MS <= now_ms;
-        while self.at_ms.pop_front_if(|at_ms| is_old(at_ms)).is_some() {}
+        let is_old = |at_ms: &mut u64| *at_ms + WINDOW_MS <= now_ms;
+        while self.at_ms.pop_front_if(is_old).is_some() {}
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 pub use gateway::{Error, Gateway};
 pub use health::Health;
 pub use placement::{Candidate, Demand, Load, choose};
-pub use retry_budget::{RetryBudget, RetryLimits};
+pub use retry_budget::{RetryBudget, RetryLimits, Sendings};
 pub use return_schedule::ReturnSchedule;
 pub use settings::{Distance, GatewaySettings, Place};
 pub use transfer::{CopyPlan, copy_plan};
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -16,8 +16,13 @@
 /// wait in the endpoint's queue, which is rejected at its end.
 const PLAIN_FILL_PERCENT: u32 = 250;
 
-/// Prompt tokens that an engine reads in a millisecond, as the engines' data sheets say.
-const READ_TOKENS_PER_MS: u64 = 14;
+/// Prompt tokens that an engine reads in a millisecond beside the tokens of other requests: half
+/// of what the engines' data sheets say for reading alone, as every step does both.
+pub(crate) const READ_TOKENS_PER_MS: u64 = 7;
+
+/// Range of the random part of a cost, in ms: what some requests that other instances have sent
+/// since the last exchange cost.
+const JITTER_MS: u64 = 60;
 
 /// Delay that one more request in a batch means to the others, in ms.
 const CROWD_MS_PER_RUN: u64 = 6;
@@ -39,6 +44,8 @@
 pub struct Demand {
     /// Prompt tokens to be read.
     pub prefill_tokens: u64,
+    /// Longest time until its prompt is read.
+    pub read_ms_max: u64,
     /// Tokens that it holds at its end, as predicted; 0 for plain requests.
     pub tokens: u64,
 }
@@ -69,6 +76,14 @@
     pub slots: u32,
 }
 
+impl Load {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.prefill_tokens += other.prefill_tokens;
+        self.runs += other.runs;
+        self.tokens += other.tokens;
+    }
+}
+
 impl Candidate {
     /// Whether the request has room.
     #[must_use]
@@ -79,7 +94,14 @@
         let is_idle = self.load.runs == 0;
         let tokens = self.load.tokens + demand.tokens;
         let fits = tokens * 100 <= self.memory_tokens * MEMORY_PERCENT;
-        (fits || is_idle) && self.load.runs * 100 < self.slots.max(1) * SLOTS_PERCENT
+        let is_read_in_time = self.read_ms(demand) <= demand.read_ms_max;
+        (fits && is_read_in_time || is_idle)
+            && self.load.runs * 100 < self.slots.max(1) * SLOTS_PERCENT
+    }
+
+    /// Expected time until the request's prompt is read, behind those that wait.
+    fn read_ms(&self, demand: &Demand) -> u64 {
+        (self.load.prefill_tokens + demand.prefill_tokens) / READ_TOKENS_PER_MS
     }
 
     /// Expected delay of the request's first answer, with what it costs the others.
@@ -92,23 +114,24 @@
             let busy_ms = u64::from(self.load.runs) * PLAIN_SERVICE_MS / (4 * slots);
             return self.distance_ms + waiting * PLAIN_SERVICE_MS / slots + busy_ms + cold_ms;
         }
-        let read_ms = (self.load.prefill_tokens + demand.prefill_tokens) / READ_TOKENS_PER_MS;
+        let read_ms = self.read_ms(demand);
         let fill_ms = (self.load.tokens + demand.tokens) * FILL_MS / self.memory_tokens;
         let crowd_ms = u64::from(self.load.runs) * CROWD_MS_PER_RUN;
         self.distance_ms + read_ms + fill_ms + crowd_ms + cold_ms
     }
 }
 
-/// Position of the best candidate with room; `draw` decides between equal ones.
+/// Position of the best candidate with room; `draw` decides between nearly equal ones.
+///
+/// Without that, all instances would choose the same endpoint until they know of each other's
+/// choices.
 #[must_use]
 pub fn choose(candidates: &[Candidate], demand: &Demand, draw: u64) -> Option<usize> {
     let count = candidates.len();
     (0..count)
         .filter(|&at| candidates[at].has_room(demand))
         .min_by_key(|&at| {
-            (
-                candidates[at].cost_ms(demand),
-                (draw ^ at as u64).wrapping_mul(SPREAD),
-            )
+            let jitter_ms = (draw ^ at as u64).wrapping_mul(SPREAD) >> 32;
+            candidates[at].cost_ms(demand) + jitter_ms % JITTER_MS
         })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,12 +55,14 @@
     body: Incoming,
     connection: Connection,
     first_ms: Option<u64>,
+    gap_max_ms: u64,
     last_event_at: Instant,
     motion: Motion,
     moves: u32,
     pieces: mpsc::Sender<Result<Bytes, BrokenOff>>,
     predicted_tokens: u64,
     reader: EventReader,
+    resumed_at: Instant,
     said: AnswerHead,
     slot: Slot,
 }
@@ -104,12 +106,14 @@
             body: answer.body,
             connection: answer.connection,
             first_ms: None,
+            gap_max_ms: 0,
             last_event_at: Instant::now(),
             motion: Motion::watch(&slot.endpoint),
             moves: 0,
             pieces,
             predicted_tokens,
             reader: EventReader::default(),
+            resumed_at: Instant::now(),
             said,
             slot,
         };
@@ -164,8 +168,11 @@
         if whole.is_empty() {
             return None;
         }
+        let gap_ms = elapsed_ms(self.last_event_at);
         self.last_event_at = Instant::now();
-        if self.first_ms.is_none() {
+        if self.first_ms.is_some() {
+            self.gap_max_ms = self.gap_max_ms.max(gap_ms);
+        } else {
             self.first_ms = Some(self.attempts.call.elapsed_ms());
             self.slot.note_first_event();
         }
@@ -211,7 +218,7 @@
             Some(_) => (call.route.gap_target_ms * STALL_PAUSES).max(STALL_MS_MIN),
             None => call.route.target_latency_ms.max(STALL_MS_MIN),
         };
-        self.last_event_at + Duration::from_millis(stall_ms)
+        self.last_event_at.max(self.resumed_at) + Duration::from_millis(stall_ms)
     }
 
     /// Goes on after the endpoint broke the stream off.
@@ -292,12 +299,13 @@
             self.predicted_tokens.saturating_sub(prompt.prompt_tokens)
         });
         let tokens_left = output.saturating_sub(held);
-        let tokens_on_engine = shared.fleet.tokens_on(&self.slot.endpoint.id);
+        let tokens_on_engine = self.slot.endpoint.load().tokens;
         let mut excluded = self.motion.full().to_vec();
         excluded.push(self.slot.endpoint.id.clone());
         let want = Want {
             demand: Demand {
                 prefill_tokens: 0,
+                read_ms_max: u64::MAX,
                 tokens: self.predicted_tokens,
             },
             excluded,
@@ -365,7 +373,7 @@
         self.connection = accepted.answer.connection;
         self.said = accepted.said;
         self.motion = Motion::watch(&slot.endpoint);
-        self.last_event_at = Instant::now();
+        self.resumed_at = Instant::now();
         self.slot = slot;
         None
     }
@@ -375,6 +383,7 @@
             attempts,
             connection,
             first_ms,
+            gap_max_ms,
             moves,
             pieces,
             reader,
@@ -409,7 +418,7 @@
         info!(shared.log, "request ended"; "request" => call.id(), "outcome" => ?outcome,
             "status" => 200, "route" => &call.route.name,
             "customer" => call.customer.as_deref(), "endpoint" => &slot.endpoint.id,
-            "events" => reader.events(), "moves" => moves, "first_ms" => first_ms,
+            "events" => reader.events(), "moves" => moves, "first_ms" => first_ms, "gap_max_ms" => gap_max_ms,
             "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
     }
 }
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -11,16 +11,30 @@
     pub window_ms: u64,
 }
 
-/// Part of the limits that one instance keeps for itself, in percent: room for what differs
-/// between the windows of the instances.
-const OWN_PERCENT: u64 = 70;
+/// Part of the limits that one instance may use without knowing of the others, in percent.
+const OWN_PERCENT: u64 = 80;
+
+/// Part of the limits of all instances that may be used by what the others last reported, in
+/// percent. The rest is for what they have sent since.
+const SHARED_PERCENT: u64 = 70;
+
+/// Requests and repeats of one service within the window.
+#[derive(Debug, Clone, Copy, Default, Eq, PartialEq)]
+pub struct Sendings {
+    /// Sendings beyond the first of each request.
+    pub repeats: u64,
+    /// Requests of clients.
+    pub requests: u64,
+}
 
 /// Times of the latest requests and repeats of one service at one instance.
 ///
-/// Every instance keeps the ratio by its own requests and an equal part of the slack, so that the
-/// sum over all keeps the limits of the service without any message.
+/// Pattern: an engine leaves, and the instances that happen to serve its runs all move them at
+/// once. An instance keeps the ratio by its own requests and an equal part of the slack; beyond
+/// that it may use what the others leave, as long as the sum lies well below the limits.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
+    elsewhere: Sendings,
     repeats_ms: VecDeque<u64>,
     requests_ms: VecDeque<u64>,
 }
@@ -32,15 +46,37 @@
         forget(&mut self.requests_ms, now_ms, limits.window_ms);
     }
 
-    /// Takes one repeat, if the limits allow it.
-    pub fn take(&mut self, now_ms: u64, limits: &RetryLimits, instances: u32) -> bool {
+    /// Takes what the other instances reported.
+    pub fn set_elsewhere(&mut self, elsewhere: Sendings) {
+        self.elsewhere = elsewhere;
+    }
+
+    /// What this instance has sent within the window.
+    pub fn sendings(&mut self, now_ms: u64, limits: &RetryLimits) -> Sendings {
         forget(&mut self.requests_ms, now_ms, limits.window_ms);
         forget(&mut self.repeats_ms, now_ms, limits.window_ms);
-        let requests = self.requests_ms.len() as u64;
-        let by_ratio = requests * limits.ratio_thousandths;
-        let by_slack = limits.slack * 1_000 / u64::from(instances.max(1));
-        let allowed = (by_ratio + by_slack) * OWN_PERCENT / 100_000;
-        let is_allowed = (self.repeats_ms.len() as u64) < allowed;
+        Sendings {
+            repeats: self.repeats_ms.len() as u64,
+            requests: self.requests_ms.len() as u64,
+        }
+    }
+
+    /// Takes one repeat, if the limits allow it.
+    pub fn take(&mut self, now_ms: u64, limits: &RetryLimits, instances: u32) -> bool {
+        let own = self.sendings(now_ms, limits);
+        let own_slack = limits.slack * 1_000 / u64::from(instances.max(1));
+        let own_limit = own.requests * limits.ratio_thousandths + own_slack;
+        let requests = own.requests + self.elsewhere.requests;
+        let shared_limit = requests * limits.ratio_thousandths + limits.slack * 1_000;
+        let is_within = |repeats: u64, limit_thousandths: u64, percent: u64| {
+            (repeats + 1) * 100_000 <= limit_thousandths * percent
+        };
+        let is_allowed = is_within(own.repeats, own_limit, OWN_PERCENT)
+            || is_within(
+                own.repeats + self.elsewhere.repeats,
+                shared_limit,
+                SHARED_PERCENT,
+            );
         if is_allowed {
             self.repeats_ms.push_back(now_ms);
         }
@@ -49,10 +85,6 @@
 }
 
 fn forget(times_ms: &mut VecDeque<u64>, now_ms: u64, window_ms: u64) {
-    while times_ms
-        .front()
-        .is_some_and(|at_ms| at_ms + window_ms <= now_ms)
-    {
-        times_ms.pop_front();
-    }
+    let is_old = |at_ms: &mut u64| *at_ms + window_ms <= now_ms;
+    while times_ms.pop_front_if(is_old).is_some() {}
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,12 +1,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use catalog::Catalog;
-use registry::{Document, DocumentSink, Subscription};
+use registry::{Document, DocumentSink, ServiceLoad, Subscription};
 use slog::{Logger, warn};
 use tokio::sync::watch;
 
 use crate::fleet::Fleet;
-use crate::{Dialect, RetryBudget, RetryLimits};
+use crate::{Dialect, RetryBudget, RetryLimits, Sendings};
 
 /// What all requests of an instance share.
 pub(crate) struct Shared {
@@ -46,6 +46,37 @@
         self.with_budget(service, |budget| budget.take(now_ms, limits, instances))
     }
 
+    /// What this instance has sent to each service of late.
+    pub(crate) fn service_loads(&self) -> Vec<ServiceLoad> {
+        let now_ms = self.fleet.now_ms();
+        let mut budgets = lock(&self.budgets);
+        let budgets = budgets.iter_mut();
+        budgets
+            .map(|(service, budget)| {
+                let sendings = budget.sendings(now_ms, &self.retry_limits);
+                ServiceLoad {
+                    name: service.clone(),
+                    repeats: sendings.repeats,
+                    requests: sendings.requests,
+                }
+            })
+            .collect()
+    }
+
+    /// Takes the sums over all instances.
+    pub(crate) fn set_service_totals(&self, totals: &[ServiceLoad]) {
+        let now_ms = self.fleet.now_ms();
+        for (service, budget) in lock(&self.budgets).iter_mut() {
+            let found = totals.binary_search_by(|total| total.name.cmp(service));
+            let Ok(at) = found else { continue };
+            let own = budget.sendings(now_ms, &self.retry_limits);
+            budget.set_elsewhere(Sendings {
+                repeats: totals[at].repeats.saturating_sub(own.repeats),
+                requests: totals[at].requests.saturating_sub(own.requests),
+            });
+        }
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         *self.draining.borrow()
     }
--- a/crates/registry/src/group.rs
+++ b/crates/registry/src/group.rs
@@ -25,13 +25,13 @@
 
 /// Shortest time without a leader before an election: several round trips between regions and
 /// syncs of a slow disk.
-const ELECTION_TIMEOUT_MS: u64 = 500;
+const ELECTION_TIMEOUT_MS: u64 = 300;
 
 /// Time between two heartbeats of the leader.
-const HEARTBEAT_INTERVAL_MS: u64 = 100;
+const HEARTBEAT_INTERVAL_MS: u64 = 75;
 
-/// Silence after which a voter may be replaced by a successor; two election timeouts.
-const SILENT_AFTER_MS: u64 = 2 * ELECTION_TIMEOUT_MS;
+/// Silence after which a voter may be replaced by a successor; some election timeouts.
+const SILENT_AFTER_MS: u64 = 1_000;
 
 /// Longest document, with room above the longest body that clients send.
 const DOCUMENT_BYTES_MAX: usize = 8 * 1024 * 1024;
--- a/crates/registry/src/inner.rs
+++ b/crates/registry/src/inner.rs
@@ -99,13 +99,26 @@
     pub tokens: u64,
 }
 
-/// What one instance runs.
-#[derive(Debug, Clone, Deserialize, Serialize)]
+/// What was sent to one service of late.
+#[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceLoad {
+    /// Name of the service.
+    pub name: String,
+    /// Sendings beyond the first of each request.
+    pub repeats: u64,
+    /// Requests of clients.
+    pub requests: u64,
+}
+
+/// What one instance runs and has sent.
+#[derive(Debug, Clone, Default, Deserialize, Serialize)]
 pub struct LoadReport {
     /// Name of the instance.
     pub instance: String,
     /// Its load, sorted by endpoint.
     pub loads: Vec<EndpointLoad>,
+    /// What it has sent, sorted by service.
+    pub services: Vec<ServiceLoad>,
 }
 
 /// What all instances run.
@@ -115,4 +128,6 @@
     pub instances: u32,
     /// Sums, sorted by endpoint.
     pub loads: Vec<EndpointLoad>,
+    /// Sums, sorted by service.
+    pub services: Vec<ServiceLoad>,
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -39,7 +39,9 @@
 pub use directory_view::{DirectoryView, Endpoint};
 pub use document::{Document, DocumentMachine};
 pub use error::Error;
-pub use inner::{EndpointLoad, LoadReport, LoadTotals, Notice, PollAnswer, PollRequest, Record};
+pub use inner::{
+    EndpointLoad, LoadReport, LoadTotals, Notice, PollAnswer, PollRequest, Record, ServiceLoad,
+};
 pub use lease::Lease;
 pub use load_board::LoadBoard;
 pub use membership::{Roll, next_change};
--- a/crates/registry/src/load_board.rs
+++ b/crates/registry/src/load_board.rs
@@ -1,4 +1,4 @@
-use crate::{EndpointLoad, LoadReport, LoadTotals};
+use crate::{EndpointLoad, LoadReport, LoadTotals, ServiceLoad};
 
 /// Time after which the report of an instance that sends no more counts for nothing; ten reports
 /// are sent in it.
@@ -53,6 +53,21 @@
         LoadTotals {
             instances: u32::try_from(self.reports.len()).expect("instances fit"),
             loads,
+            services: self.service_totals(),
         }
     }
+
+    fn service_totals(&self) -> Vec<ServiceLoad> {
+        let mut services: Vec<ServiceLoad> = Vec::new();
+        for load in self.reports.iter().flat_map(|known| &known.report.services) {
+            match services.binary_search_by(|sum| sum.name.cmp(&load.name)) {
+                Ok(at) => {
+                    services[at].repeats += load.repeats;
+                    services[at].requests += load.requests;
+                }
+                Err(at) => services.insert(at, load.clone()),
+            }
+        }
+        services
+    }
 }
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -9,7 +9,7 @@
 use crate::inner::{LoadReport, PollAnswer, PollRequest};
 use crate::link::{Link, within};
 use crate::{
-    DirectoryView, Document, Endpoint, EndpointLoad, Error, Lease, LoadTotals,
+    DirectoryView, Document, Endpoint, EndpointLoad, Error, Lease, LoadTotals, ServiceLoad,
     SubscriptionSettings, boot_time_ms,
 };
 
@@ -125,7 +125,11 @@
     /// # Errors
     ///
     /// Fails where the registry that sums cannot be reached.
-    pub async fn exchange(&self, loads: Vec<EndpointLoad>) -> Result<LoadTotals, Error> {
+    pub async fn exchange(
+        &self,
+        loads: Vec<EndpointLoad>,
+        services: Vec<ServiceLoad>,
+    ) -> Result<LoadTotals, Error> {
         let link = self.shared.hub().ok_or(Error::Unavailable {
             timeout_ms: EXCHANGE_TIMEOUT_MS,
         })?;
@@ -133,6 +137,7 @@
         let report = LoadReport {
             instance: self.shared.settings.instance.clone(),
             loads,
+            services,
         };
         let totals = client.exchange(within(EXCHANGE_TIMEOUT_MS), report).await;
         totals.map_err(|error| link.error(&error))
