--- /dev/null
+++ b/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
@@ -0,0 +1,116 @@
+//! Pattern: a burst of long prompts on engines whose memory fills while they decode.
+
+use gateway::{Candidate, Demand, Load, choose};
+use quickcheck::QuickCheck;
+
+const MEMORY_TOKENS: u64 = 34_481;
+
+fn engine(tokens: u64, prefill_tokens: u64, runs: u32) -> Candidate {
+    Candidate {
+        distance_ms: 1,
+        is_cold: false,
+        load: Load {
+            prefill_tokens,
+            runs,
+            tokens,
+        },
+        memory_tokens: MEMORY_TOKENS,
+        slots: 64,
+    }
+}
+
+fn draft() -> Demand {
+    Demand {
+        prefill_tokens: 3_000,
+        read_ms_max: 1_350,
+        tokens: 4_000,
+    }
+}
+
+#[test]
+fn an_engine_is_not_filled_beyond_what_its_runs_will_hold() {
+    let full = engine(30_000, 0, 7);
+    let busy = engine(20_000, 6_000, 5);
+    for draw in 0..100 {
+        assert_eq!(choose(&[full, busy], &draft(), draw), Some(1));
+    }
+}
+
+#[test]
+fn nothing_is_chosen_where_the_prompt_would_be_read_too_late() {
+    let flooded = engine(12_000, 9_000, 3);
+    assert_eq!(choose(&[flooded], &draft(), 1), None);
+}
+
+#[test]
+fn an_idle_engine_takes_a_request_of_any_size() {
+    let huge = Demand {
+        tokens: 2 * MEMORY_TOKENS,
+        ..draft()
+    };
+    assert_eq!(choose(&[engine(0, 0, 0)], &huge, 1), Some(0));
+    assert_eq!(choose(&[engine(100, 0, 1)], &huge, 1), None);
+}
+
+#[test]
+fn a_prompt_goes_to_the_engine_with_the_shorter_queue() {
+    let queued = engine(10_000, 6_000, 3);
+    let free = engine(14_000, 0, 4);
+    for draw in 0..100 {
+        assert_eq!(choose(&[queued, free], &draft(), draw), Some(1));
+    }
+}
+
+#[test]
+fn a_near_endpoint_goes_before_a_far_one() {
+    let plain = |distance_ms, runs| Candidate {
+        distance_ms,
+        is_cold: false,
+        load: Load {
+            runs,
+            ..Load::default()
+        },
+        memory_tokens: 0,
+        slots: 6,
+    };
+    let far_and_near = [plain(200, 0), plain(1, 1)];
+    for draw in 0..100 {
+        assert_eq!(choose(&far_and_near, &Demand::default(), draw), Some(1));
+    }
+    let near_is_full = [plain(24, 0), plain(1, 15)];
+    assert_eq!(choose(&near_is_full, &Demand::default(), 3), Some(0));
+}
+
+/// Instances that do not know of each other's choices spread over equal engines.
+#[test]
+fn equal_engines_share_a_burst() {
+    let engines: Vec<Candidate> = (0..9).map(|_| engine(8_000, 0, 2)).collect();
+    let mut chosen = [0_u32; 9];
+    for number in 0..900_u64 {
+        let draw = number.wrapping_mul(0xd134_2543_de82_ef95) ^ (number << 17);
+        chosen[choose(&engines, &draft(), draw).unwrap()] += 1;
+    }
+    assert!(
+        chosen.iter().all(|&count| (40..=200).contains(&count)),
+        "uneven: {chosen:?}"
+    );
+}
+
+#[test]
+fn what_is_chosen_has_room() {
+    fn holds(loads: Vec<(u16, u16, u8)>, draw: u64) -> bool {
+        let engines: Vec<Candidate> = loads
+            .iter()
+            .map(|&(tokens, prefill, runs)| {
+                engine(u64::from(tokens), u64::from(prefill), u32::from(runs))
+            })
+            .collect();
+        match choose(&engines, &draft(), draw) {
+            Some(at) => engines[at].has_room(&draft()),
+            None => engines.iter().all(|engine| !engine.has_room(&draft())),
+        }
+    }
+    QuickCheck::new()
+        .tests(1_000)
+        .quickcheck(holds as fn(Vec<(u16, u16, u8)>, u64) -> bool);
+}
--- /dev/null
+++ b/crates/registry/tests/a_lease_counts_from_the_question.rs
@@ -0,0 +1,104 @@
+//! Leases end before a document that was accepted after their proof is one lease old, and the
+//! document with the highest version is kept whatever the order.
+
+use control::StateMachine;
+use names::LogIndex;
+use quickcheck::QuickCheck;
+use registry::{
+    Document, DocumentMachine, EndpointLoad, Lease, LoadBoard, LoadReport, ServiceLoad,
+};
+
+const LEASE_MS: u64 = 4_200;
+
+#[test]
+fn a_lease_without_a_proof_is_not_valid() {
+    assert!(!Lease::new(LEASE_MS).is_valid(0));
+}
+
+#[test]
+fn a_lease_ends_one_length_after_the_question() {
+    let mut lease = Lease::new(LEASE_MS);
+    lease.renew(1_000);
+    assert!(lease.is_valid(1_000 + LEASE_MS - 1));
+    assert!(!lease.is_valid(1_000 + LEASE_MS));
+}
+
+#[test]
+fn an_older_proof_that_comes_late_shortens_nothing() {
+    let mut lease = Lease::new(LEASE_MS);
+    lease.renew(2_000);
+    lease.renew(1_000);
+    assert_eq!(lease.age_ms(2_500), Some(500));
+}
+
+#[test]
+fn the_highest_version_is_kept() {
+    fn holds(versions: Vec<u64>) -> bool {
+        let (mut machine, held) = DocumentMachine::new();
+        let mut highest: Option<(u64, usize)> = None;
+        for (position, &version) in versions.iter().enumerate() {
+            let document = Document {
+                bytes: position.to_string().into_bytes(),
+                version,
+            };
+            let index = LogIndex(position as u64 + 1);
+            machine.apply(index, 0, &DocumentMachine::command(&document));
+            if version > highest.map_or(0, |highest| highest.0) {
+                highest = Some((version, position));
+            }
+        }
+        let held = held.borrow();
+        match highest {
+            Some((version, position)) => {
+                held.version == version && held.bytes == position.to_string().into_bytes()
+            }
+            None => held.version == 0,
+        }
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u64>) -> bool);
+}
+
+#[test]
+fn a_snapshot_holds_the_document() {
+    let (mut machine, _held) = DocumentMachine::new();
+    let document = Document {
+        bytes: b"{}".to_vec(),
+        version: 7,
+    };
+    machine.apply(LogIndex(1), 0, &DocumentMachine::command(&document));
+    let (mut restored, held) = DocumentMachine::new();
+    restored.restore(&machine.snapshot());
+    assert_eq!(*held.borrow(), document);
+}
+
+fn report(instance: &str, runs: u32) -> LoadReport {
+    LoadReport {
+        instance: instance.to_owned(),
+        loads: vec![EndpointLoad {
+            failures: 0,
+            id: "a".to_owned(),
+            prefill_tokens: 0,
+            runs,
+            successes: 1,
+            tokens: 100,
+        }],
+        services: vec![ServiceLoad {
+            name: "forge-llm".to_owned(),
+            repeats: 2,
+            requests: 10,
+        }],
+    }
+}
+
+#[test]
+fn loads_are_summed_until_an_instance_falls_silent() {
+    let mut board = LoadBoard::default();
+    board.exchange(0, report("x", 3));
+    let both = board.exchange(100, report("y", 4));
+    assert_eq!((both.instances, both.loads[0].runs), (2, 7));
+    assert_eq!(both.services[0].repeats, 4);
+    let alone = board.exchange(5_000, report("y", 4));
+    assert_eq!((alone.instances, alone.loads[0].runs), (1, 4));
+}
--- /dev/null
+++ b/crates/registry/tests/heartbeats_come_in_any_order.rs
@@ -0,0 +1,218 @@
+//! Heartbeats that come late, twice, in any order, from older incarnations or at reused addresses
+//! leave the directory as the latest incarnation says.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use registry::{Directory, DirectoryView, EndpointState, Record, Recorded, Registration};
+
+const SILENT_AFTER_MS: u64 = 4_200;
+
+fn registration(id: &str, port: u16, born_ms: u64, sequence: u64) -> Registration {
+    Registration {
+        address: format!("10.0.0.1:{port}").parse().unwrap(),
+        born_ms,
+        cold_left_ms: 0,
+        data_centre: "plovdiv-a".to_owned(),
+        id: id.to_owned(),
+        sequence,
+        service: "forge-llm".to_owned(),
+        slots: 8,
+        state: EndpointState::Ready,
+    }
+}
+
+fn draining(registration: Registration) -> Registration {
+    Registration {
+        state: EndpointState::Draining,
+        ..registration
+    }
+}
+
+fn state(directory: &Directory, id: &str) -> EndpointState {
+    directory.registration(id).unwrap().state
+}
+
+#[test]
+fn a_draining_endpoint_stays_draining_whatever_comes_late() {
+    let mut directory = Directory::default();
+    directory.record(0, registration("a", 1, 5, 1));
+    let recorded = directory.record(10, draining(registration("a", 1, 5, 3)));
+    assert_eq!(recorded, Recorded::Changed);
+    assert_eq!(
+        directory.record(20, registration("a", 1, 5, 2)),
+        Recorded::Outdated
+    );
+    directory.record(30, registration("a", 1, 5, 4));
+    assert_eq!(state(&directory, "a"), EndpointState::Draining);
+}
+
+#[test]
+fn an_endpoint_that_left_is_not_brought_back_by_its_own_late_heartbeat() {
+    let mut directory = Directory::default();
+    directory.record(0, registration("a", 1, 5, 1));
+    assert_eq!(directory.leave("a", None), Recorded::Changed);
+    assert_eq!(
+        directory.record(10, registration("a", 1, 5, 9)),
+        Recorded::Outdated
+    );
+    assert_eq!(state(&directory, "a"), EndpointState::Gone);
+}
+
+#[test]
+fn a_later_incarnation_under_the_same_id_counts_anew() {
+    let mut directory = Directory::default();
+    directory.record(0, registration("a", 1, 5, 40));
+    directory.leave("a", None);
+    assert_eq!(
+        directory.record(10, registration("a", 1, 6, 1)),
+        Recorded::Changed
+    );
+    assert_eq!(state(&directory, "a"), EndpointState::Ready);
+    assert_eq!(
+        directory.leave("a", Some(5)),
+        Recorded::Outdated,
+        "the leave is the older incarnation's"
+    );
+}
+
+#[test]
+fn a_reused_address_belongs_to_the_later_incarnation() {
+    let mut directory = Directory::default();
+    directory.record(0, registration("a", 1, 5, 1));
+    directory.record(10, registration("b", 1, 9, 1));
+    assert_eq!(state(&directory, "a"), EndpointState::Gone);
+    assert_eq!(
+        directory.record(20, registration("c", 1, 7, 1)),
+        Recorded::Outdated,
+        "a delayed heartbeat of a crashed incarnation"
+    );
+    assert_eq!(state(&directory, "b"), EndpointState::Ready);
+}
+
+#[test]
+fn silence_is_told_once_and_ends_with_a_heartbeat() {
+    let mut directory = Directory::default();
+    directory.record(0, registration("a", 1, 5, 1));
+    assert!(!directory.expire(SILENT_AFTER_MS, SILENT_AFTER_MS));
+    assert!(directory.expire(SILENT_AFTER_MS + 1, SILENT_AFTER_MS));
+    assert!(!directory.expire(SILENT_AFTER_MS + 2, SILENT_AFTER_MS));
+    let cursor = directory.cursor();
+    directory.record(SILENT_AFTER_MS + 3, registration("a", 1, 5, 2));
+    let changes = directory.changes_since(cursor);
+    assert_eq!(changes.len(), 1);
+    assert!(!changes[0].is_silent);
+}
+
+#[test]
+fn subscribers_get_only_what_changed() {
+    let mut directory = Directory::default();
+    directory.record(0, registration("a", 1, 5, 1));
+    let cursor = directory.cursor();
+    assert_eq!(
+        directory.record(10, registration("a", 1, 5, 2)),
+        Recorded::Refreshed
+    );
+    assert!(directory.changes_since(cursor).is_empty());
+    assert_eq!(directory.changes_since(0).len(), 1);
+}
+
+#[derive(Clone, Debug)]
+struct Heartbeats(Vec<(u8, u8, bool)>);
+
+impl Arbitrary for Heartbeats {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let heartbeats = (0..usize::arbitrary(g) % 24).map(|_| {
+            let (born, sequence) = (u8::arbitrary(g) % 3, u8::arbitrary(g) % 6);
+            (born, sequence, bool::arbitrary(g))
+        });
+        Self(heartbeats.collect())
+    }
+}
+
+/// The state of an incarnation is the most advanced that it ever told, in whatever order.
+#[test]
+fn order_does_not_matter() {
+    fn holds(heartbeats: Heartbeats) -> bool {
+        let told = |&(born, sequence, is_draining): &(u8, u8, bool)| {
+            let heartbeat = registration("a", 1, u64::from(born), u64::from(sequence));
+            if is_draining {
+                draining(heartbeat)
+            } else {
+                heartbeat
+            }
+        };
+        let mut directory = Directory::default();
+        for heartbeat in heartbeats.0.iter().map(told) {
+            directory.record(0, heartbeat);
+        }
+        let Some(born) = heartbeats.0.iter().map(|heartbeat| heartbeat.0).max() else {
+            return true;
+        };
+        let mut latest = heartbeats.0.iter().filter(|heartbeat| heartbeat.0 == born);
+        let is_draining = latest.any(|heartbeat| heartbeat.2);
+        let known = directory.registration("a").unwrap();
+        known.born_ms == u64::from(born) && (known.state == EndpointState::Draining) == is_draining
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(holds as fn(Heartbeats) -> bool);
+}
+
+fn record(registration: Registration, is_silent: bool) -> Record {
+    Record {
+        is_silent,
+        registration,
+    }
+}
+
+#[test]
+fn a_subscriber_takes_the_most_advanced_of_several_registries() {
+    let (first, second) = (
+        "10.0.1.1:7200".parse().unwrap(),
+        "10.0.1.2:7200".parse().unwrap(),
+    );
+    let mut view = DirectoryView::default();
+    view.update(first, 1, 1, vec![record(registration("a", 1, 5, 9), false)]);
+    view.update(
+        second,
+        1,
+        1,
+        vec![record(draining(registration("a", 1, 5, 3)), true)],
+    );
+    let endpoints = view.endpoints();
+    assert_eq!(endpoints.len(), 1);
+    assert_eq!(endpoints[0].registration.state, EndpointState::Draining);
+    assert!(!endpoints[0].is_silent, "one registry has heard it");
+}
+
+#[test]
+fn a_registry_out_of_reach_vouches_for_nothing() {
+    let (first, second) = (
+        "10.0.1.1:7200".parse().unwrap(),
+        "10.0.1.2:7200".parse().unwrap(),
+    );
+    let mut view = DirectoryView::default();
+    view.update(first, 1, 1, vec![record(registration("a", 1, 5, 9), false)]);
+    view.update(second, 1, 1, vec![record(registration("a", 1, 5, 9), true)]);
+    view.disconnect(first);
+    assert!(view.endpoints()[0].is_silent);
+    view.disconnect(second);
+    assert!(
+        !view.endpoints()[0].is_silent,
+        "without any registry, what was known last holds"
+    );
+}
+
+#[test]
+fn a_restarted_registry_begins_anew() {
+    let first = "10.0.1.1:7200".parse().unwrap();
+    let mut view = DirectoryView::default();
+    view.update(first, 1, 7, vec![record(registration("a", 1, 5, 9), false)]);
+    assert_eq!(view.position(first), (1, 7));
+    view.update(first, 2, 1, vec![record(registration("b", 2, 6, 1), false)]);
+    let ids: Vec<_> = view
+        .endpoints()
+        .into_iter()
+        .map(|endpoint| endpoint.registration.id)
+        .collect();
+    assert_eq!(ids, ["b"]);
+}
