Serve metrics on the platform, and bound log lines a second

Cause: on-call engineers had log lines alone, and a flood of requests would have written without bound.

Change: requests by customer, kind of route and outcome, durations, times for room and to the first event, longest pauses, moves, repeats, and what a gateway believes, at the metrics port of the deploy file. A log writes at most a set number of lines a second and reports what it dropped.

--- a/crates/catalog/src/repeat.rs
+++ b/crates/catalog/src/repeat.rs
@@ -18,6 +18,17 @@
         matches!(self, Self::ResumableStream | Self::Safe)
     }
 
+    /// Name in metrics and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ResumableStream => "resumable-stream",
+            Self::Safe => "safe",
+            Self::Stream => "stream",
+            Self::Unsafe => "unsafe",
+        }
+    }
+
     /// Whether the answer is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -9,8 +9,9 @@
 use hyper::{Request, Response, StatusCode, header};
 use slog::{debug, info};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
+use crate::clock::elapsed_ms;
 use crate::connection::{Answer, Connection, SendError};
 use crate::fleet::{Slot, Want};
 use crate::handler::Call;
@@ -61,6 +62,8 @@
     /// Sendings that may have run.
     pub(crate) runs: u32,
     pub(crate) shared: Arc<Shared>,
+    /// Time that it has waited for room.
+    pub(crate) waited_ms: u64,
 }
 
 /// Where a stream goes on from.
@@ -102,6 +105,7 @@
             misses: 0,
             runs: 0,
             shared,
+            waited_ms: 0,
         }
     }
 
@@ -112,7 +116,10 @@
             if self.call.left_ms() < LEFT_MS_MIN {
                 return self.give_up("its time is over");
             }
-            let slot = match self.shared.fleet.admit(&self.want()).await {
+            let asked = Instant::now();
+            let admitted = self.shared.fleet.admit(&self.want()).await;
+            self.note_wait(elapsed_ms(asked));
+            let slot = match admitted {
                 Ok(slot) => slot,
                 Err(refusal) if self.runs == 0 => return Err(refusal),
                 Err(refusal) => return self.give_up(&refusal.reason),
@@ -244,7 +251,9 @@
             return None;
         }
         let call = &self.call;
-        info!(self.shared.log, "request ended"; "request" => call.id(),
+        self.shared
+            .note_end(Some(call), Outcome::Answered, call.elapsed_ms());
+        info!(self.shared.log, "request ended"; "waited_ms" => self.waited_ms, "request" => call.id(),
             "outcome" => ?Outcome::Answered, "status" => status.as_u16(),
             "route" => &call.route.name, "customer" => call.customer.as_deref(),
             "endpoint" => &endpoint.id, "sendings" => self.runs + self.misses,
@@ -262,6 +271,12 @@
         Some(Err(Refusal::failed(reason)))
     }
 
+    fn note_wait(&mut self, wait_ms: u64) {
+        self.waited_ms += wait_ms;
+        let kind = self.call.route.repeat.name();
+        self.shared.metrics.waited(kind, wait_ms);
+    }
+
     /// Notes a sending without an answer; says why there is no other one, if so.
     fn note_miss(&mut self, miss: &Miss) -> Option<Refusal> {
         let reason = miss.to_string();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -107,6 +107,19 @@
     NoSuchRun,
 }
 
+impl CopyOutcome {
+    /// Name in metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Copied { .. } => "copied",
+            Self::Failed => "failed",
+            Self::NoRoom { .. } => "no-room",
+            Self::NoSuchRun => "no-such-run",
+        }
+    }
+}
+
 /// What an endpoint's answer says.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerHead {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -270,6 +270,12 @@
         None
     }
 
+    /// Endpoints that have not left, and requests that wait for room.
+    pub(crate) fn counts(&self) -> (u64, u64) {
+        let inner = self.lock();
+        (inner.members.len() as u64, inner.queue.len() as u64)
+    }
+
     /// Closes idle connections whose time is over.
     pub(crate) fn trim(&self) {
         for member in &self.lock().members {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,6 +65,7 @@
             dialect,
             drain_timeout_ms,
             log,
+            metrics,
             place,
             ready_address,
             ready_path,
@@ -82,6 +83,7 @@
             draining: watch::channel(false).0,
             fleet,
             log,
+            metrics,
             retry_limits,
             subscription,
         });
@@ -129,6 +131,7 @@
         round = round.wrapping_add(1);
         if round.is_multiple_of(TRIM_EXCHANGES) {
             shared.fleet.trim();
+            shared.note_beliefs();
         }
         let (loads, services) = (shared.fleet.loads(), shared.service_loads());
         match shared.subscription.exchange(loads, services).await {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -99,17 +99,20 @@
     let (parts, body) = request.into_parts();
     let mut head = shared.dialect.read_call(&parts.headers);
     let id = head.request_id.clone();
-    let refusal = match read(shared, parts, body, &mut head, started).await {
+    let (call, refusal) = match read(shared, parts, body, &mut head, started).await {
         Ok(call) => {
-            let attempts = Attempts::new(Arc::clone(shared), Arc::new(call));
+            let call = Arc::new(call);
+            let attempts = Attempts::new(Arc::clone(shared), Arc::clone(&call));
             match attempts.answer().await {
                 Ok(response) => return response,
-                Err(refusal) => refusal,
+                Err(refusal) => (Some(call), refusal),
             }
         }
-        Err(refusal) => refusal,
+        Err(refusal) => (None, refusal),
     };
+    shared.note_end(call.as_deref(), refusal.outcome, elapsed_ms(started));
     info!(shared.log, "request ended"; "request" => id, "outcome" => ?refusal.outcome,
+        "route" => call.as_ref().map(|call| call.route.name.clone()),
         "status" => refusal.status.as_u16(), "reason" => &refusal.reason,
         "retry_after_ms" => refusal.retry_after_ms, "duration_ms" => elapsed_ms(started));
     refuse(&refusal)
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -15,10 +15,26 @@
     Refused,
     /// Its time was over.
     TimedOut,
-    /// No route fits.
-    UnknownRoute,
     /// No customer holds the key.
     UnknownKey,
+    /// No route fits.
+    UnknownRoute,
+}
+
+impl Outcome {
+    /// Name in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::ClientLeft => "client-left",
+            Self::Failed => "failed",
+            Self::Malformed => "malformed",
+            Self::Refused => "refused",
+            Self::TimedOut => "timed-out",
+            Self::UnknownKey => "unknown-key",
+            Self::UnknownRoute => "unknown-route",
+        }
+    }
 }
 
 /// Why this instance ends a request with an answer of its own.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,6 +100,7 @@
         let mut own = Attempts::new(Arc::clone(&attempts.shared), call);
         own.excluded.append(&mut attempts.excluded);
         own.runs = attempts.runs;
+        own.waited_ms = attempts.waited_ms;
         let predicted_tokens = own.call.demand().tokens;
         let relay = Self {
             attempts: own,
@@ -415,8 +416,16 @@
         if let End::Broken(reason) = &end {
             warn!(shared.log, "stream broken off"; "request" => call.id(), "reason" => reason);
         }
+        shared.note_end(Some(call), outcome, call.elapsed_ms());
+        if let Some(first_ms) = first_ms {
+            let customer = call.customer.as_deref().unwrap_or_default();
+            let kind = call.route.repeat.name();
+            shared
+                .metrics
+                .streamed(customer, kind, first_ms, gap_max_ms);
+        }
         info!(shared.log, "request ended"; "request" => call.id(), "outcome" => ?outcome,
-            "status" => 200, "route" => &call.route.name,
+            "status" => 200, "waited_ms" => attempts.waited_ms, "route" => &call.route.name,
             "customer" => call.customer.as_deref(), "endpoint" => &slot.endpoint.id,
             "events" => reader.events(), "moves" => moves, "first_ms" => first_ms, "gap_max_ms" => gap_max_ms,
             "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -6,6 +6,7 @@
 use catalog::Engine;
 use http_body_util::BodyExt;
 use slog::{Logger, info};
+use telemetry::ServingMetrics;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -61,6 +62,7 @@
     /// Endpoints without room, by id.
     full: Vec<String>,
     log: Logger,
+    metrics: Arc<ServingMetrics>,
     run: String,
     source: Arc<Pool>,
 }
@@ -158,6 +160,7 @@
             dialect: Arc::clone(&shared.dialect),
             full,
             log: shared.log.clone(),
+            metrics: Arc::clone(&shared.metrics),
             run: call.id().to_owned(),
             source: Arc::clone(&slot.endpoint.pool),
         };
@@ -276,15 +279,12 @@
         let to = target.endpoint.pool.address();
         let request = self.dialect.copy_request(&self.run, to, is_last);
         let source = Arc::clone(&self.source);
-        let (log, run) = (self.log.clone(), self.run.clone());
         let dialect = Arc::clone(&self.dialect);
         Box::pin(async move {
             let asked = async {
                 let answer = source.send(request, false).await.ok()?;
                 let status = answer.head.status;
                 let body = answer.body.collect().await.ok()?.to_bytes();
-                info!(log, "copy answered"; "request" => &run, "is_last" => is_last, "to" => %to,
-                    "status" => status.as_u16(), "body" => String::from_utf8_lossy(&body).as_ref());
                 Some(dialect.read_copy(status, &body))
             };
             let time = Duration::from_millis(COPY_TIMEOUT_MS);
@@ -294,6 +294,7 @@
     }
 
     fn note(&self, event: &'static str, target: &Slot, outcome: &CopyOutcome) {
+        self.metrics.moved(outcome.name());
         info!(self.log, "{}", event; "request" => &self.run, "to" => &target.endpoint.id,
             "outcome" => ?outcome);
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 
 use registry::SubscriptionSettings;
 use slog::Logger;
+use telemetry::ServingMetrics;
 
 use crate::{Dialect, RetryLimits};
 
@@ -17,6 +18,8 @@
     pub drain_timeout_ms: u64,
     /// Where events are logged.
     pub log: Logger,
+    /// Metrics.
+    pub metrics: Arc<ServingMetrics>,
     /// Where this instance is.
     pub place: Place,
     /// Where the balancer asks whether this instance takes new connections.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,9 +3,12 @@
 use catalog::Catalog;
 use registry::{Document, DocumentSink, ServiceLoad, Subscription};
 use slog::{Logger, warn};
+use telemetry::{Beliefs, EndedRequest, ServingMetrics};
 use tokio::sync::watch;
 
 use crate::fleet::Fleet;
+use crate::handler::Call;
+use crate::outcome::Outcome;
 use crate::{Dialect, RetryBudget, RetryLimits, Sendings};
 
 /// What all requests of an instance share.
@@ -18,6 +21,7 @@
     pub(crate) draining: watch::Sender<bool>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) log: Logger,
+    pub(crate) metrics: Arc<ServingMetrics>,
     pub(crate) retry_limits: RetryLimits,
     pub(crate) subscription: Subscription,
 }
@@ -43,7 +47,32 @@
         let now_ms = self.fleet.now_ms();
         let instances = self.subscription.subscribers();
         let limits = &self.retry_limits;
-        self.with_budget(service, |budget| budget.take(now_ms, limits, instances))
+        let is_allowed = self.with_budget(service, |budget| budget.take(now_ms, limits, instances));
+        self.metrics.repeated(is_allowed);
+        is_allowed
+    }
+
+    /// Counts a request that has ended; one without a call had no route.
+    pub(crate) fn note_end(&self, call: Option<&Call>, outcome: Outcome, duration_ms: u64) {
+        let customer = call.and_then(|call| call.customer.as_deref());
+        self.metrics.ended(&EndedRequest {
+            customer: customer.unwrap_or_default(),
+            duration_ms,
+            kind: call.map_or("unrouted", |call| call.route.repeat.name()),
+            outcome: outcome.name(),
+        });
+    }
+
+    /// Sets the metrics of what this instance believes.
+    pub(crate) fn note_beliefs(&self) {
+        let catalog = self.catalogs.current();
+        let (endpoints, waiting) = self.fleet.counts();
+        self.metrics.believes(&Beliefs {
+            document_version: catalog.map_or(0, |catalog| catalog.version()),
+            endpoints,
+            lease_age_ms: self.subscription.lease_age_ms().unwrap_or(u64::MAX),
+            waiting,
+        });
     }
 
     /// What this instance has sent to each service of late.
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -89,6 +89,12 @@
         served
     }
 
+    /// Requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
+++ b/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
@@ -98,6 +98,10 @@
 
 #[test]
 fn what_is_chosen_has_room() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its arguments over"
+    )]
     fn holds(loads: Vec<(u16, u16, u8)>, draw: u64) -> bool {
         let engines: Vec<Candidate> = loads
             .iter()
--- a/crates/gateway/tests/repeats_stay_within_the_budget.rs
+++ b/crates/gateway/tests/repeats_stay_within_the_budget.rs
@@ -50,6 +50,10 @@
 /// since the last exchange, as long as they are no more than the room kept for that.
 #[test]
 fn all_instances_together_keep_the_limits() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its arguments over"
+    )]
     fn holds(requests: Vec<u8>, tries: Vec<u8>) -> bool {
         let mut budgets: Vec<RetryBudget> =
             (0..INSTANCES).map(|_| RetryBudget::default()).collect();
--- a/crates/gateway/tests/streams_pass_whole_events_only.rs
+++ b/crates/gateway/tests/streams_pass_whole_events_only.rs
@@ -11,6 +11,10 @@
 
 #[test]
 fn any_pieces_give_the_same_bytes() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its arguments over"
+    )]
     fn holds(cuts: Vec<u8>, events: u8) -> bool {
         let whole = stream(u64::from(events));
         let mut reader = EventReader::default();
--- a/crates/gateway/tests/waiting_requests_keep_their_order.rs
+++ b/crates/gateway/tests/waiting_requests_keep_their_order.rs
@@ -60,6 +60,10 @@
 
 #[test]
 fn no_client_is_asked_to_wait_for_ever() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its arguments over"
+    )]
     fn holds(spacings_ms: Vec<u16>) -> bool {
         let mut schedule = ReturnSchedule::default();
         spacings_ms
--- a/crates/gentiancleat/src/lib.rs
+++ b/crates/gentiancleat/src/lib.rs
@@ -3,6 +3,7 @@
 mod check;
 mod client;
 mod error;
+mod metrics_server;
 mod options;
 mod platform_instance;
 mod problem;
--- a/crates/gentiancleat/src/options.rs
+++ b/crates/gentiancleat/src/options.rs
@@ -104,6 +104,10 @@
     pub(crate) help: bool,
     #[options(help = "least severity that is logged", meta = "LEVEL", no_short)]
     pub(crate) log_level: Option<String>,
+    #[options(help = "most log lines in a second", meta = "LINES", no_short)]
+    pub(crate) log_lines_per_second: Option<u32>,
+    #[options(help = "port of the metrics, at /metrics", meta = "PORT", no_short)]
+    pub(crate) metrics_port: Option<u16>,
 }
 
 /// Flags of `serve`.
--- a/crates/gentiancleat/src/platform_instance.rs
+++ b/crates/gentiancleat/src/platform_instance.rs
@@ -1,5 +1,6 @@
 //! Runs an instance on the users' platform.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,12 +8,13 @@
 use platform::{ControlApi, Settings};
 use registry::Registry;
 use slog::{Logger, info, warn};
-use telemetry::{Level, logger};
+use telemetry::{LINES_PER_SECOND_DEFAULT, Level, Metrics, logger};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
 use crate::error::Error;
+use crate::metrics_server::MetricsServer;
 use crate::options::PlatformOptions;
 use crate::serve::stop_on_broken_invariants;
 
@@ -35,11 +37,19 @@
         .enable_all()
         .build()
         .map_err(Error::failed)?;
-    let log = logger(level);
-    runtime.block_on(serve(settings, &log))
+    let lines_per_second = options.log_lines_per_second;
+    let log = logger(level, lines_per_second.unwrap_or(LINES_PER_SECOND_DEFAULT));
+    runtime.block_on(serve(settings, options.metrics_port, &log))
 }
 
-async fn serve(settings: Settings, log: &Logger) -> Result<(), Error> {
+async fn serve(settings: Settings, metrics_port: Option<u16>, log: &Logger) -> Result<(), Error> {
+    let metrics = Arc::new(Metrics::open().map_err(Error::failed)?);
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(settings.ip(), port);
+        MetricsServer::bind(address, &metrics, log)
+            .await
+            .map_err(Error::failed)?;
+    }
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::failed)?;
     let hangup = signal(SignalKind::hangup()).map_err(Error::failed)?;
     let registry = match settings.registry(log) {
@@ -53,7 +63,8 @@
             .await
             .map_err(Error::failed)?;
     }
-    let gateway = match settings.gateway(log) {
+    let serving = Arc::new(metrics.serving());
+    let gateway = match settings.gateway(log, &serving) {
         Some(gateway) => Some(Gateway::bind(gateway).await.map_err(Error::failed)?),
         None => None,
     };
--- a/crates/gentiancleat/src/serve_settings.rs
+++ b/crates/gentiancleat/src/serve_settings.rs
@@ -8,7 +8,7 @@
 use node::{Access, Peer, Settings};
 use protocol::FleetKey;
 use session::Role;
-use telemetry::{Level, logger};
+use telemetry::{LINES_PER_SECOND_DEFAULT, Level, logger};
 
 use crate::options::ServeOptions;
 use crate::problem::Problem;
@@ -224,7 +224,7 @@
             fleet_key,
             inner_address: inner_address?,
             inner_advertised,
-            log: logger(level?),
+            log: logger(level?, LINES_PER_SECOND_DEFAULT),
             name,
             peers,
             region: region?,
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -114,6 +114,12 @@
         self.shared.lock().lease.is_valid(boot_time_ms())
     }
 
+    /// Time since the document was last proven the newest.
+    #[must_use]
+    pub fn lease_age_ms(&self) -> Option<u64> {
+        self.shared.lock().lease.age_ms(boot_time_ms())
+    }
+
     /// Instances that follow the registries, this one included.
     #[must_use]
     pub fn subscribers(&self) -> u32 {
--- a/crates/registry/tests/a_lease_counts_from_the_question.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_question.rs
@@ -33,6 +33,10 @@
 
 #[test]
 fn the_highest_version_is_kept() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its arguments over"
+    )]
     fn holds(versions: Vec<u64>) -> bool {
         let (mut machine, held) = DocumentMachine::new();
         let mut highest: Option<(u64, usize)> = None;
--- a/crates/registry/tests/heartbeats_come_in_any_order.rs
+++ b/crates/registry/tests/heartbeats_come_in_any_order.rs
@@ -131,6 +131,10 @@
 /// The state of an incarnation is the most advanced that it ever told, in whatever order.
 #[test]
 fn order_does_not_matter() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands its arguments over"
+    )]
     fn holds(heartbeats: Heartbeats) -> bool {
         let told = |&(born, sequence, is_draining): &(u8, u8, bool)| {
             let heartbeat = registration("a", 1, u64::from(born), u64::from(sequence));
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,8 +8,10 @@
 mod error;
 mod log;
 mod metrics;
+mod serving;
 
 pub use class::{CUSTOMERS_MAX, Class};
 pub use error::Error;
-pub use log::{Level, logger};
+pub use log::{LINES_PER_SECOND_DEFAULT, Level, logger};
 pub use metrics::Metrics;
+pub use serving::{Beliefs, EndedRequest, ServingMetrics};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::Error;
+use crate::ServingMetrics;
 use crate::class::{CUSTOMERS_MAX, Class, Instruments};
 
 /// Bounds of the buckets for times between tokens, in seconds.
@@ -23,9 +24,28 @@
     0.001, 0.005, 0.01, 0.05, 0.1, 0.2, 0.31, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
 
+/// Customers that have series of their own, sorted.
+#[derive(Debug, Default)]
+pub(crate) struct Customers(Mutex<Vec<Box<str>>>);
+
+impl Customers {
+    /// Name of the series that a customer belongs to.
+    pub(crate) fn series<'a>(&self, customer: &'a str) -> &'a str {
+        let mut customers = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Err(position) = customers.binary_search_by(|known| (**known).cmp(customer)) else {
+            return customer;
+        };
+        if customers.len() >= CUSTOMERS_MAX {
+            return OTHER;
+        }
+        customers.insert(position, customer.into());
+        customer
+    }
+}
+
 /// All metrics of one instance.
 pub struct Metrics {
-    customers: Mutex<Vec<Box<str>>>,
+    customers: Customers,
     edits_applied: Gauge<u64>,
     instruments: Arc<Instruments>,
     provider: SdkMeterProvider,
@@ -49,7 +69,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("gentiancleat");
         Ok(Self {
-            customers: Mutex::new(Vec::new()),
+            customers: Customers::default(),
             edits_applied: meter.u64_gauge("table_revision").build(),
             instruments: Arc::new(instruments(&meter)),
             provider,
@@ -71,12 +91,7 @@
     /// The metrics of a customer and kind of work.
     #[must_use]
     pub fn class(&self, customer: &str, kind: &str) -> Class {
-        let customer = if self.has_own_series(customer) {
-            customer
-        } else {
-            OTHER
-        };
-        Class::new(&self.instruments, customer, kind)
+        Class::new(&self.instruments, self.customers.series(customer), kind)
     }
 
     /// Counts a request that was rejected before its class was known.
@@ -85,6 +100,12 @@
         self.rejections.add(1, &attributes);
     }
 
+    /// Metrics of a gateway.
+    #[must_use]
+    pub fn serving(&self) -> ServingMetrics {
+        ServingMetrics::new(&self.provider.meter("gentiancleat"))
+    }
+
     /// All metrics in the text format that scrapers read.
     ///
     /// # Errors
@@ -113,21 +134,6 @@
         ];
         self.traffic.add(bytes, &attributes);
     }
-
-    fn has_own_series(&self, customer: &str) -> bool {
-        let mut customers = self
-            .customers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let Err(position) = customers.binary_search_by(|known| (**known).cmp(customer)) else {
-            return true;
-        };
-        if customers.len() >= CUSTOMERS_MAX {
-            return false;
-        }
-        customers.insert(position, customer.into());
-        true
-    }
 }
 
 impl Debug for Metrics {
@@ -143,7 +149,7 @@
     }
 }
 
-fn histogram(meter: &Meter, name: &'static str, bounds_s: &[f64]) -> Histogram<f64> {
+pub(crate) fn histogram(meter: &Meter, name: &'static str, bounds_s: &[f64]) -> Histogram<f64> {
     meter
         .f64_histogram(name)
         .with_unit("s")
