Compare a sample of the engines where sums of loads are old

Cause: on the grown centre, engines rejected 802 of 3,410 arrivals and the busiest had 2.65 times the mean: 59 gateways choose by sums a quarter of a second old, in which some 25 requests are placed, and all chose the same engines. Prompts whose reading took longer than the target were read twice.

Ruled out: want of room (memory and places were half free), processor time (0.007 of 0.12 cores).

Change: the best of a sample is taken, the smaller the more requests are unseen, for each part of the engines; a stream without its first event is asked for elsewhere after twice the target.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -40,6 +40,10 @@
 /// waited for.
 const ATTEMPT_MS_MIN: u64 = 350;
 
+/// Target latencies after which a stream without its first event is asked for elsewhere. A prompt
+/// that is read late is read once more then, so an engine that is only busy is waited for.
+const STREAM_TARGETS: u64 = 2;
+
 /// Time for which a repeat waits for room.
 const REPEAT_WAIT_MS: u64 = 200;
 
@@ -343,7 +347,12 @@
         if is_last {
             return left_ms;
         }
-        left_ms.min(route.target_latency_ms.max(ATTEMPT_MS_MIN))
+        let patience_ms = if route.repeat.is_stream() {
+            route.target_latency_ms * STREAM_TARGETS
+        } else {
+            route.target_latency_ms
+        };
+        left_ms.min(patience_ms.max(ATTEMPT_MS_MIN))
     }
 
     fn request(&self, endpoint: &str, resumption: &Resumption<'_>) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Endpoints as this instance knows them, and the requests that wait for room on them.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 /// Longest spacing of returns.
 const SPACING_MS_MAX: u64 = 2_000;
 
+/// Time over which the rate of requests is taken.
+const RATE_WINDOW_MS: usize = 3_000;
+
 /// Share of the latest interval in the average of the spacing: one in this many.
 const SPACING_SHARE: u64 = 4;
 
@@ -35,14 +39,35 @@
 #[derive(Debug, Default)]
 struct Inner {
     catalog: Option<Arc<Catalog>>,
+    exchange_interval_ms: u64,
+    generations: Placed,
+    instances: u32,
     /// Sorted by id.
     members: Vec<Member>,
+    plain_calls: Placed,
     queue: WaitQueue<Waiting>,
     schedule: ReturnSchedule,
     served_ms: u64,
     spacing_ms: u64,
 }
 
+/// Times of the requests that this instance has placed of late.
+#[derive(Debug, Default)]
+struct Placed(VecDeque<u64>);
+
+impl Placed {
+    fn note(&mut self, now_ms: u64) {
+        self.0.push_back(now_ms);
+        self.count(now_ms);
+    }
+
+    fn count(&mut self, now_ms: u64) -> usize {
+        let is_old = |at_ms: &mut u64| *at_ms + (RATE_WINDOW_MS as u64) <= now_ms;
+        while self.0.pop_front_if(is_old).is_some() {}
+        self.0.len()
+    }
+}
+
 #[derive(Debug)]
 struct Member {
     born_ms: u64,
@@ -191,9 +216,11 @@
     }
 
     /// Takes the sums over all instances that answer the last `loads`.
-    pub(crate) fn set_totals(self: &Arc<Self>, totals: &LoadTotals) {
+    pub(crate) fn set_totals(self: &Arc<Self>, totals: &LoadTotals, interval_ms: u64) {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
+        inner.exchange_interval_ms = interval_ms;
+        inner.instances = totals.instances;
         for member in &mut inner.members {
             let id = &member.endpoint.id;
             let found = totals.loads.binary_search_by(|load| load.id.cmp(id));
@@ -324,6 +351,7 @@
     ) -> Option<Slot> {
         let now_ms = self.now_ms();
         let memory_tokens = inner.memory_tokens(service);
+        let unseen = inner.unseen_requests(now_ms, demand);
         let is_usable = |member: &&Member| {
             member.endpoint.service == service
                 && !member.endpoint.is_leaving()
@@ -350,13 +378,18 @@
                 slots: member.slots,
             })
             .collect();
-        let at = choose(&candidates, demand, rand::random())?;
+        let at = choose(&candidates, demand, unseen, rand::random())?;
         let load = Load {
             prefill_tokens: demand.prefill_tokens,
             runs: 1,
             tokens: demand.tokens,
         };
         let endpoint = Arc::clone(&well[at].endpoint);
+        if demand.tokens > 0 {
+            inner.generations.note(now_ms);
+        } else {
+            inner.plain_calls.note(now_ms);
+        }
         endpoint.own().load.add(&load);
         Some(Slot {
             endpoint,
@@ -396,6 +429,19 @@
 }
 
 impl Inner {
+    /// Requests that other instances are expected to have placed since they were last heard.
+    fn unseen_requests(&mut self, now_ms: u64, demand: &Demand) -> usize {
+        let placed = if demand.tokens > 0 {
+            &mut self.generations
+        } else {
+            &mut self.plain_calls
+        };
+        let others = usize::try_from(self.instances.saturating_sub(1)).unwrap_or(usize::MAX);
+        let own = placed.count(now_ms);
+        let unseen_ms = usize::try_from(self.exchange_interval_ms * 3 / 2).unwrap_or(usize::MAX);
+        own * others * unseen_ms / RATE_WINDOW_MS
+    }
+
     fn memory_tokens(&self, service: &str) -> u64 {
         let catalog = self.catalog.as_ref();
         let service = catalog.and_then(|catalog| catalog.service(service));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -137,7 +137,7 @@
         match shared.subscription.exchange(loads, services).await {
             Ok(totals) => {
                 last_answer = Instant::now();
-                shared.fleet.set_totals(&totals);
+                shared.fleet.set_totals(&totals, interval_ms);
                 shared.set_service_totals(&totals.services);
             }
             Err(error) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,7 +35,7 @@
 pub use event_reader::EventReader;
 pub use gateway::{Error, Gateway};
 pub use health::Health;
-pub use placement::{Candidate, Demand, Load, choose, reading_engines};
+pub use placement::{Candidate, Demand, Load, choose, reading_engines, sample_size};
 pub use retry_budget::{RetryBudget, RetryLimits, Sendings};
 pub use return_schedule::ReturnSchedule;
 pub use settings::{Distance, GatewaySettings, Place};
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -44,6 +44,9 @@
 /// Service time of a plain request, in ms, before any was measured.
 const PLAIN_SERVICE_MS: u64 = 60;
 
+/// Candidates that are compared at least.
+const SAMPLE_MIN: usize = 2;
+
 /// Odd factor that spreads numbers over all of `u64`, from the golden ratio.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -171,17 +174,37 @@
     }
 }
 
-/// Position of the best candidate with room; `draw` decides between nearly equal ones.
+/// Number of candidates to compare where requests of other instances are not known yet.
+///
+/// The best of all candidates would get all of those requests at once; the best of a sample gets
+/// about one of them.
+#[must_use]
+pub fn sample_size(candidates: usize, unseen_requests: usize) -> usize {
+    (candidates / (1 + unseen_requests)).max(SAMPLE_MIN)
+}
+
+/// Position of the best candidate with room, of a sample of each part of the engines.
 ///
-/// Without that, all instances would choose the same endpoint until they know of each other's
-/// choices.
+/// `draw` decides the samples and between nearly equal candidates.
 #[must_use]
-pub fn choose(candidates: &[Candidate], demand: &Demand, draw: u64) -> Option<usize> {
-    let count = candidates.len();
-    (0..count)
-        .filter(|&at| candidates[at].has_room(demand))
-        .min_by_key(|&at| {
-            let jitter_ms = (draw ^ at as u64).wrapping_mul(SPREAD) >> 32;
-            candidates[at].cost_ms(demand) + jitter_ms % JITTER_MS
-        })
+pub fn choose(
+    candidates: &[Candidate],
+    demand: &Demand,
+    unseen_requests: usize,
+    draw: u64,
+) -> Option<usize> {
+    let noise = |at: usize| (draw ^ (at as u64 + 1)).wrapping_mul(SPREAD) >> 32;
+    let with_room = (0..candidates.len()).filter(|&at| candidates[at].has_room(demand));
+    let (mut reading, mut writing): (Vec<usize>, Vec<usize>) =
+        with_room.partition(|&at| candidates[at].is_for_reading);
+    for part in [&mut reading, &mut writing] {
+        let size = sample_size(part.len(), unseen_requests);
+        part.sort_unstable_by_key(|&at| noise(at));
+        part.truncate(size);
+    }
+    let sampled = reading.into_iter().chain(writing);
+    sampled.min_by_key(|&at| {
+        let jitter_ms = noise(at).wrapping_mul(SPREAD) >> 40;
+        candidates[at].cost_ms(demand) + jitter_ms % JITTER_MS
+    })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -221,7 +221,7 @@
         }
         let stall_ms = match self.first_ms {
             Some(_) => (call.route.gap_target_ms * STALL_PAUSES).max(STALL_MS_MIN),
-            None => call.route.target_latency_ms.max(STALL_MS_MIN),
+            None => (call.route.target_latency_ms * 2).max(STALL_MS_MIN),
         };
         self.last_event_at.max(self.resumed_at) + Duration::from_millis(stall_ms)
     }
--- a/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
+++ b/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
@@ -1,6 +1,6 @@
 //! Pattern: a burst of long prompts on engines whose memory fills while they decode.
 
-use gateway::{Candidate, Demand, Load, choose, reading_engines};
+use gateway::{Candidate, Demand, Load, choose, reading_engines, sample_size};
 use quickcheck::QuickCheck;
 
 const MEMORY_TOKENS: u64 = 34_481;
@@ -34,7 +34,7 @@
     let full = engine(30_000, 0, 7);
     let busy = engine(20_000, 6_000, 5);
     for draw in 0..100 {
-        assert_eq!(choose(&[full, busy], &draft(), draw), Some(1));
+        assert_eq!(choose(&[full, busy], &draft(), 0, draw), Some(1));
     }
 }
 
@@ -46,9 +46,9 @@
         prefill_tokens: 0,
         ..draft()
     };
-    assert_eq!(choose(&[full], &draft(), 1), None);
-    assert_eq!(choose(&[full], &run, 1), Some(0));
-    assert_eq!(choose(&[engine(42_000, 0, 10)], &run, 1), None);
+    assert_eq!(choose(&[full], &draft(), 0, 1), None);
+    assert_eq!(choose(&[full], &run, 0, 1), Some(0));
+    assert_eq!(choose(&[engine(42_000, 0, 10)], &run, 0, 1), None);
 }
 
 #[test]
@@ -64,8 +64,8 @@
         ..draft()
     };
     for draw in 0..100 {
-        assert_eq!(choose(&[reading, writing], &advice, draw), Some(0));
-        assert_eq!(choose(&[reading, writing], &draft(), draw), Some(1));
+        assert_eq!(choose(&[reading, writing], &advice, 0, draw), Some(0));
+        assert_eq!(choose(&[reading, writing], &draft(), 0, draw), Some(1));
     }
     let queued = Candidate {
         load: Load {
@@ -75,7 +75,7 @@
         ..reading
     };
     assert_eq!(
-        choose(&[queued, writing], &advice, 1),
+        choose(&[queued, writing], &advice, 0, 1),
         Some(1),
         "it overflows"
     );
@@ -85,7 +85,7 @@
 #[test]
 fn nothing_is_chosen_where_the_prompt_would_be_read_too_late() {
     let flooded = engine(12_000, 9_000, 3);
-    assert_eq!(choose(&[flooded], &draft(), 1), None);
+    assert_eq!(choose(&[flooded], &draft(), 0, 1), None);
 }
 
 #[test]
@@ -94,8 +94,8 @@
         tokens: 2 * MEMORY_TOKENS,
         ..draft()
     };
-    assert_eq!(choose(&[engine(0, 0, 0)], &huge, 1), Some(0));
-    assert_eq!(choose(&[engine(100, 0, 1)], &huge, 1), None);
+    assert_eq!(choose(&[engine(0, 0, 0)], &huge, 0, 1), Some(0));
+    assert_eq!(choose(&[engine(100, 0, 1)], &huge, 0, 1), None);
 }
 
 #[test]
@@ -103,7 +103,7 @@
     let queued = engine(10_000, 6_000, 3);
     let free = engine(14_000, 0, 4);
     for draw in 0..100 {
-        assert_eq!(choose(&[queued, free], &draft(), draw), Some(1));
+        assert_eq!(choose(&[queued, free], &draft(), 0, draw), Some(1));
     }
 }
 
@@ -122,10 +122,10 @@
     };
     let far_and_near = [plain(200, 0), plain(1, 1)];
     for draw in 0..100 {
-        assert_eq!(choose(&far_and_near, &Demand::default(), draw), Some(1));
+        assert_eq!(choose(&far_and_near, &Demand::default(), 0, draw), Some(1));
     }
     let near_is_full = [plain(24, 0), plain(1, 15)];
-    assert_eq!(choose(&near_is_full, &Demand::default(), 3), Some(0));
+    assert_eq!(choose(&near_is_full, &Demand::default(), 0, 3), Some(0));
 }
 
 /// Instances that do not know of each other's choices spread over equal engines.
@@ -135,7 +135,7 @@
     let mut chosen = [0_u32; 9];
     for number in 0..900_u64 {
         let draw = number.wrapping_mul(0xd134_2543_de82_ef95) ^ (number << 17);
-        chosen[choose(&engines, &draft(), draw).unwrap()] += 1;
+        chosen[choose(&engines, &draft(), 0, draw).unwrap()] += 1;
     }
     assert!(
         chosen.iter().all(|&count| (40..=200).contains(&count)),
@@ -143,6 +143,18 @@
     );
 }
 
+/// Sixty instances that choose by the same old sums do not all choose the emptiest engine.
+#[test]
+fn old_sums_do_not_gather_a_crowd() {
+    let mut engines: Vec<Candidate> = (0..72).map(|_| engine(12_000, 0, 3)).collect();
+    engines[17] = engine(0, 0, 0);
+    let crowd = (0..60_u64)
+        .filter(|number| choose(&engines, &draft(), 25, number.wrapping_mul(0x9e3b)) == Some(17))
+        .count();
+    assert!(crowd <= 8, "{crowd} of 60 requests went to one engine");
+    assert_eq!((sample_size(72, 25), sample_size(9, 0)), (2, 9));
+}
+
 #[test]
 fn what_is_chosen_has_room() {
     #[allow(
@@ -156,7 +168,7 @@
                 engine(u64::from(tokens), u64::from(prefill), u32::from(runs))
             })
             .collect();
-        match choose(&engines, &draft(), draw) {
+        match choose(&engines, &draft(), 0, draw) {
             Some(at) => engines[at].has_room(&draft()),
             None => engines.iter().all(|engine| !engine.has_room(&draft())),
         }
