Publish a document in the step that applies it; test the group on loopback

The document reached readers through a task of its own, behind the position that proofs wait for.

Ruled out: a proof by a deposed leader (rounds are numbered and answers of older terms refused).

Change: the state machine publishes in the same step. Registries can be closed; tests found a group, let one join, wipe and restart disks, and take the quorum away.

--- a/crates/registry/src/document.rs
+++ b/crates/registry/src/document.rs
@@ -16,17 +16,23 @@
 ///
 /// A document whose version is not higher changes nothing, so a repeated or overtaken command has
 /// no effect, and of two documents with one version the first to be committed stays.
+///
+/// What it holds is published in the same step in which it is applied: whoever has seen a position
+/// applied reads at least the document of that position.
 #[derive(Debug)]
 pub struct DocumentMachine {
-    held: watch::Sender<Document>,
+    held: Document,
+    published: watch::Sender<Document>,
 }
 
 impl DocumentMachine {
-    /// A machine that holds no document, and the document as it changes.
+    /// A machine that holds no document and publishes those that it applies.
     #[must_use]
-    pub fn new() -> (Self, watch::Receiver<Document>) {
-        let (held, receiver) = watch::channel(Document::default());
-        (Self { held }, receiver)
+    pub fn new(published: &watch::Sender<Document>) -> Self {
+        Self {
+            held: Document::default(),
+            published: published.clone(),
+        }
     }
 
     /// Encodes a document as a command.
@@ -39,13 +45,18 @@
         postcard::to_stdvec(document).expect("a document can be encoded")
     }
 
-    fn take(&self, bytes: &[u8]) {
+    fn take(&mut self, bytes: &[u8]) {
         let document: Document =
             postcard::from_bytes(bytes).expect("committed commands are documents");
-        self.held.send_if_modified(|held| {
-            let is_newer = document.version > held.version;
+        if document.version <= self.held.version {
+            return;
+        }
+        self.held = document;
+        // A group that was opened again applies once more what has been published.
+        self.published.send_if_modified(|published| {
+            let is_newer = self.held.version > published.version;
             if is_newer {
-                *held = document;
+                published.clone_from(&self.held);
             }
             is_newer
         });
@@ -63,6 +74,6 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        Self::command(&self.held.borrow())
+        Self::command(&self.held)
     }
 }
--- a/crates/registry/src/group.rs
+++ b/crates/registry/src/group.rs
@@ -2,6 +2,7 @@
 //!
 //! A journal that fails ends the group; it is opened again after a pause, from what the disk holds.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
 /// to recover than this costs.
 const REOPEN_PAUSE_MS: u64 = 500;
 
+/// Time between two looks whether others still use a group that closes.
+const CLOSE_PAUSE_MS: u64 = 10;
+
 /// Shortest time without a leader before an election: several round trips between regions and
 /// syncs of a slow disk.
 const ELECTION_TIMEOUT_MS: u64 = 300;
@@ -42,8 +46,9 @@
 /// The group, while it is open.
 pub(crate) struct Group {
     control: Mutex<Option<Arc<Control>>>,
-    /// Documents of the machine of the latest opening.
+    /// Latest document that was applied in any opening.
     document: watch::Sender<Document>,
+    is_closed: AtomicBool,
     settings: RegistrySettings,
     transport: Arc<VoterTransport>,
 }
@@ -55,6 +60,7 @@
         let group = Arc::new(Self {
             control: Mutex::new(None),
             document,
+            is_closed: AtomicBool::new(false),
             settings,
             transport: Arc::new(transport),
         });
@@ -107,27 +113,26 @@
             .collect()
     }
 
+    /// Ends this instance's part in the group, and waits until the data folder is free.
+    pub(crate) async fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        let Some(mut control) = self.lock().take() else {
+            return;
+        };
+        loop {
+            match Arc::try_unwrap(control) {
+                Ok(control) => return control.close().await,
+                Err(shared) => control = shared,
+            }
+            sleep(Duration::from_millis(CLOSE_PAUSE_MS)).await;
+        }
+    }
+
     fn reopen(&self) -> Result<(), Error> {
-        let (machine, mut applied) = DocumentMachine::new();
+        let machine = DocumentMachine::new(&self.document);
         let transport = Arc::clone(&self.transport);
         let control = Control::open(self.control_settings(), Box::new(machine), transport)?;
         *self.lock() = Some(Arc::new(control));
-        let document = self.document.clone();
-        tokio::spawn(async move {
-            loop {
-                let latest = applied.borrow_and_update().clone();
-                document.send_if_modified(|held| {
-                    let is_newer = latest.version > held.version;
-                    if is_newer {
-                        *held = latest;
-                    }
-                    is_newer
-                });
-                if applied.changed().await.is_err() {
-                    return;
-                }
-            }
-        });
         Ok(())
     }
 
@@ -151,6 +156,9 @@
     async fn maintain(self: Arc<Self>) {
         loop {
             sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
+            if self.is_closed.load(Ordering::Relaxed) {
+                return;
+            }
             match self.control() {
                 Some(control) => self.look_after(&control).await,
                 None => self.try_reopen(),
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,9 +1,12 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use names::InstanceName;
 use slog::{Logger, debug, info};
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::group::{Group, instance_name};
@@ -36,6 +39,7 @@
     log: Logger,
     prover: Arc<Prover>,
     publisher: Arc<Publisher>,
+    server: AbortHandle,
     shared: mpsc::UnboundedSender<Notice>,
 }
 
@@ -64,7 +68,7 @@
             prover: Arc::clone(&prover),
             publisher: Arc::clone(&publisher),
         };
-        server.bind(address).await?;
+        let server = server.bind(address).await?;
         let (shared, waiting) = mpsc::unbounded_channel();
         let exchange = Sharer {
             address,
@@ -79,6 +83,7 @@
             log,
             prover,
             publisher,
+            server,
             shared,
         })
     }
@@ -158,6 +163,24 @@
         Ok(recorded)
     }
 
+    /// Stops at once, and waits until the data folder is free.
+    pub async fn close(self) {
+        self.server.abort();
+        self.group.close().await;
+    }
+
+    /// Voters of the group, as this registry knows them.
+    pub async fn voters(&self) -> BTreeSet<InstanceName> {
+        let Some(control) = self.group.control() else {
+            return BTreeSet::new();
+        };
+        let Ok(status) = control.status().await else {
+            return BTreeSet::new();
+        };
+        let voters = status.replica.membership.voters().iter();
+        voters.map(|voter| voter.name.clone()).collect()
+    }
+
     /// Hands leadership to another voter before this one stops.
     pub async fn hand_over(&self) {
         let Some(control) = self.group.control() else {
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -11,7 +11,7 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
 use crate::group::Group;
 use crate::inner::{Inner, LoadReport, LoadTotals, PollAnswer, PollRequest};
@@ -32,12 +32,13 @@
 
 impl Server {
     /// Listens on `address` and serves from then on.
-    pub(crate) async fn bind(self, address: SocketAddr) -> Result<(), Error> {
+    ///
+    /// Serves until the task is aborted.
+    pub(crate) async fn bind(self, address: SocketAddr) -> Result<AbortHandle, Error> {
         let listener = TcpListener::bind(address)
             .await
             .map_err(|source| Error::Listen { address, source })?;
-        tokio::spawn(self.run(listener));
-        Ok(())
+        Ok(tokio::spawn(self.run(listener)).abort_handle())
     }
 
     async fn run(self, listener: TcpListener) {
--- a/crates/registry/tests/a_lease_counts_from_the_question.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_question.rs
@@ -7,6 +7,7 @@
 use registry::{
     Document, DocumentMachine, EndpointLoad, Lease, LoadBoard, LoadReport, ServiceLoad,
 };
+use tokio::sync::watch;
 
 const LEASE_MS: u64 = 4_200;
 
@@ -38,7 +39,8 @@
         reason = "quickcheck hands its arguments over"
     )]
     fn holds(versions: Vec<u64>) -> bool {
-        let (mut machine, held) = DocumentMachine::new();
+        let (published, held) = watch::channel(Document::default());
+        let mut machine = DocumentMachine::new(&published);
         let mut highest: Option<(u64, usize)> = None;
         for (position, &version) in versions.iter().enumerate() {
             let document = Document {
@@ -66,13 +68,15 @@
 
 #[test]
 fn a_snapshot_holds_the_document() {
-    let (mut machine, _held) = DocumentMachine::new();
+    let (published, _held) = watch::channel(Document::default());
+    let mut machine = DocumentMachine::new(&published);
     let document = Document {
         bytes: b"{}".to_vec(),
         version: 7,
     };
     machine.apply(LogIndex(1), 0, &DocumentMachine::command(&document));
-    let (mut restored, held) = DocumentMachine::new();
+    let (published, held) = watch::channel(Document::default());
+    let mut restored = DocumentMachine::new(&published);
     restored.restore(&machine.snapshot());
     assert_eq!(*held.borrow(), document);
 }
--- /dev/null
+++ b/crates/registry/tests/support/mod.rs
@@ -0,0 +1,108 @@
+//! Registries on loopback addresses of one port, each with a data folder that outlives it.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use names::InstanceName;
+use registry::{Document, Registry, RegistrySettings};
+use slog::{Discard, Logger, o};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+const LOOK_INTERVAL_MS: u64 = 10;
+const SEEDS: u8 = 3;
+
+/// Addresses and folders of one group.
+pub struct Ground {
+    folder: TempDir,
+    port: u16,
+}
+
+impl Ground {
+    /// Finds a port that is free on all addresses.
+    pub async fn reserve() -> Self {
+        loop {
+            let first = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+            let port = first.local_addr().unwrap().port();
+            let mut others = Vec::new();
+            for number in 2..=5 {
+                others.push(TcpListener::bind((Ipv4Addr::new(127, 0, 0, number), port)).await);
+            }
+            if others.iter().all(Result::is_ok) {
+                let folder = TempDir::new().unwrap();
+                return Self { folder, port };
+            }
+        }
+    }
+
+    /// Starts a registry of a deployment that is being founded.
+    pub async fn found(&self, number: u8) -> Registry {
+        self.open(number, true).await
+    }
+
+    pub async fn found_three(&self) -> (Registry, Registry, Registry) {
+        (
+            self.found(1).await,
+            self.found(2).await,
+            self.found(3).await,
+        )
+    }
+
+    /// Starts a registry of a deployment that exists.
+    pub async fn join(&self, number: u8) -> Registry {
+        self.open(number, false).await
+    }
+
+    pub fn name(&self, number: u8) -> InstanceName {
+        InstanceName::new(&self.address(number).ip().to_string()).unwrap()
+    }
+
+    pub async fn stop(&self, registry: Registry) {
+        registry.close().await;
+    }
+
+    pub fn wipe(&self, number: u8) {
+        std::fs::remove_dir_all(self.data(number)).unwrap();
+    }
+
+    async fn open(&self, number: u8, is_founding: bool) -> Registry {
+        until(async || {
+            let settings = RegistrySettings {
+                data: self.data(number),
+                heartbeat_interval_ms: 1_200,
+                inner_address: self.address(number),
+                is_founding,
+                log: Logger::root(Discard, o!()),
+                seeds: (1..=SEEDS).map(|seed| self.address(seed)).collect(),
+                voters_wanted: 3,
+            };
+            Registry::open(settings).await.ok()
+        })
+        .await
+    }
+
+    fn address(&self, number: u8) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 0, number)), self.port)
+    }
+
+    fn data(&self, number: u8) -> PathBuf {
+        self.folder.path().join(number.to_string())
+    }
+}
+
+/// Asks again and again until there is an answer.
+pub async fn until<T>(ask: impl AsyncFn() -> Option<T>) -> T {
+    loop {
+        if let Some(answer) = ask().await {
+            return answer;
+        }
+        sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
+    }
+}
+
+/// First answer that a registry is sure of.
+pub async fn newest(registry: &Registry) -> Document {
+    until(async || registry.newest().await.ok()).await
+}
