Trace the stale read to the task that forwarded documents

The document was forwarded by a task of its own, which ran after the reader that waited for the position.

Ruled out: a second cause.

Change: the test of a registry that joins runs on four threads.

--- a/crates/registry/tests/a_group_founds_and_repairs_itself.rs
+++ b/crates/registry/tests/a_group_founds_and_repairs_itself.rs
@@ -33,7 +33,8 @@
     }
 }
 
-#[tokio::test]
+// On several threads, a reader may run between any two steps of the registry.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_registry_that_joins_reads_nothing_old() {
     let ground = Ground::reserve().await;
     let (first, _second, _third) = ground.found_three().await;
