Prefer a third of the engines for reading, and exchange loads faster

Cause: on the grown centre, prompts of short answers waited up to 4.7 s on a fifth of the engines: an engine reads 7.5 tokens a ms, not 14, as each chunk takes the time of a step besides, so a fifth had no time left.

Ruled out: waits for room at the gateways (none over 500 ms).

Change: a third of the engines is preferred for reading; loads are exchanged every 118 ms at 59 gateways in place of 236 ms, in a short form.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 const EXCHANGE_MS_MAX: u64 = 250;
 
 /// Time between two exchanges for each instance, which bounds what reaches the one that sums.
-const EXCHANGE_MS_PER_INSTANCE: u64 = 4;
+const EXCHANGE_MS_PER_INSTANCE: u64 = 2;
 
 /// Time without an exchange after which the others' load is assumed.
 const EXCHANGE_AGE_MS_MAX: u64 = 1_000;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -24,8 +24,8 @@
 /// wait in the endpoint's queue, which is rejected at its end.
 const PLAIN_FILL_PERCENT: u32 = 250;
 
-/// Prompt tokens that an engine reads in a millisecond beside the tokens of other requests: half
-/// of what the engines' data sheets say for reading alone, as every step does both.
+/// Prompt tokens that an engine reads in a millisecond: half of what the engines' data sheets say,
+/// as every step that reads a chunk takes the time of a step without one besides.
 pub(crate) const READ_TOKENS_PER_MS: u64 = 7;
 
 /// Range of the random part of a cost, in ms: what some requests that other instances have sent
@@ -52,7 +52,7 @@
 
 /// Part of the engines that is preferred for requests that mostly read, in percent; about their
 /// part of the engines' time.
-const READING_PERCENT: usize = 22;
+const READING_PERCENT: usize = 33;
 
 /// Engines below which none is set apart.
 const ENGINES_MIN: usize = 4;
--- a/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
+++ b/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
@@ -79,7 +79,7 @@
         Some(1),
         "it overflows"
     );
-    assert_eq!((reading_engines(3), reading_engines(9)), (0, 2));
+    assert_eq!((reading_engines(3), reading_engines(9)), (0, 3));
 }
 
 #[test]
--- a/crates/registry/src/inner.rs
+++ b/crates/registry/src/inner.rs
@@ -11,8 +11,9 @@
     async fn agree(messages: Vec<Vec<u8>>);
     /// Position that was committed when a quorum confirmed, after the call, that this one leads.
     async fn confirm() -> Option<u64>;
-    /// Takes what the caller runs on each endpoint, and gives the sums over all instances.
-    async fn exchange(report: LoadReport) -> LoadTotals;
+    /// Takes a [`LoadReport`] and gives [`LoadTotals`], both in the short form of postcard, as they
+    /// are exchanged many times a second.
+    async fn exchange(report: Vec<u8>) -> Vec<u8>;
     /// Waits for news and gives them.
     async fn poll(request: PollRequest) -> PollAnswer;
     /// Replicates a document; whether it is committed.
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -14,7 +14,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::group::Group;
-use crate::inner::{Inner, LoadReport, LoadTotals, PollAnswer, PollRequest};
+use crate::inner::{Inner, PollAnswer, PollRequest};
 use crate::link::codec;
 use crate::prover::Prover;
 use crate::publisher::Publisher;
@@ -83,10 +83,19 @@
         self.prover.confirm().await
     }
 
-    async fn exchange(self, _context: Context, report: LoadReport) -> LoadTotals {
+    async fn exchange(self, _context: Context, report: Vec<u8>) -> Vec<u8> {
         let now_ms = self.publisher.now_ms();
+        let report = match postcard::from_bytes(&report) {
+            Ok(report) => report,
+            Err(error) => {
+                // The caller cannot read an empty answer either, and goes without the sums.
+                warn!(self.log, "loads not understood"; "error" => %error);
+                return Vec::new();
+            }
+        };
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.exchange(now_ms, report)
+        let totals = loads.exchange(now_ms, report);
+        postcard::to_stdvec(&totals).expect("sums can be encoded")
     }
 
     async fn poll(self, _context: Context, request: PollRequest) -> PollAnswer {
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -131,6 +131,10 @@
     /// # Errors
     ///
     /// Fails where the registry that sums cannot be reached.
+    ///
+    /// # Panics
+    ///
+    /// Panics if memory runs out.
     pub async fn exchange(
         &self,
         loads: Vec<EndpointLoad>,
@@ -145,8 +149,13 @@
             loads,
             services,
         };
+        let report = postcard::to_stdvec(&report).expect("a report can be encoded");
         let totals = client.exchange(within(EXCHANGE_TIMEOUT_MS), report).await;
-        totals.map_err(|error| link.error(&error))
+        let totals = totals.map_err(|error| link.error(&error))?;
+        postcard::from_bytes(&totals).map_err(|error| Error::Connect {
+            address: link.address(),
+            reason: error.to_string(),
+        })
     }
 }
 
