--- a/crates/registry/tests/support/mod.rs
+++ b/crates/registry/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use names::InstanceName;
@@ -17,23 +18,25 @@
 /// Addresses and folders of one group.
 pub struct Ground {
     folder: TempDir,
+    group: u8,
     port: u16,
+    process: u8,
 }
 
 impl Ground {
-    /// Finds a port that is free on all addresses.
+    /// Finds a port that is free on all addresses of a group, which no other test has.
     pub async fn reserve() -> Self {
-        loop {
-            let first = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-            let port = first.local_addr().unwrap().port();
-            let mut others = Vec::new();
-            for number in 2..=5 {
-                others.push(TcpListener::bind((Ipv4Addr::new(127, 0, 0, number), port)).await);
-            }
-            if others.iter().all(Result::is_ok) {
-                let folder = TempDir::new().unwrap();
-                return Self { folder, port };
-            }
+        static GROUPS: AtomicU8 = AtomicU8::new(1);
+        let group = GROUPS.fetch_add(1, Ordering::Relaxed);
+        let process = u8::try_from(std::process::id() % 200).unwrap() + 1;
+        let first = TcpListener::bind((Ipv4Addr::new(127, process, group, 1), 0))
+            .await
+            .unwrap();
+        Self {
+            folder: TempDir::new().unwrap(),
+            group,
+            port: first.local_addr().unwrap().port(),
+            process,
         }
     }
 
@@ -84,7 +87,8 @@
     }
 
     fn address(&self, number: u8) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 0, number)), self.port)
+        let ip = Ipv4Addr::new(127, self.process, self.group, number);
+        SocketAddr::new(IpAddr::V4(ip), self.port)
     }
 
     fn data(&self, number: u8) -> PathBuf {
