Free copies that are not needed, and share idle connections

Cause: reading the change as a newcomer: copies of runs that ended at their source held memory at the destination until they lapsed; idle connections were kept by every gateway alike, whatever an endpoint takes from all of them; fields of the catalog and of the roll were read by nothing.

Ruled out: leaving copies to lapse, as other runs have no room meanwhile.

Change: a copy is freed when its run ends; idle connections are limited to an equal part of two fifths of what an endpoint takes; dead fields are gone.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -68,12 +68,6 @@
         self.version
     }
 
-    /// All services, sorted by name.
-    #[must_use]
-    pub fn services(&self) -> &[Service] {
-        &self.services
-    }
-
     /// Service of a name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -9,8 +9,6 @@
     pub gap_target_ms: u64,
     /// Host, in lowercase and without a port.
     pub host: String,
-    /// Whether its requests name a model and a prompt.
-    pub is_generation: bool,
     /// Whether its requests need no key.
     pub is_public: bool,
     /// Name.
--- a/crates/catalog/src/service.rs
+++ b/crates/catalog/src/service.rs
@@ -10,12 +10,8 @@
 }
 
 /// Sizes of one engine, equal for all endpoints of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct Engine {
-    /// Longest time that a copy of a run is kept.
-    pub copy_ttl_ms: u64,
-    /// Whether a running request can be copied as it grows.
-    pub has_backups: bool,
     /// Whether a running request can be moved.
     pub has_moves: bool,
     /// Memory for this many tokens.
--- a/crates/catalog/tests/a_document_is_checked_as_a_whole.rs
+++ b/crates/catalog/tests/a_document_is_checked_as_a_whole.rs
@@ -15,7 +15,6 @@
         attempts_max: 2,
         gap_target_ms: 0,
         host: host.to_owned(),
-        is_generation: false,
         is_public: false,
         name: name.to_owned(),
         prefix: prefix.to_owned(),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -198,9 +198,6 @@
             endpoint.own().health.fail(now_ms);
             return Err(Miss::Failed("the answer is another request's".to_owned()));
         }
-        if said.closes && !self.call.route.repeat.is_stream() {
-            debug!(self.shared.log, "endpoint closes a connection"; "endpoint" => &endpoint.id);
-        }
         Ok(Accepted { answer, said })
     }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to one endpoint, kept for further requests.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,14 +30,19 @@
 /// Part of the endpoint's own time for which an idle connection is kept, in percent.
 const IDLE_PERCENT: u64 = 70;
 
-/// Idle connections kept for one endpoint.
+/// Idle connections kept for one endpoint, whatever it allows.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 
+/// Part of the connections of an endpoint that all instances together may keep idle, in percent;
+/// the others are for requests.
+const IDLE_CONNECTIONS_PERCENT: usize = 40;
+
 /// Idle connections of one endpoint.
 #[derive(Debug)]
 pub(crate) struct Pool {
     address: SocketAddr,
     idle: Mutex<Vec<Idle>>,
+    idle_max: AtomicUsize,
 }
 
 #[derive(Debug)]
@@ -86,9 +92,19 @@
         Arc::new(Self {
             address,
             idle: Mutex::new(Vec::new()),
+            idle_max: AtomicUsize::new(1),
         })
     }
 
+    /// Shares the connections that the endpoint takes with the other instances.
+    pub(crate) fn share(&self, connections_max: u32, instances: u32) {
+        let connections = usize::try_from(connections_max).unwrap_or(usize::MAX);
+        let instances = usize::try_from(instances.max(1)).unwrap_or(usize::MAX);
+        let idle = connections.saturating_mul(IDLE_CONNECTIONS_PERCENT) / 100 / instances;
+        let idle = idle.clamp(1, IDLE_CONNECTIONS_MAX);
+        self.idle_max.store(idle, Ordering::Relaxed);
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
@@ -127,7 +143,7 @@
             return;
         }
         let mut idle = self.lock();
-        if idle.len() < IDLE_CONNECTIONS_MAX {
+        if idle.len() < self.idle_max.load(Ordering::Relaxed) {
             let until = Instant::now() + Duration::from_millis(idle_ms);
             idle.push(Idle { connection, until });
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -221,8 +221,18 @@
         let mut inner = self.lock();
         inner.exchange_interval_ms = interval_ms;
         inner.instances = totals.instances;
+        let catalog = inner.catalog.clone();
         for member in &mut inner.members {
-            let id = &member.endpoint.id;
+            let endpoint = &member.endpoint;
+            let service = catalog
+                .as_ref()
+                .and_then(|known| known.service(&endpoint.service));
+            if let Some(service) = service {
+                endpoint
+                    .pool
+                    .share(service.connections_max, totals.instances);
+            }
+            let id = &endpoint.id;
             let found = totals.loads.binary_search_by(|load| load.id.cmp(id));
             member.set_total(now_ms, found.ok().map(|at| &totals.loads[at]));
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -390,6 +390,7 @@
             connection,
             first_ms,
             gap_max_ms,
+            motion,
             moves,
             pieces,
             reader,
@@ -407,6 +408,7 @@
         };
         match &end {
             End::Complete => {
+                motion.free();
                 slot.endpoint.own().health.succeed(now_ms);
                 if !said.closes {
                     release(connection, &said, &slot);
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -5,7 +5,7 @@
 
 use catalog::Engine;
 use http_body_util::BodyExt;
-use slog::{Logger, info};
+use slog::{Logger, debug, info};
 use telemetry::ServingMetrics;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -201,6 +201,21 @@
         Some((copied.target, RunCopy { handle, source }))
     }
 
+    /// Frees a copy that is not needed, at both ends.
+    pub(super) fn free(self) {
+        let Self::Copied { copied, .. } = self else {
+            return;
+        };
+        let request = copied.departure.dialect.free_request(&copied.handle);
+        let (source, log) = (copied.departure.source, copied.departure.log);
+        tokio::spawn(async move {
+            if let Err(error) = source.send(request, false).await {
+                // The engines free it themselves after a time.
+                debug!(log, "copy not freed"; "error" => %error);
+            }
+        });
+    }
+
     fn stop(&mut self) {
         if let Self::Copied { copied, .. } = std::mem::replace(self, Self::Fixed) {
             *self = Self::Stopping {
--- a/crates/registry/src/group.rs
+++ b/crates/registry/src/group.rs
@@ -216,7 +216,6 @@
         follower.map_or(0, |follower| follower.last_active_age_ms)
     };
     let voters = status.membership.voters().iter();
-    let learners = status.membership.learners().iter();
     Roll {
         introduced: status
             .introduced
@@ -224,9 +223,6 @@
             .map(|member| member.name.clone())
             .collect(),
         is_settled: status.membership_committed,
-        learners: learners
-            .map(|learner| learner.member.name.clone())
-            .collect(),
         voters: voters
             .map(|voter| (voter.name.clone(), age_ms(&voter.name)))
             .collect(),
--- a/crates/registry/src/membership.rs
+++ b/crates/registry/src/membership.rs
@@ -8,8 +8,6 @@
     pub introduced: Vec<InstanceName>,
     /// Whether the latest membership is committed.
     pub is_settled: bool,
-    /// Learners.
-    pub learners: Vec<InstanceName>,
     /// Voters with the time since each was last heard.
     pub voters: Vec<(InstanceName, u64)>,
 }
--- a/crates/registry/tests/a_lost_voter_is_replaced.rs
+++ b/crates/registry/tests/a_lost_voter_is_replaced.rs
@@ -15,7 +15,6 @@
     Roll {
         introduced: introduced.iter().map(|known| name(known)).collect(),
         is_settled: true,
-        learners: Vec::new(),
         voters: voters
             .iter()
             .map(|voter| (name(voter.0), voter.1))
