Give release, patience and counts of failures one place each

Whether a connection may be kept was asked by both callers of release and again below it; a factor of 2 stood in the relay beside the constant that means it; counts of failures elsewhere were kept in members though one function alone uses them; uptime in ms was worked out twice in the registry.

Ruled out for now: one Prover and Link for registry and node, whose calls are of different tarpc services.

Change: no behaviour; the checks of closed connections are the stricter of the two that stood there.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -42,7 +42,7 @@
 
 /// Target latencies after which a stream without its first event is asked for elsewhere. A prompt
 /// that is read late is read once more then, so an engine that is only busy is waited for.
-const STREAM_TARGETS: u64 = 2;
+pub(crate) const STREAM_TARGETS: u64 = 2;
 
 /// Time for which a repeat waits for room.
 const REPEAT_WAIT_MS: u64 = 200;
@@ -238,9 +238,7 @@
         } else {
             endpoint.own().health.succeed(now_ms);
         }
-        if !said.closes {
-            release(connection, &said, &slot);
-        }
+        release(connection, &said, &slot);
         if PROMISES.contains(&status) {
             self.excluded.push(endpoint.id.clone());
             return self.retry(&format!("the endpoint answered {status}"));
@@ -381,9 +379,9 @@
     }
 }
 
-/// Keeps a connection whose answer has ended.
+/// Keeps a connection whose answer has ended, unless the endpoint closes it.
 pub(crate) fn release(connection: Connection, said: &AnswerHead, slot: &Slot) {
-    if !connection.is_closed() {
+    if !said.closes {
         slot.endpoint.pool.keep(connection, said.keep_alive_ms);
     }
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -139,7 +139,7 @@
     pub(crate) fn keep(&self, connection: Connection, keep_alive_ms: Option<u64>) {
         let named_ms = keep_alive_ms.map(|named_ms| named_ms * IDLE_PERCENT / 100);
         let idle_ms = named_ms.unwrap_or(IDLE_MS_UNNAMED).min(IDLE_MS_MAX);
-        if idle_ms == 0 || connection.sender.is_closed() {
+        if idle_ms == 0 || connection.is_closed() {
             return;
         }
         let mut idle = self.lock();
@@ -218,7 +218,7 @@
     }
 
     /// Whether the connection has ended.
-    pub(crate) fn is_closed(&self) -> bool {
+    fn is_closed(&self) -> bool {
         self.sender.is_closed() || self.task.0.is_finished()
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -72,13 +72,11 @@
 struct Member {
     born_ms: u64,
     endpoint: Arc<Endpoint>,
-    failures_elsewhere: u32,
     is_cold: bool,
     is_silent: bool,
     reported: Load,
     reported_outcomes: (u32, u32),
     slots: u32,
-    successes_elsewhere: u32,
 }
 
 #[derive(Debug)]
@@ -471,13 +469,11 @@
         Self {
             born_ms: registration.born_ms,
             endpoint: Endpoint::new(registration),
-            failures_elsewhere: 0,
             is_cold: false,
             is_silent: false,
             reported: Load::default(),
             reported_outcomes: (0, 0),
             slots: registration.slots,
-            successes_elsewhere: 0,
         }
     }
 
@@ -489,7 +485,7 @@
 
     fn set_total(&mut self, now_ms: u64, total: Option<&EndpointLoad>) {
         let (own_failures, own_successes) = self.reported_outcomes;
-        let (others, failures, successes) = match total {
+        let (others, failures_elsewhere, successes_elsewhere) = match total {
             Some(total) => (
                 Load {
                     prefill_tokens: total
@@ -503,13 +499,11 @@
             ),
             None => (Load::default(), 0, 0),
         };
-        self.failures_elsewhere = failures;
-        self.successes_elsewhere = successes;
         let mut own = self.endpoint.own();
         own.others = others;
         let (failures, successes) = own.health.counts(now_ms);
-        let failures = failures + self.failures_elsewhere;
-        let successes = successes + self.successes_elsewhere;
+        let failures = failures + failures_elsewhere;
+        let successes = successes + successes_elsewhere;
         own.health.judge(now_ms, failures, successes);
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::attempts::{Accepted, Attempts, Resumption, client_head, release};
+use crate::attempts::{Accepted, Attempts, Resumption, STREAM_TARGETS, client_head, release};
 use crate::clock::elapsed_ms;
 use crate::connection::Connection;
 use crate::fleet::{Slot, Want};
@@ -221,7 +221,7 @@
         }
         let stall_ms = match self.first_ms {
             Some(_) => (call.route.gap_target_ms * STALL_PAUSES).max(STALL_MS_MIN),
-            None => (call.route.target_latency_ms * 2).max(STALL_MS_MIN),
+            None => (call.route.target_latency_ms * STREAM_TARGETS).max(STALL_MS_MIN),
         };
         self.last_event_at.max(self.resumed_at) + Duration::from_millis(stall_ms)
     }
@@ -410,9 +410,7 @@
             End::Complete => {
                 motion.free();
                 slot.endpoint.own().health.succeed(now_ms);
-                if !said.closes {
-                    release(connection, &said, &slot);
-                }
+                release(connection, &said, &slot);
             }
             End::Broken(_) | End::TimedOut => {
                 // The client may have left as well.
--- a/crates/registry/src/publisher.rs
+++ b/crates/registry/src/publisher.rs
@@ -10,6 +10,7 @@
 use crate::group::Group;
 use crate::inner::{PollAnswer, PollRequest};
 use crate::prover::Prover;
+use crate::registry::elapsed_ms;
 use crate::{Directory, Notice, Recorded};
 
 /// Time after which an instance that polls no more is no subscriber.
@@ -82,7 +83,7 @@
 
     /// Time since this registry was opened.
     pub(crate) fn now_ms(&self) -> u64 {
-        u64::try_from(self.opened.elapsed().as_millis()).expect("uptime fits")
+        elapsed_ms(self.opened)
     }
 
     pub(crate) async fn poll(&self, request: PollRequest) -> PollAnswer {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -300,6 +300,7 @@
     }
 }
 
-fn elapsed_ms(began: Instant) -> u64 {
+/// Whole ms since a time.
+pub(crate) fn elapsed_ms(began: Instant) -> u64 {
     u64::try_from(began.elapsed().as_millis()).expect("durations fit")
 }
