Reserve room for generations at the registry that sums loads

Change: a gateway asks the registry that sums for room on the best 16 of its candidates; the registry chooses by sums plus what it has reserved since, and counts the reservation until a report of the instance covers it. Copies on their way to an engine count as load of its link. The policy is a crate of its own, as both sides use it.

--- a/crates/catalog/src/service.rs
+++ b/crates/catalog/src/service.rs
@@ -25,3 +25,18 @@
     /// Tokens in one event of a stream.
     pub tokens_per_event: u64,
 }
+
+impl Engine {
+    /// Tokens whose memory its link copies in a second.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "an estimate to some percent"
+    )]
+    pub fn copy_tokens_per_s(&self) -> u64 {
+        let bits = self.token_bytes.max(1) * 8;
+        (self.link_mbps.max(0.0) * 1e6 / bits as f64) as u64
+    }
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode, header};
+use placement::READ_TOKENS_PER_MS;
 use slog::{debug, info};
 use thiserror::Error;
 use tokio::time::{Instant, timeout};
@@ -16,7 +17,6 @@
 use crate::fleet::{Slot, Want};
 use crate::handler::Call;
 use crate::outcome::{Outcome, Refusal};
-use crate::placement::READ_TOKENS_PER_MS;
 use crate::relay::Relay;
 use crate::reply::{ReplyBody, strip_connection_headers, whole_body};
 use crate::shared::Shared;
@@ -121,7 +121,7 @@
                 return self.give_up("its time is over");
             }
             let asked = Instant::now();
-            let admitted = self.shared.fleet.admit(&self.want()).await;
+            let admitted = self.shared.admit(&self.want()).await;
             self.note_wait(elapsed_ms(asked));
             let slot = match admitted {
                 Ok(slot) => slot,
@@ -328,6 +328,7 @@
         Want {
             demand,
             excluded: self.excluded.clone(),
+            leaves: None,
             priority: call.priority,
             service: call.service.clone(),
             wait_ms: wait_ms.min(call.left_ms()),
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -1,10 +1,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use placement::Load;
 use registry::{EndpointState, Registration};
 use tokio::sync::watch;
 
+use crate::Health;
 use crate::connection::Pool;
-use crate::{Health, Load};
 
 /// One incarnation of an endpoint as this instance uses it.
 #[derive(Debug)]
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,20 +1,22 @@
 //! Endpoints as this instance knows them, and the requests that wait for room on them.
 
+mod asking;
+
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use catalog::Catalog;
-use registry::{EndpointLoad, EndpointState, LoadTotals};
+use catalog::{Catalog, Engine};
+use placement::{Candidate, Demand, Load, choose, reading_engines};
+use registry::{EndpointLoad, EndpointState, LoadTotals, ReservationsSeen};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
 use crate::clock::elapsed_ms;
 use crate::endpoint::Endpoint;
 use crate::outcome::Refusal;
-use crate::{
-    Candidate, Demand, Distance, Load, Place, ReturnSchedule, WaitQueue, choose, reading_engines,
-};
+use crate::{Distance, Place, ReturnSchedule, WaitQueue};
+pub(crate) use asking::Asking;
 
 /// Spacing of returns before any request was served from the queue.
 const SPACING_MS_DEFAULT: u64 = 200;
@@ -25,6 +27,17 @@
 /// Time over which the rate of requests is taken.
 const RATE_WINDOW_MS: usize = 3_000;
 
+/// Endpoints that a registry chooses from. Choosing the best of a few by fresh sums spreads requests
+/// nearly as well as choosing of all, and keeps the question short in a large fleet.
+const OPTIONS_MAX: usize = 16;
+
+/// Delay by which an endpoint of another data centre is disfavoured for a run that moves, in ms; a
+/// copy takes twice as long there.
+const MOVE_FAR_MS: u64 = 170;
+
+/// Factor by which copies to another data centre are slower.
+const MOVE_FAR_FACTOR: u64 = 2;
+
 /// Share of the latest interval in the average of the spacing: one in this many.
 const SPACING_SHARE: u64 = 4;
 
@@ -46,6 +59,7 @@
     members: Vec<Member>,
     plain_calls: Placed,
     queue: WaitQueue<Waiting>,
+    reservations: ReservationsSeen,
     schedule: ReturnSchedule,
     served_ms: u64,
     spacing_ms: u64,
@@ -81,9 +95,8 @@
 
 #[derive(Debug)]
 struct Waiting {
-    demand: Demand,
-    excluded: Vec<String>,
     wake: oneshot::Sender<Slot>,
+    want: Want,
 }
 
 /// What a request wants of the fleet.
@@ -92,6 +105,8 @@
     pub(crate) demand: Demand,
     /// Endpoints that it must not go to, by id.
     pub(crate) excluded: Vec<String>,
+    /// Data centre that it moves from, if it is a run that does.
+    pub(crate) leaves: Option<String>,
     pub(crate) priority: u32,
     pub(crate) service: String,
     pub(crate) wait_ms: u64,
@@ -109,9 +124,7 @@
     fn drop(&mut self) {
         {
             let mut own = self.endpoint.own();
-            own.load.prefill_tokens -= self.load.prefill_tokens;
-            own.load.runs -= self.load.runs;
-            own.load.tokens -= self.load.tokens;
+            own.load = own.load.without(&self.load);
         }
         self.fleet.serve_waiting();
     }
@@ -124,6 +137,12 @@
         self.endpoint.own().load.prefill_tokens -= read;
     }
 
+    /// The memory of the run that moves has been copied.
+    pub(crate) fn note_copied(&mut self) {
+        let copied = std::mem::take(&mut self.load.arriving_tokens);
+        self.endpoint.own().load.arriving_tokens -= copied;
+    }
+
     /// Corrects the prediction of the tokens held at the end.
     pub(crate) fn predict(&mut self, tokens: u64) {
         let mut own = self.endpoint.own();
@@ -188,12 +207,12 @@
         self.serve_waiting();
     }
 
-    /// What this instance runs and has seen of each endpoint.
-    pub(crate) fn loads(&self) -> Vec<EndpointLoad> {
+    /// What this instance runs and has seen of each endpoint, and the reservations that are in it.
+    pub(crate) fn loads(&self) -> (Vec<EndpointLoad>, ReservationsSeen) {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
         let members = inner.members.iter_mut();
-        members
+        let loads = members
             .filter_map(|member| {
                 let mut own = member.endpoint.own();
                 let (failures, successes) = own.health.counts(now_ms);
@@ -204,13 +223,12 @@
                 (!is_idle).then(|| EndpointLoad {
                     failures,
                     id: member.endpoint.id.clone(),
-                    prefill_tokens: load.prefill_tokens,
-                    runs: load.runs,
+                    load,
                     successes,
-                    tokens: load.tokens,
                 })
             })
-            .collect()
+            .collect();
+        (loads, inner.reservations.clone())
     }
 
     /// Takes the sums over all instances that answer the last `loads`.
@@ -244,6 +262,7 @@
         for member in &mut self.lock().members {
             let mut own = member.endpoint.own();
             own.others = Load {
+                arriving_tokens: own.load.arriving_tokens * u64::from(others),
                 prefill_tokens: own.load.prefill_tokens * u64::from(others),
                 runs: own.load.runs * others,
                 tokens: own.load.tokens * u64::from(others),
@@ -251,30 +270,33 @@
         }
     }
 
-    /// Waits for room; refuses where none is expected in time.
+    /// Takes room by what this instance knows of the loads, or waits for it.
     pub(crate) async fn admit(self: &Arc<Self>, want: &Want) -> Result<Slot, Refusal> {
-        let (number, woken) = {
+        {
             let mut inner = self.lock();
-            let ahead = inner.queue.ahead(want.priority, &want.service) as u64;
-            if ahead == 0
-                && let Some(slot) =
-                    self.place(&mut inner, &want.service, &want.demand, &want.excluded)
+            if inner.ahead(want) == 0
+                && let Some(slot) = self.place(&mut inner, want)
             {
                 return Ok(slot);
             }
-            if ahead * inner.spacing_ms > want.wait_ms {
+        }
+        self.wait(want).await
+    }
+
+    /// Waits for room; refuses where none is expected in time.
+    pub(crate) async fn wait(self: &Arc<Self>, want: &Want) -> Result<Slot, Refusal> {
+        let (number, woken) = {
+            let mut inner = self.lock();
+            if inner.ahead(want) * inner.spacing_ms > want.wait_ms {
                 return Err(self.refuse(&mut inner, "no room is expected in time"));
             }
             let (wake, woken) = oneshot::channel();
             let waiting = Waiting {
-                demand: want.demand,
-                excluded: want.excluded.clone(),
                 wake,
+                want: want.clone(),
             };
-            (
-                inner.queue.push(want.priority, &want.service, waiting),
-                woken,
-            )
+            let number = inner.queue.push(want.priority, &want.service, waiting);
+            (number, woken)
         };
         let _guard = Queued {
             fleet: Arc::clone(self),
@@ -286,25 +308,34 @@
         }
     }
 
-    /// Room for a run that moves, on the nearest endpoints that a copy reaches in time.
-    pub(crate) fn place_move(self: &Arc<Self>, want: &Want, source: &Endpoint) -> Option<Slot> {
+    /// Room by what this instance knows of the loads, if there is any.
+    pub(crate) fn take(self: &Arc<Self>, want: &Want) -> Option<Slot> {
+        self.place(&mut self.lock(), want)
+    }
+
+    /// Endpoints that suit a request, the best first; none where others wait for room.
+    pub(crate) fn ask(self: &Arc<Self>, want: &Want) -> Option<Asking> {
         let mut inner = self.lock();
-        for farthest in [Distance::SameDataCentre, Distance::SameRegion] {
-            let mut excluded = want.excluded.clone();
-            let members = inner.members.iter().map(|member| &member.endpoint);
-            let far = members.filter(|endpoint| {
-                let distance = self
-                    .place
-                    .distance(&source.data_centre, &endpoint.data_centre);
-                distance > farthest
-            });
-            excluded.extend(far.map(|endpoint| endpoint.id.clone()));
-            let slot = self.place(&mut inner, &want.service, &want.demand, &excluded);
-            if slot.is_some() {
-                return slot;
-            }
+        if !want.demand.is_move && inner.ahead(want) > 0 {
+            return None;
         }
-        None
+        let mut options = self.candidates(&inner, want);
+        options.sort_by_key(|(_, candidate)| {
+            (
+                !candidate.has_room(&want.demand),
+                candidate.cost_ms(&want.demand),
+            )
+        });
+        options.truncate(OPTIONS_MAX);
+        let number = inner.reservations.next;
+        inner.reservations.next += 1;
+        inner.reservations.awaited.push(number);
+        Some(Asking {
+            demand: want.demand,
+            fleet: Arc::clone(self),
+            number,
+            options,
+        })
     }
 
     /// Endpoints that have not left, and requests that wait for room.
@@ -329,11 +360,10 @@
         let inner = &mut *guard;
         let mut placed = Vec::new();
         let served = queue.serve(|waiter| {
-            let waiting = &waiter.wake;
-            if waiting.wake.is_closed() {
+            if waiter.wake.wake.is_closed() {
                 return false;
             }
-            let slot = self.place(inner, &waiter.service, &waiting.demand, &waiting.excluded);
+            let slot = self.place(inner, &waiter.wake.want);
             let is_placed = slot.is_some();
             placed.extend(slot);
             is_placed
@@ -350,20 +380,24 @@
         }
     }
 
-    fn place(
-        self: &Arc<Self>,
-        inner: &mut Inner,
-        service: &str,
-        demand: &Demand,
-        excluded: &[String],
-    ) -> Option<Slot> {
+    fn place(self: &Arc<Self>, inner: &mut Inner, want: &Want) -> Option<Slot> {
+        let unseen = inner.unseen_requests(self.now_ms(), &want.demand);
+        let options = self.candidates(inner, want);
+        let candidates: Vec<Candidate> = options.iter().map(|(_, candidate)| *candidate).collect();
+        let at = choose(&candidates, &want.demand, unseen, rand::random())?;
+        Some(self.occupy(inner, &options[at].0, &want.demand))
+    }
+
+    /// Endpoints that a request may be sent to, with what is known of them.
+    fn candidates(&self, inner: &Inner, want: &Want) -> Vec<(Arc<Endpoint>, Candidate)> {
         let now_ms = self.now_ms();
-        let memory_tokens = inner.memory_tokens(service);
-        let unseen = inner.unseen_requests(now_ms, demand);
+        let engine = inner.engine(&want.service);
+        let copy_tokens_per_s = engine.map_or(0, Engine::copy_tokens_per_s);
         let is_usable = |member: &&Member| {
-            member.endpoint.service == service
+            member.endpoint.service == want.service
                 && !member.endpoint.is_leaving()
-                && !excluded.contains(&member.endpoint.id)
+                && !want.excluded.contains(&member.endpoint.id)
+                && self.is_in_reach(want, &member.endpoint)
         };
         let usable: Vec<&Member> = inner.members.iter().filter(is_usable).collect();
         let is_well = |member: &&&Member| {
@@ -375,35 +409,60 @@
             well = usable;
         }
         let last_for_reading = last_for_reading(&well);
-        let candidates: Vec<Candidate> = well
-            .iter()
-            .map(|member| Candidate {
-                distance_ms: self.place.distance_ms(&member.endpoint.data_centre),
-                is_cold: member.is_cold,
-                is_for_reading: Some(member.endpoint.rank) <= last_for_reading,
-                load: member.endpoint.load(),
-                memory_tokens,
-                slots: member.slots,
+        well.into_iter()
+            .map(|member| {
+                let endpoint = &member.endpoint;
+                let (distance_ms, copy_factor) = self.distance(want, endpoint);
+                let candidate = Candidate {
+                    copy_tokens_per_s: copy_tokens_per_s / copy_factor,
+                    distance_ms,
+                    is_cold: member.is_cold,
+                    is_for_reading: Some(endpoint.rank) <= last_for_reading,
+                    load: endpoint.load(),
+                    memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+                    slots: member.slots,
+                };
+                (Arc::clone(endpoint), candidate)
             })
-            .collect();
-        let at = choose(&candidates, demand, unseen, rand::random())?;
-        let load = Load {
-            prefill_tokens: demand.prefill_tokens,
-            runs: 1,
-            tokens: demand.tokens,
+            .collect()
+    }
+
+    /// Whether a run that moves, if it is one, can be copied there before its engine is gone.
+    fn is_in_reach(&self, want: &Want, endpoint: &Endpoint) -> bool {
+        let Some(source) = &want.leaves else {
+            return true;
         };
-        let endpoint = Arc::clone(&well[at].endpoint);
+        self.place.distance(source, &endpoint.data_centre) < Distance::OtherRegion
+    }
+
+    /// Delay that the place of an endpoint means, and the factor by which copies are slower there.
+    fn distance(&self, want: &Want, endpoint: &Endpoint) -> (u64, u64) {
+        match &want.leaves {
+            None => (self.place.distance_ms(&endpoint.data_centre), 1),
+            Some(source) if *source == endpoint.data_centre => (0, 1),
+            Some(_) => (MOVE_FAR_MS, MOVE_FAR_FACTOR),
+        }
+    }
+
+    fn occupy(
+        self: &Arc<Self>,
+        inner: &mut Inner,
+        endpoint: &Arc<Endpoint>,
+        demand: &Demand,
+    ) -> Slot {
+        let now_ms = self.now_ms();
         if demand.tokens > 0 {
             inner.generations.note(now_ms);
         } else {
             inner.plain_calls.note(now_ms);
         }
+        let load = Load::from(demand);
         endpoint.own().load.add(&load);
-        Some(Slot {
-            endpoint,
+        Slot {
+            endpoint: Arc::clone(endpoint),
             fleet: Arc::clone(self),
             load,
-        })
+        }
     }
 
     fn refuse(&self, inner: &mut Inner, reason: &str) -> Refusal {
@@ -450,11 +509,14 @@
         own * others * unseen_ms / RATE_WINDOW_MS
     }
 
-    fn memory_tokens(&self, service: &str) -> u64 {
-        let catalog = self.catalog.as_ref();
-        let service = catalog.and_then(|catalog| catalog.service(service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.map_or(0, |engine| engine.memory_tokens)
+    /// Requests that are served before a new one.
+    fn ahead(&self, want: &Want) -> u64 {
+        self.queue.ahead(want.priority, &want.service) as u64
+    }
+
+    fn engine(&self, service: &str) -> Option<&Engine> {
+        let service = self.catalog.as_ref()?.service(service)?;
+        service.engine.as_ref()
     }
 
     fn note_served(&mut self, now_ms: u64) {
@@ -487,13 +549,7 @@
         let (own_failures, own_successes) = self.reported_outcomes;
         let (others, failures_elsewhere, successes_elsewhere) = match total {
             Some(total) => (
-                Load {
-                    prefill_tokens: total
-                        .prefill_tokens
-                        .saturating_sub(self.reported.prefill_tokens),
-                    runs: total.runs.saturating_sub(self.reported.runs),
-                    tokens: total.tokens.saturating_sub(self.reported.tokens),
-                },
+                total.load.without(&self.reported),
                 total.failures.saturating_sub(own_failures),
                 total.successes.saturating_sub(own_successes),
             ),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -84,6 +85,7 @@
             fleet,
             log,
             metrics,
+            reservations_paused_until_ms: AtomicU64::new(0),
             retry_limits,
             subscription,
         });
@@ -133,8 +135,10 @@
             shared.fleet.trim();
             shared.note_beliefs();
         }
-        let (loads, services) = (shared.fleet.loads(), shared.service_loads());
-        match shared.subscription.exchange(loads, services).await {
+        let (loads, reservations) = shared.fleet.loads();
+        let services = shared.service_loads();
+        let exchange = shared.subscription.exchange(loads, reservations, services);
+        match exchange.await {
             Ok(totals) => {
                 last_answer = Instant::now();
                 shared.fleet.set_totals(&totals, interval_ms);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -9,6 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
+use placement::Demand;
 use slog::info;
 use tokio::time::{Duration, Instant, timeout};
 
@@ -17,7 +18,7 @@
 use crate::outcome::{Outcome, Refusal};
 use crate::reply::{ReplyBody, refuse, strip_connection_headers};
 use crate::shared::Shared;
-use crate::{CallHead, Demand, Prompt};
+use crate::{CallHead, Prompt};
 
 /// Time that a request without one of its own may take.
 const BUDGET_MS_DEFAULT: u64 = 30_000;
@@ -68,6 +69,7 @@
     pub(crate) fn demand(&self) -> Demand {
         match &self.head.prompt {
             Some(prompt) => Demand {
+                copied_tokens: 0,
                 is_move: false,
                 prefill_tokens: prompt.prompt_tokens,
                 read_ms_max: self.route.target_latency_ms * READ_PERCENT / 100,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,14 +1,14 @@
 //! Ingress, placement and forwarding by a configuration document.
 //!
 //! A [`Gateway`] takes clients' requests, finds their route and customer in the catalog in force,
-//! chooses an endpoint, and forwards. Decisions live in modules without network: placement, the
-//! order of those who wait, the budget for repeats, the health of endpoints, the times at which
+//! chooses an endpoint, and forwards. Decisions live in modules without network: the order of those who wait, the budget for repeats, the health of endpoints, the times at which
 //! refused clients return. Names and formats of clients and endpoints are behind [`Dialect`].
 //!
 //! What may be repeated follows from the route alone. A request that is not idempotent is sent
 //! again only while it certainly has not run: before any byte was written, or after the endpoint
 //! said so. Statuses 429 and 503 of this crate's own promise that the request has not run.
 
+mod admission;
 mod attempts;
 mod clock;
 mod connection;
@@ -21,7 +21,6 @@
 mod health;
 mod ingress;
 mod outcome;
-mod placement;
 mod relay;
 mod reply;
 mod retry_budget;
@@ -35,7 +34,6 @@
 pub use event_reader::EventReader;
 pub use gateway::{Error, Gateway};
 pub use health::Health;
-pub use placement::{Candidate, Demand, Load, choose, reading_engines, sample_size};
 pub use retry_budget::{RetryBudget, RetryLimits, Sendings};
 pub use return_schedule::ReturnSchedule;
 pub use settings::{Distance, GatewaySettings, Place};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use placement::Demand;
 use slog::{info, warn};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -24,7 +25,7 @@
 use crate::fleet::{Slot, Want};
 use crate::outcome::Outcome;
 use crate::reply::{BrokenOff, ReplyBody, relayed_body};
-use crate::{AnswerHead, Demand, EventReader, RunCopy};
+use crate::{AnswerHead, EventReader, RunCopy};
 use motion::{Motion, Moved};
 
 /// Pieces that wait for a slow client.
@@ -251,11 +252,12 @@
         let want = Want {
             demand: call.demand(),
             excluded: self.attempts.excluded.clone(),
+            leaves: None,
             priority: call.priority,
             service: call.service.clone(),
             wait_ms: RESUME_WAIT_MS.min(call.left_ms()),
         };
-        let Ok(slot) = shared.fleet.admit(&want).await else {
+        let Ok(slot) = shared.admit(&want).await else {
             return Some(End::Broken(format!(
                 "{reason}, and there is no room elsewhere"
             )));
@@ -274,7 +276,7 @@
     async fn advance(&mut self, moved: Moved) -> Option<End> {
         match moved {
             Moved::Due => {
-                self.begin_move();
+                self.begin_move().await;
                 None
             }
             Moved::Nothing => None,
@@ -287,7 +289,7 @@
     }
 
     /// Chooses where the run goes, and begins to copy it.
-    fn begin_move(&mut self) {
+    async fn begin_move(&mut self) {
         let call = Arc::clone(&self.attempts.call);
         let shared = Arc::clone(&self.attempts.shared);
         let service = call.catalog.service(&call.service);
@@ -300,34 +302,38 @@
             return;
         }
         let held = self.made_tokens();
-        let output = call.head.prompt.as_ref().map_or(0, |prompt| {
-            self.predicted_tokens.saturating_sub(prompt.prompt_tokens)
-        });
+        let prompt = call.head.prompt.as_ref();
+        let prompt_tokens = prompt.map_or(0, |prompt| prompt.prompt_tokens);
+        let output = self.predicted_tokens.saturating_sub(prompt_tokens);
         let tokens_left = output.saturating_sub(held).max(held / TAIL_SHARE);
         let tokens_on_engine = self.slot.endpoint.load().tokens;
         let mut excluded = self.motion.full().to_vec();
         excluded.push(self.slot.endpoint.id.clone());
         let want = Want {
             demand: Demand {
+                copied_tokens: prompt_tokens + held,
                 is_move: true,
                 prefill_tokens: 0,
                 read_ms_max: u64::MAX,
                 tokens: self.predicted_tokens,
             },
             excluded,
+            leaves: Some(self.slot.endpoint.data_centre.clone()),
             priority: call.priority,
             service: call.service.clone(),
             wait_ms: 0,
         };
-        self.motion.begin(
-            &shared,
-            &call,
-            engine,
-            &self.slot,
-            tokens_left,
-            tokens_on_engine,
-            &want,
-        );
+        self.motion
+            .begin(
+                &shared,
+                &call,
+                engine,
+                &self.slot,
+                tokens_left,
+                tokens_on_engine,
+                &want,
+            )
+            .await;
     }
 
     /// Reads what a stopped run had sent before it stopped.
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -126,7 +126,7 @@
         clippy::too_many_arguments,
         reason = "the run, its engine and what is wanted of others come from three owners"
     )]
-    pub(super) fn begin(
+    pub(super) async fn begin(
         &mut self,
         shared: &Arc<Shared>,
         call: &Arc<Call>,
@@ -150,7 +150,7 @@
             *self = Self::Waiting { at, full };
             return;
         };
-        let Some(target) = shared.fleet.place_move(want, &slot.endpoint) else {
+        let Some(target) = shared.admit_move(want).await else {
             let at = now + Duration::from_millis(RETRY_MS);
             let full = Vec::new();
             *self = Self::Waiting { at, full };
@@ -229,7 +229,7 @@
         let Self::Copying {
             mut departure,
             stop_at,
-            target,
+            mut target,
             ..
         } = std::mem::replace(self, Self::Fixed)
         else {
@@ -238,6 +238,7 @@
         departure.note("run copied", &target, &outcome);
         *self = match outcome {
             CopyOutcome::Copied { handle } => {
+                target.note_copied();
                 let pool = Arc::clone(&target.endpoint.pool);
                 tokio::spawn(async move { pool.warm().await });
                 Self::Copied {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use catalog::Catalog;
@@ -22,6 +23,8 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<ServingMetrics>,
+    /// Time up to which the registry that sums loads is not asked for room.
+    pub(crate) reservations_paused_until_ms: AtomicU64,
     pub(crate) retry_limits: RetryLimits,
     pub(crate) subscription: Subscription,
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,12 @@
 //! Pattern: short answers to long prompts beside long answers. Reading a prompt slows every answer
 //! that is made on the engine, so a part of the engines is preferred for requests that mostly read,
 //! and the others for those that mostly write.
+//!
+//! Pattern: several engines of a data centre leave at once, and all instances move runs off them in
+//! the same moment. Copies queue on the link of the engine that takes them, so a run goes where the
+//! copies that are on their way leave time for its own.
+
+use serde::{Deserialize, Serialize};
 
 /// Part of an engine's memory that predictions may fill, in percent. The rest takes what
 /// predictions miss and what other instances have sent since the last exchange.
@@ -26,7 +32,7 @@
 
 /// Prompt tokens that an engine reads in a millisecond: half of what the engines' data sheets say,
 /// as every step that reads a chunk takes the time of a step without one besides.
-pub(crate) const READ_TOKENS_PER_MS: u64 = 7;
+pub const READ_TOKENS_PER_MS: u64 = 7;
 
 /// Range of the random part of a cost, in ms: what some requests that other instances have sent
 /// since the last exchange cost.
@@ -61,12 +67,18 @@
 /// prompt, so that a queue of more than that overflows into the other part.
 const OTHER_PART_MS: u64 = 220;
 
+/// Longest time in which a copy is to reach the endpoint that takes the run; engines leave 1.5 s
+/// and more after their notice, and the last part of the run's memory follows the copy.
+const COPY_MS_MAX: u64 = 1_300;
+
 /// Time of one token as a multiple of the time to read one, for telling what a request mostly does.
 const WRITE_TO_READ: u64 = 50;
 
 /// What a request needs.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Deserialize, Serialize)]
 pub struct Demand {
+    /// Tokens of its memory that have to be copied.
+    pub copied_tokens: u64,
     /// Whether it is a run that is lost if it finds no room.
     pub is_move: bool,
     /// Prompt tokens to be read.
@@ -78,8 +90,10 @@
 }
 
 /// What an endpoint runs for all instances.
-#[derive(Debug, Clone, Copy, Default, Eq, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
+    /// Tokens of runs that are being copied to it.
+    pub arriving_tokens: u64,
     /// Prompt tokens that wait to be read.
     pub prefill_tokens: u64,
     /// Requests.
@@ -89,8 +103,10 @@
 }
 
 /// An endpoint that a request may be sent to.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Deserialize, Serialize)]
 pub struct Candidate {
+    /// Tokens that its link copies in a second, for a run that moves there; 0 where none are.
+    pub copy_tokens_per_s: u64,
     /// Time of a round trip.
     pub distance_ms: u64,
     /// Whether it is slow after its start.
@@ -123,11 +139,36 @@
 }
 
 impl Load {
-    pub(crate) fn add(&mut self, other: &Self) {
+    /// Adds what others run.
+    pub fn add(&mut self, other: &Self) {
+        self.arriving_tokens += other.arriving_tokens;
         self.prefill_tokens += other.prefill_tokens;
         self.runs += other.runs;
         self.tokens += other.tokens;
     }
+
+    /// What is left without a part of it; nothing where the part is older and larger.
+    #[must_use]
+    pub fn without(&self, part: &Self) -> Self {
+        Self {
+            arriving_tokens: self.arriving_tokens.saturating_sub(part.arriving_tokens),
+            prefill_tokens: self.prefill_tokens.saturating_sub(part.prefill_tokens),
+            runs: self.runs.saturating_sub(part.runs),
+            tokens: self.tokens.saturating_sub(part.tokens),
+        }
+    }
+}
+
+impl From<&Demand> for Load {
+    /// Load of an endpoint that has just taken a request.
+    fn from(demand: &Demand) -> Self {
+        Self {
+            arriving_tokens: demand.copied_tokens,
+            prefill_tokens: demand.prefill_tokens,
+            runs: 1,
+            tokens: demand.tokens,
+        }
+    }
 }
 
 impl Candidate {
@@ -145,9 +186,9 @@
             MEMORY_PERCENT
         };
         let fits = tokens * 100 <= self.memory_tokens * percent;
-        let is_read_in_time = self.read_ms(demand) <= demand.read_ms_max;
-        (fits && is_read_in_time || is_idle)
-            && self.load.runs * 100 < self.slots.max(1) * SLOTS_PERCENT
+        let is_in_time =
+            self.read_ms(demand) <= demand.read_ms_max && self.copy_ms(demand) <= COPY_MS_MAX;
+        (fits && is_in_time || is_idle) && self.load.runs * 100 < self.slots.max(1) * SLOTS_PERCENT
     }
 
     /// Expected time until the request's prompt is read, behind those that wait.
@@ -155,6 +196,15 @@
         (self.load.prefill_tokens + demand.prefill_tokens) / READ_TOKENS_PER_MS
     }
 
+    /// Expected time until the request's memory has been copied, behind other copies.
+    fn copy_ms(&self, demand: &Demand) -> u64 {
+        if demand.copied_tokens == 0 {
+            return 0;
+        }
+        let tokens = self.load.arriving_tokens + demand.copied_tokens;
+        tokens * 1_000 / self.copy_tokens_per_s.max(1)
+    }
+
     /// Expected delay of the request's first answer, with what it costs the others.
     #[must_use]
     pub fn cost_ms(&self, demand: &Demand) -> u64 {
@@ -165,7 +215,7 @@
             let busy_ms = u64::from(self.load.runs) * PLAIN_SERVICE_MS / (4 * slots);
             return self.distance_ms + waiting * PLAIN_SERVICE_MS / slots + busy_ms + cold_ms;
         }
-        let read_ms = self.read_ms(demand);
+        let read_ms = self.read_ms(demand) + self.copy_ms(demand);
         let fill_ms = (self.load.tokens + demand.tokens) * FILL_MS / self.memory_tokens;
         let crowd_ms = u64::from(self.load.runs) * CROWD_MS_PER_RUN;
         let is_of_part = self.is_for_reading == demand.mostly_reads();
--- a/crates/gateway/tests/prompts_go_where_they_are_read_first.rs
+++ b/crates/placement/tests/prompts_go_where_they_are_read_first.rs
@@ -1,16 +1,18 @@
 //! Pattern: a burst of long prompts on engines whose memory fills while they decode.
 
-use gateway::{Candidate, Demand, Load, choose, reading_engines, sample_size};
+use placement::{Candidate, Demand, Load, choose, reading_engines, sample_size};
 use quickcheck::QuickCheck;
 
 const MEMORY_TOKENS: u64 = 34_481;
 
 fn engine(tokens: u64, prefill_tokens: u64, runs: u32) -> Candidate {
     Candidate {
+        copy_tokens_per_s: 18_000,
         distance_ms: 1,
         is_cold: false,
         is_for_reading: false,
         load: Load {
+            arriving_tokens: 0,
             prefill_tokens,
             runs,
             tokens,
@@ -22,6 +24,7 @@
 
 fn draft() -> Demand {
     Demand {
+        copied_tokens: 0,
         is_move: false,
         prefill_tokens: 3_000,
         read_ms_max: 1_350,
@@ -110,6 +113,7 @@
 #[test]
 fn a_near_endpoint_goes_before_a_far_one() {
     let plain = |distance_ms, runs| Candidate {
+        copy_tokens_per_s: 0,
         distance_ms,
         is_cold: false,
         is_for_reading: false,
@@ -177,3 +181,38 @@
         .tests(1_000)
         .quickcheck(holds as fn(Vec<(u16, u16, u8)>, u64) -> bool);
 }
+
+/// Nine runs leave one engine at once while two others can take them.
+#[test]
+fn copies_spread_over_the_links_that_take_them() {
+    let run = Demand {
+        copied_tokens: 3_300,
+        is_move: true,
+        prefill_tokens: 0,
+        ..draft()
+    };
+    let mut engines = [engine(8_000, 0, 2), engine(9_000, 0, 2)];
+    let mut taken = [0, 0];
+    for draw in 0..9 {
+        let at = choose(&engines, &run, 0, draw).expect("both have time left");
+        engines[at].load.add(&Load::from(&run));
+        taken[at] += 1;
+    }
+    assert!(
+        taken.iter().all(|&runs| (4..=5).contains(&runs)),
+        "{taken:?}"
+    );
+}
+
+#[test]
+fn a_run_does_not_go_where_its_copy_would_come_too_late() {
+    let run = Demand {
+        copied_tokens: 3_300,
+        is_move: true,
+        prefill_tokens: 0,
+        ..draft()
+    };
+    let mut engine = engine(2_000, 0, 1);
+    engine.load.arriving_tokens = 22_000;
+    assert_eq!(choose(&[engine], &run, 0, 1), None);
+}
--- a/crates/registry/src/inner.rs
+++ b/crates/registry/src/inner.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use placement::{Candidate, Demand, Load};
 use serde::{Deserialize, Serialize};
 
 use crate::{Document, Registration};
@@ -18,6 +19,8 @@
     async fn poll(request: PollRequest) -> PollAnswer;
     /// Replicates a document; whether it is committed.
     async fn propose(document: Document) -> bool;
+    /// Takes a [`ReservationRequest`] and gives a [`Reservation`], both in the form of postcard.
+    async fn reserve(request: Vec<u8>) -> Vec<u8>;
     /// Takes heartbeats that another registry received.
     async fn share(notices: Vec<Notice>);
 }
@@ -90,14 +93,10 @@
     pub failures: u32,
     /// Name of the endpoint.
     pub id: String,
-    /// Prompt tokens that wait to be read.
-    pub prefill_tokens: u64,
-    /// Requests.
-    pub runs: u32,
+    /// What runs there.
+    pub load: Load,
     /// Requests that succeeded there lately.
     pub successes: u32,
-    /// Tokens that the requests will hold at their ends, as predicted.
-    pub tokens: u64,
 }
 
 /// What was sent to one service of late.
@@ -118,10 +117,54 @@
     pub instance: String,
     /// Its load, sorted by endpoint.
     pub loads: Vec<EndpointLoad>,
+    /// Numbers of its reservations that are part of the load or were given up.
+    pub reservations: ReservationsSeen,
     /// What it has sent, sorted by service.
     pub services: Vec<ServiceLoad>,
 }
 
+/// Reservations of an instance that a report of it covers.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReservationsSeen {
+    /// Number of its next reservation; all below are covered.
+    pub next: u64,
+    /// Lower numbers that are not covered, as their answers are still awaited.
+    pub awaited: Vec<u64>,
+}
+
+/// Asks for room on one of some endpoints.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct ReservationRequest {
+    /// What the request needs.
+    pub demand: Demand,
+    /// Name of the instance that asks.
+    pub instance: String,
+    /// Number of the reservation at that instance.
+    pub number: u64,
+    /// Endpoints that suit it.
+    pub options: Vec<RoomOption>,
+}
+
+/// An endpoint that suits a request.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct RoomOption {
+    /// The endpoint, with its load as the instance knows it.
+    pub candidate: Candidate,
+    /// Its name.
+    pub id: String,
+}
+
+/// What came of asking for room.
+#[derive(Debug, Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Reservation {
+    /// None of the endpoints has room.
+    Full,
+    /// The request is expected at the option of this position.
+    Room(usize),
+    /// The registry does not know the loads yet.
+    Unknown,
+}
+
 /// What all instances run.
 #[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadTotals {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -12,7 +12,9 @@
 //! accepted is in force everywhere at most one lease later, even on instances that are cut off.
 //!
 //! Subscribers exchange what they run on each endpoint through one registry, so that each of them
-//! knows the load of all.
+//! knows the load of all. The same registry reserves room for generations: it has seen every one
+//! that was placed before, where a subscriber knows the sums of a while ago. Where it is silent,
+//! subscribers choose by those.
 
 mod boot_clock;
 mod directory;
@@ -40,7 +42,8 @@
 pub use document::{Document, DocumentMachine};
 pub use error::Error;
 pub use inner::{
-    EndpointLoad, LoadReport, LoadTotals, Notice, PollAnswer, PollRequest, Record, ServiceLoad,
+    EndpointLoad, LoadReport, LoadTotals, Notice, PollAnswer, PollRequest, Record, Reservation,
+    ReservationRequest, ReservationsSeen, RoomOption, ServiceLoad,
 };
 pub use lease::Lease;
 pub use load_board::LoadBoard;
--- a/crates/registry/src/link.rs
+++ b/crates/registry/src/link.rs
@@ -63,7 +63,8 @@
         }
     }
 
-    fn connected(&self) -> Option<InnerClient> {
+    /// The connection, if there is one.
+    pub(crate) fn connected(&self) -> Option<InnerClient> {
         self.lock().clone()
     }
 
--- a/crates/registry/src/load_board.rs
+++ b/crates/registry/src/load_board.rs
@@ -1,14 +1,34 @@
-use crate::{EndpointLoad, LoadReport, LoadTotals, ServiceLoad};
+//! Sums what the instances run on each endpoint, and reserves room.
+//!
+//! Pattern: many instances that choose by the same old sums crowd the same engine. A reservation
+//! counts as load from the moment it is made until a report of its instance covers it, so that the
+//! next one sees it.
+
+use placement::{Demand, Load, choose};
+
+use crate::{
+    EndpointLoad, LoadReport, LoadTotals, Reservation, ReservationRequest, ReservationsSeen,
+    RoomOption, ServiceLoad,
+};
 
 /// Time after which the report of an instance that sends no more counts for nothing; ten reports
 /// are sent in it.
 const REPORT_TTL_MS: u64 = 1_500;
 
+/// Time from the first report in which the others are awaited: the longest time between two
+/// reports of an instance, and its way here.
+const SETTLE_MS: u64 = 350;
+
 /// Sums of what the instances run on each endpoint.
 #[derive(Debug, Default)]
 pub struct LoadBoard {
+    first_report_ms: Option<u64>,
     /// Sorted by instance.
     reports: Vec<Reported>,
+    /// Sorted by instance and number.
+    reserved: Vec<Reserved>,
+    /// Sums of all reports, sorted by endpoint.
+    sums: Vec<EndpointLoad>,
 }
 
 #[derive(Debug)]
@@ -17,37 +37,158 @@
     report: LoadReport,
 }
 
+#[derive(Debug)]
+struct Reserved {
+    at_ms: u64,
+    endpoint: String,
+    instance: String,
+    load: Load,
+    number: u64,
+}
+
 impl LoadBoard {
     /// Replaces the report of an instance, and gives the sums.
     pub fn exchange(&mut self, now_ms: u64, report: LoadReport) -> LoadTotals {
-        let found = self
-            .reports
-            .binary_search_by(|known| known.report.instance.cmp(&report.instance));
+        self.forget(now_ms);
+        self.release(&report.instance, &report.reservations);
+        self.first_report_ms.get_or_insert(now_ms);
+        for load in &report.loads {
+            self.add(load);
+        }
+        let instance = report.instance.clone();
         let reported = Reported {
             at_ms: now_ms,
             report,
         };
+        let found = self
+            .reports
+            .binary_search_by(|known| known.report.instance.cmp(&instance));
         match found {
-            Ok(at) => self.reports[at] = reported,
+            Ok(at) => {
+                let older = std::mem::replace(&mut self.reports[at], reported);
+                self.subtract(&older.report);
+            }
             Err(at) => self.reports.insert(at, reported),
         }
-        self.reports
-            .retain(|known| now_ms.saturating_sub(known.at_ms) < REPORT_TTL_MS);
-        self.totals()
+        self.totals(&instance)
     }
 
-    fn totals(&self) -> LoadTotals {
-        let mut loads: Vec<EndpointLoad> = Vec::new();
-        for load in self.reports.iter().flat_map(|known| &known.report.loads) {
-            match loads.binary_search_by(|sum| sum.id.cmp(&load.id)) {
-                Ok(at) => {
-                    loads[at].failures += load.failures;
-                    loads[at].prefill_tokens += load.prefill_tokens;
-                    loads[at].runs += load.runs;
-                    loads[at].successes += load.successes;
-                    loads[at].tokens += load.tokens;
+    /// Reserves room on the best of some endpoints; `draw` decides between nearly equal ones.
+    pub fn reserve(&mut self, now_ms: u64, request: &ReservationRequest, draw: u64) -> Reservation {
+        self.forget(now_ms);
+        let is_settled = |first_ms| now_ms >= first_ms + SETTLE_MS;
+        if !self.first_report_ms.is_some_and(is_settled) {
+            return Reservation::Unknown;
+        }
+        let options = request.options.iter();
+        let candidates: Vec<_> = options
+            .map(|option| {
+                let mut candidate = option.candidate;
+                candidate.load = self.load(&option.id);
+                candidate
+            })
+            .collect();
+        match choose(&candidates, &request.demand, 0, draw) {
+            Some(at) => {
+                self.note_reserved(now_ms, request, &request.options[at], &request.demand);
+                Reservation::Room(at)
+            }
+            None => Reservation::Full,
+        }
+    }
+
+    /// What all instances run on an endpoint, and what is expected there.
+    fn load(&self, endpoint: &str) -> Load {
+        let found = self
+            .sums
+            .binary_search_by(|sum| sum.id.as_str().cmp(endpoint));
+        let mut load = found.map_or_else(|_| Load::default(), |at| self.sums[at].load);
+        for reserved in &self.reserved {
+            if reserved.endpoint == endpoint {
+                load.add(&reserved.load);
+            }
+        }
+        load
+    }
+
+    fn note_reserved(
+        &mut self,
+        now_ms: u64,
+        request: &ReservationRequest,
+        option: &RoomOption,
+        demand: &Demand,
+    ) {
+        let key = (request.instance.as_str(), request.number);
+        let at = self.reserved.partition_point(|known| known.key() < key);
+        let reserved = Reserved {
+            at_ms: now_ms,
+            endpoint: option.id.clone(),
+            instance: request.instance.clone(),
+            load: Load::from(demand),
+            number: request.number,
+        };
+        self.reserved.insert(at, reserved);
+    }
+
+    /// Drops reservations that are part of a report.
+    fn release(&mut self, instance: &str, seen: &ReservationsSeen) {
+        self.reserved.retain(|known| {
+            known.instance != instance
+                || known.number >= seen.next
+                || seen.awaited.binary_search(&known.number).is_ok()
+        });
+    }
+
+    /// Drops what instances said that have fallen silent.
+    fn forget(&mut self, now_ms: u64) {
+        let is_old = |at_ms: u64| now_ms.saturating_sub(at_ms) >= REPORT_TTL_MS;
+        self.reserved.retain(|known| !is_old(known.at_ms));
+        let silent = self
+            .reports
+            .extract_if(.., |known| is_old(known.at_ms))
+            .collect::<Vec<_>>();
+        for reported in silent {
+            self.subtract(&reported.report);
+        }
+        if self.reports.is_empty() {
+            self.first_report_ms = None;
+        }
+    }
+
+    fn add(&mut self, load: &EndpointLoad) {
+        match self.sums.binary_search_by(|sum| sum.id.cmp(&load.id)) {
+            Ok(at) => self.sums[at].add(load),
+            Err(at) => self.sums.insert(at, load.clone()),
+        }
+    }
+
+    fn subtract(&mut self, report: &LoadReport) {
+        for load in &report.loads {
+            if let Ok(at) = self.sums.binary_search_by(|sum| sum.id.cmp(&load.id)) {
+                self.sums[at].subtract(load);
+                if self.sums[at].is_empty() {
+                    self.sums.remove(at);
                 }
-                Err(at) => loads.insert(at, load.clone()),
+            }
+        }
+    }
+
+    /// Sums of all reports, with what other instances have reserved.
+    fn totals(&self, instance: &str) -> LoadTotals {
+        let mut loads = self.sums.clone();
+        let elsewhere = self.reserved.iter();
+        for reserved in elsewhere.filter(|reserved| reserved.instance != instance) {
+            match loads.binary_search_by(|sum| sum.id.cmp(&reserved.endpoint)) {
+                Ok(at) => loads[at].load.add(&reserved.load),
+                Err(at) => loads.insert(
+                    at,
+                    EndpointLoad {
+                        failures: 0,
+                        id: reserved.endpoint.clone(),
+                        load: reserved.load,
+                        successes: 0,
+                    },
+                ),
             }
         }
         LoadTotals {
@@ -71,3 +212,27 @@
         services
     }
 }
+
+impl Reserved {
+    fn key(&self) -> (&str, u64) {
+        (&self.instance, self.number)
+    }
+}
+
+impl EndpointLoad {
+    fn add(&mut self, other: &Self) {
+        self.failures += other.failures;
+        self.load.add(&other.load);
+        self.successes += other.successes;
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.failures -= other.failures;
+        self.load = self.load.without(&other.load);
+        self.successes -= other.successes;
+    }
+
+    fn is_empty(&self) -> bool {
+        self.failures + self.successes == 0 && self.load == Load::default()
+    }
+}
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -18,7 +18,7 @@
 use crate::link::codec;
 use crate::prover::Prover;
 use crate::publisher::Publisher;
-use crate::{Document, DocumentMachine, Error, LoadBoard, Notice};
+use crate::{Document, DocumentMachine, Error, LoadBoard, Notice, Reservation};
 
 /// What the calls of other instances reach.
 #[derive(Clone)]
@@ -110,6 +110,21 @@
         proposed.is_ok()
     }
 
+    async fn reserve(self, _context: Context, request: Vec<u8>) -> Vec<u8> {
+        let now_ms = self.publisher.now_ms();
+        let reservation = match postcard::from_bytes(&request) {
+            Ok(request) => {
+                let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+                loads.reserve(now_ms, &request, rand::random())
+            }
+            Err(error) => {
+                warn!(self.log, "request for room not understood"; "error" => %error);
+                Reservation::Unknown
+            }
+        };
+        postcard::to_stdvec(&reservation).expect("a reservation can be encoded")
+    }
+
     async fn share(self, _context: Context, notices: Vec<Notice>) {
         for notice in notices {
             self.publisher.record(notice);
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -2,15 +2,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use placement::Demand;
 use slog::{Logger, debug, info, warn};
+use tarpc::client::RpcError;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::inner::{LoadReport, PollAnswer, PollRequest};
 use crate::link::{Link, within};
 use crate::{
-    DirectoryView, Document, Endpoint, EndpointLoad, Error, Lease, LoadTotals, ServiceLoad,
-    SubscriptionSettings, boot_time_ms,
+    DirectoryView, Document, Endpoint, EndpointLoad, Error, Lease, LoadTotals, Reservation,
+    ReservationRequest, ReservationsSeen, RoomOption, ServiceLoad, SubscriptionSettings,
+    boot_time_ms,
 };
 
 /// Time that a registry may hold a poll without news.
@@ -28,6 +31,9 @@
 /// Longest time for exchanging loads.
 const EXCHANGE_TIMEOUT_MS: u64 = 300;
 
+/// Longest time for reserving room: three round trips between regions.
+const RESERVE_TIMEOUT_MS: u64 = 75;
+
 /// Failures in a row after which a registry that is no member is forgotten.
 const FAILURES_MAX: u32 = 20;
 
@@ -138,6 +144,7 @@
     pub async fn exchange(
         &self,
         loads: Vec<EndpointLoad>,
+        reservations: ReservationsSeen,
         services: Vec<ServiceLoad>,
     ) -> Result<LoadTotals, Error> {
         let link = self.shared.hub().ok_or(Error::Unavailable {
@@ -147,6 +154,7 @@
         let report = LoadReport {
             instance: self.shared.settings.instance.clone(),
             loads,
+            reservations,
             services,
         };
         let report = postcard::to_stdvec(&report).expect("a report can be encoded");
@@ -157,6 +165,47 @@
             reason: error.to_string(),
         })
     }
+
+    /// Asks for room on one of some endpoints, where the registry that sums loads is connected.
+    ///
+    /// # Errors
+    ///
+    /// Fails where that registry does not answer soon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if memory runs out.
+    pub async fn reserve(
+        &self,
+        number: u64,
+        demand: &Demand,
+        options: Vec<RoomOption>,
+    ) -> Result<Reservation, Error> {
+        let unavailable = Error::Unavailable {
+            timeout_ms: RESERVE_TIMEOUT_MS,
+        };
+        let connected = |link: Arc<Link>| Some((link.connected()?, link));
+        let Some((client, link)) = self.shared.hub().and_then(connected) else {
+            return Err(unavailable);
+        };
+        let request = ReservationRequest {
+            demand: *demand,
+            instance: self.shared.settings.instance.clone(),
+            number,
+            options,
+        };
+        let request = postcard::to_stdvec(&request).expect("a request for room can be encoded");
+        let reservation = match client.reserve(within(RESERVE_TIMEOUT_MS), request).await {
+            Ok(reservation) => reservation,
+            // The connection may be sound; exchanges drop one that is not.
+            Err(RpcError::DeadlineExceeded) => return Err(unavailable),
+            Err(error) => return Err(link.error(&error)),
+        };
+        postcard::from_bytes(&reservation).map_err(|error| Error::Connect {
+            address: link.address(),
+            reason: error.to_string(),
+        })
+    }
 }
 
 impl Shared {
--- a/crates/registry/tests/a_lease_counts_from_the_question.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_question.rs
@@ -3,9 +3,11 @@
 
 use control::StateMachine;
 use names::LogIndex;
+use placement::Load;
 use quickcheck::QuickCheck;
 use registry::{
-    Document, DocumentMachine, EndpointLoad, Lease, LoadBoard, LoadReport, ServiceLoad,
+    Document, DocumentMachine, EndpointLoad, Lease, LoadBoard, LoadReport, ReservationsSeen,
+    ServiceLoad,
 };
 use tokio::sync::watch;
 
@@ -87,11 +89,14 @@
         loads: vec![EndpointLoad {
             failures: 0,
             id: "a".to_owned(),
-            prefill_tokens: 0,
-            runs,
+            load: Load {
+                runs,
+                tokens: 100,
+                ..Load::default()
+            },
             successes: 1,
-            tokens: 100,
         }],
+        reservations: ReservationsSeen::default(),
         services: vec![ServiceLoad {
             name: "forge-llm".to_owned(),
             repeats: 2,
@@ -105,8 +110,8 @@
     let mut board = LoadBoard::default();
     board.exchange(0, report("x", 3));
     let both = board.exchange(100, report("y", 4));
-    assert_eq!((both.instances, both.loads[0].runs), (2, 7));
+    assert_eq!((both.instances, both.loads[0].load.runs), (2, 7));
     assert_eq!(both.services[0].repeats, 4);
     let alone = board.exchange(5_000, report("y", 4));
-    assert_eq!((alone.instances, alone.loads[0].runs), (1, 4));
+    assert_eq!((alone.instances, alone.loads[0].load.runs), (1, 4));
 }
