Let a run that moves go on at its first copy

Change: no last copy. The request is sent to the target as soon as the first copy is made, and the run at the source ends with its connection. What was generated meanwhile is read again, which is one step. Where the target does not take it, the run stays and another target is tried.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -17,8 +17,8 @@
     /// Reads what the system needs to know of an endpoint's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
-    /// Request that copies a run to another endpoint, and stops it first if it is the last one.
-    fn copy_request(&self, run: &str, to: SocketAddr, is_last: bool) -> Request<Full<Bytes>>;
+    /// Request that copies a run to another endpoint while it goes on.
+    fn copy_request(&self, run: &str, to: SocketAddr) -> Request<Full<Bytes>>;
 
     /// Reads the answer to a copy.
     fn read_copy(&self, status: StatusCode, body: &[u8]) -> CopyOutcome;
@@ -98,11 +98,8 @@
     },
     /// It failed for another reason.
     Failed,
-    /// The destination has no room or is out of reach; the source keeps the memory.
-    NoRoom {
-        /// Handle at the source, if the run was stopped.
-        handle: Option<String>,
-    },
+    /// The destination has no room or is out of reach.
+    NoRoom,
     /// The source does not run the request.
     NoSuchRun,
 }
@@ -114,7 +111,7 @@
             Self::Busy => "busy",
             Self::Copied { .. } => "copied",
             Self::Failed => "failed",
-            Self::NoRoom { .. } => "no-room",
+            Self::NoRoom => "no-room",
             Self::NoSuchRun => "no-such-run",
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,5 +37,5 @@
 pub use retry_budget::{RetryBudget, RetryLimits, Sendings};
 pub use return_schedule::ReturnSchedule;
 pub use settings::{Distance, GatewaySettings, Place};
-pub use transfer::{CopyPlan, copy_plan};
+pub use transfer::ends_soon;
 pub use wait_queue::{WaitQueue, Waiter};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,16 +17,16 @@
 use placement::Demand;
 use slog::{info, warn};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
-use crate::attempts::{Accepted, Attempts, Resumption, STREAM_TARGETS, client_head, release};
+use crate::attempts::{Accepted, Attempts, Miss, Resumption, STREAM_TARGETS, client_head, release};
 use crate::clock::elapsed_ms;
 use crate::connection::Connection;
 use crate::fleet::{Slot, Want};
 use crate::outcome::Outcome;
 use crate::reply::{BrokenOff, ReplyBody, relayed_body};
 use crate::{AnswerHead, EventReader, RunCopy};
-use motion::{Motion, Moved};
+use motion::{Arrival, Motion, Moved};
 
 /// Pieces that wait for a slow client.
 const PIECES_WAITING_MAX: usize = 16;
@@ -41,9 +41,6 @@
 /// Longest time for the head of a stream that goes on elsewhere; clients leave after two seconds.
 const RESUME_TIMEOUT_MS: u64 = 1_200;
 
-/// Time for which the rest of a stopped stream is read.
-const REST_TIMEOUT_MS: u64 = 100;
-
 /// Time for which a resumed stream waits for room.
 const RESUME_WAIT_MS: u64 = 300;
 
@@ -230,12 +227,6 @@
     /// Goes on after the endpoint broke the stream off.
     async fn recover(&mut self, how: &str) -> Option<End> {
         self.reader.reset();
-        if let Some((slot, copy)) = self.motion.take_copy().await {
-            info!(self.attempts.shared.log, "stream goes on from a copy";
-                "request" => self.attempts.call.id(), "endpoint" => &slot.endpoint.id,
-                "broke_off" => how);
-            return self.go_on(slot, Some(copy)).await;
-        }
         let now_ms = self.attempts.shared.fleet.now_ms();
         self.slot.endpoint.own().health.fail(now_ms);
         self.resume(&format!("the endpoint broke off {how}")).await
@@ -269,7 +260,13 @@
             "endpoint" => &slot.endpoint.id, "last_event" => self.reader.last_id(),
             "reason" => reason);
         self.attempts.runs += 1;
-        self.go_on(slot, None).await
+        match self.continue_at(&slot, None).await {
+            Ok(accepted) => {
+                self.adopt(accepted, slot, false);
+                None
+            }
+            Err(miss) => Some(End::Broken(format!("the stream did not go on: {miss}"))),
+        }
     }
 
     /// Takes the next step of a move.
@@ -280,11 +277,29 @@
                 None
             }
             Moved::Nothing => None,
-            Moved::Stopped { copy, slot } => {
-                self.read_rest().await;
-                self.reader.reset();
-                self.go_on(slot, Some(copy)).await
+            Moved::Copied(arrival) => self.switch(*arrival).await,
+        }
+    }
+
+    /// Goes on at the copy of a run; the run itself ends with its connection.
+    async fn switch(&mut self, arrival: Arrival) -> Option<End> {
+        let shared = Arc::clone(&self.attempts.shared);
+        if !shared.take_repeat(&self.attempts.call.service) {
+            self.motion.try_again(arrival);
+            return None;
+        }
+        match self.continue_at(&arrival.slot, Some(&arrival.copy)).await {
+            Ok(accepted) => {
+                self.adopt(accepted, arrival.slot, true);
+                None
+            }
+            Err(miss @ (Miss::Rejected(_) | Miss::Unreachable(_))) => {
+                info!(shared.log, "copy not taken"; "request" => self.attempts.call.id(),
+                    "endpoint" => &arrival.slot.endpoint.id, "reason" => %miss);
+                self.motion.try_again(arrival);
+                None
             }
+            Err(miss) => Some(End::Broken(format!("the stream did not go on: {miss}"))),
         }
     }
 
@@ -306,7 +321,6 @@
         let prompt_tokens = prompt.map_or(0, |prompt| prompt.prompt_tokens);
         let output = self.predicted_tokens.saturating_sub(prompt_tokens);
         let tokens_left = output.saturating_sub(held).max(held / TAIL_SHARE);
-        let tokens_on_engine = self.slot.endpoint.load().tokens;
         let mut excluded = self.motion.full().to_vec();
         excluded.push(self.slot.endpoint.id.clone());
         let want = Want {
@@ -324,62 +338,31 @@
             wait_ms: 0,
         };
         self.motion
-            .begin(
-                &shared,
-                &call,
-                engine,
-                &self.slot,
-                tokens_left,
-                tokens_on_engine,
-                &want,
-            )
+            .begin(&shared, &call, &self.slot, tokens_left, &want)
             .await;
     }
 
-    /// Reads what a stopped run had sent before it stopped.
-    async fn read_rest(&mut self) {
-        let rest = async {
-            while let Some(Ok(frame)) = self.body.frame().await {
-                let Ok(bytes) = frame.into_data() else {
-                    continue;
-                };
-                let whole = self.reader.push(bytes);
-                if !whole.is_empty() && self.pieces.send(Ok(whole)).await.is_err() {
-                    return;
-                }
-            }
-        };
-        // A stream that does not end is cut; what it had sent after that is made again.
-        let _ = timeout(Duration::from_millis(REST_TIMEOUT_MS), rest).await;
-    }
-
-    /// Sends the request to another endpoint, from a copy or after the last event.
-    async fn go_on(&mut self, slot: Slot, copy: Option<RunCopy>) -> Option<End> {
-        let shared = Arc::clone(&self.attempts.shared);
-        let call = Arc::clone(&self.attempts.call);
-        if copy.is_some() && !shared.take_repeat(&call.service) {
-            return Some(End::Broken("the budget for repeats is spent".to_owned()));
-        }
+    /// Asks an endpoint for what follows the last event, from a copy if there is one.
+    async fn continue_at(&mut self, slot: &Slot, copy: Option<&RunCopy>) -> Result<Accepted, Miss> {
         let resumption = Resumption {
-            copy: copy.as_ref(),
+            copy,
             last_event: self.reader.last_id(),
         };
-        let limit_ms = RESUME_TIMEOUT_MS.min(call.left_ms());
-        let began = Instant::now();
-        let accepted = match self.attempts.send(&slot, &resumption, limit_ms).await {
-            Ok(accepted) if accepted.answer.head.status.is_success() => accepted,
-            Ok(accepted) => {
-                let status = accepted.answer.head.status;
-                return Some(End::Broken(format!("the stream did not go on: {status}")));
-            }
-            Err(miss) => {
-                return Some(End::Broken(format!("the stream did not go on: {miss}")));
-            }
-        };
-        info!(shared.log, "stream goes on"; "request" => call.id(),
+        let limit_ms = RESUME_TIMEOUT_MS.min(self.attempts.call.left_ms());
+        let accepted = self.attempts.send(slot, &resumption, limit_ms).await?;
+        let status = accepted.answer.head.status;
+        if !status.is_success() {
+            return Err(Miss::Failed(format!("the endpoint answered {status}")));
+        }
+        Ok(accepted)
+    }
+
+    /// Takes the events from another endpoint from now on.
+    fn adopt(&mut self, accepted: Accepted, slot: Slot, is_copied: bool) {
+        info!(self.attempts.shared.log, "stream goes on"; "request" => self.attempts.call.id(),
             "from" => &self.slot.endpoint.id, "to" => &slot.endpoint.id,
-            "is_copied" => copy.is_some(), "last_event" => resumption.last_event,
-            "head_ms" => elapsed_ms(began));
+            "is_copied" => is_copied, "last_event" => self.reader.last_id());
+        self.reader.reset();
         self.moves += 1;
         self.body = accepted.answer.body;
         self.connection = accepted.answer.connection;
@@ -387,7 +370,6 @@
         self.motion = Motion::watch(&slot.endpoint);
         self.resumed_at = Instant::now();
         self.slot = slot;
-        None
     }
 
     async fn finish(self, end: End) {
