--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -177,9 +177,9 @@
         self.last_event_at = Instant::now();
         if self.first_ms.is_some() {
             let events = (self.reader.events() - known).max(1);
-            let gap_us = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX) / events;
+            let event_us = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX) / events;
             let now_ms = self.attempts.shared.fleet.now_ms();
-            self.slot.endpoint.own().pace.note(now_ms, gap_us);
+            self.slot.endpoint.own().pace.note(now_ms, event_us);
             self.gap_max_ms = self.gap_max_ms.max(gap_ms);
         } else {
             self.first_ms = Some(self.attempts.call.elapsed_ms());
