Leave one line at every end of a request, with its endpoint and reason

Cause, found by reading every path to an answer: a request that ended with the failure of an endpoint kept from an earlier sending left no line and no count; neither did one whose client left before the answer; a request that timed out did not name its endpoint; a stream that broke off named its reason in another line only; a move that found no room left no line. Change: one place counts and logs answers, a guard logs clients that leave, refusals carry the last endpoint, and moves without room are logged.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -60,8 +60,8 @@
     pub(crate) call: Arc<Call>,
     /// Endpoints that have had it.
     pub(crate) excluded: Vec<String>,
-    /// Answer of an endpoint that failed it, where nothing better comes.
-    failure: Option<Response<ReplyBody>>,
+    /// Answer of an endpoint that failed it, with its id, where nothing better comes.
+    failure: Option<(Response<ReplyBody>, String)>,
     misses: u32,
     /// Sendings that may have run.
     pub(crate) runs: u32,
@@ -116,9 +116,24 @@
     /// Answer of an endpoint, or why there is none.
     pub(crate) async fn answer(mut self) -> Result<Response<ReplyBody>, Refusal> {
         self.shared.note_request(&self.call.service);
+        let refusal = match self.try_endpoints().await {
+            Ok(response) => return Ok(response),
+            Err(refusal) => refusal,
+        };
+        if let Some((failure, endpoint)) = self.failure.take() {
+            self.note_answered(failure.status(), &endpoint, Some(&refusal.reason));
+            return Ok(failure);
+        }
+        Err(Refusal {
+            endpoint: self.excluded.pop(),
+            ..refusal
+        })
+    }
+
+    async fn try_endpoints(&mut self) -> Result<Response<ReplyBody>, Refusal> {
         loop {
             if self.call.left_ms() < LEFT_MS_MIN {
-                return self.give_up("its time is over");
+                return Err(self.unserved("its time is over"));
             }
             let asked = Instant::now();
             let admitted = self.shared.admit(&self.want()).await;
@@ -126,11 +141,11 @@
             let slot = match admitted {
                 Ok(slot) => slot,
                 Err(refusal) if self.runs == 0 => return Err(refusal),
-                Err(refusal) => return self.give_up(&refusal.reason),
+                Err(refusal) => return Err(self.unserved(&refusal.reason)),
             };
             let is_repeat = self.runs + self.misses > 0;
             if is_repeat && !self.shared.take_repeat(&self.call.service) {
-                return self.give_up("the budget for repeats is spent");
+                return Err(self.unserved("the budget for repeats is spent"));
             }
             let limit_ms = self.limit_ms();
             let sent = self.send(&slot, &Resumption::default(), limit_ms).await;
@@ -147,7 +162,7 @@
             self.excluded.push(slot.endpoint.id.clone());
             drop(slot);
             if let Some(refusal) = self.note_miss(&miss) {
-                return self.failure.take().ok_or(refusal);
+                return Err(refusal);
             }
         }
     }
@@ -246,18 +261,25 @@
         let response = response(head, bytes);
         if status.is_server_error() && self.may_run_again() {
             self.excluded.push(endpoint.id.clone());
-            self.failure = Some(response);
+            self.failure = Some((response, endpoint.id.clone()));
             return None;
         }
+        self.note_answered(status, &endpoint.id, None);
+        Some(Ok(response))
+    }
+
+    /// Counts and logs the answer of an endpoint, and why a better one did not come, if it failed.
+    fn note_answered(&self, status: StatusCode, endpoint: &str, reason: Option<&str>) {
         let call = &self.call;
+        let duration_ms = call.elapsed_ms();
         self.shared
-            .note_end(Some(call), Outcome::Answered, call.elapsed_ms());
-        info!(self.shared.log, "request ended"; "waited_ms" => self.waited_ms, "request" => call.id(),
-            "outcome" => ?Outcome::Answered, "status" => status.as_u16(),
-            "route" => &call.route.name, "customer" => call.customer.as_deref(),
-            "endpoint" => &endpoint.id, "sendings" => self.runs + self.misses,
-            "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
-        Some(Ok(response))
+            .note_end(Some(call), Outcome::Answered, duration_ms);
+        info!(self.shared.log, "request ended"; "waited_ms" => self.waited_ms,
+            "request" => call.id(), "outcome" => ?Outcome::Answered, "status" => status.as_u16(),
+            "reason" => reason, "route" => &call.route.name,
+            "customer" => call.customer.as_deref(), "endpoint" => endpoint,
+            "sendings" => self.runs + self.misses, "document_version" => call.catalog.version(),
+            "duration_ms" => duration_ms);
     }
 
     /// Tries again after an answer that cannot be passed on, or says why not.
@@ -304,11 +326,6 @@
         Refusal::not_run(reason, REPEAT_WAIT_MS)
     }
 
-    fn give_up(&mut self, reason: &str) -> Result<Response<ReplyBody>, Refusal> {
-        let refusal = self.unserved(reason);
-        self.failure.take().ok_or(refusal)
-    }
-
     fn may_run_again(&self) -> bool {
         let route = &self.call.route;
         route.repeat.is_idempotent() && self.runs < route.attempts_max
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -101,26 +101,68 @@
     let started = Instant::now();
     let (parts, body) = request.into_parts();
     let mut head = shared.dialect.read_call(&parts.headers);
-    let id = head.request_id.clone();
+    let unanswered = Unanswered::new(shared, head.request_id.clone(), started);
     let (call, refusal) = match read(shared, parts, body, &mut head, started).await {
         Ok(call) => {
             let call = Arc::new(call);
             let attempts = Attempts::new(Arc::clone(shared), Arc::clone(&call));
             match attempts.answer().await {
-                Ok(response) => return response,
+                Ok(response) => {
+                    unanswered.end();
+                    return response;
+                }
                 Err(refusal) => (Some(call), refusal),
             }
         }
         Err(refusal) => (None, refusal),
     };
+    let id = unanswered.end();
     shared.note_end(call.as_deref(), refusal.outcome, elapsed_ms(started));
     info!(shared.log, "request ended"; "request" => id, "outcome" => ?refusal.outcome,
         "route" => call.as_ref().map(|call| call.route.name.clone()),
-        "status" => refusal.status.as_u16(), "reason" => &refusal.reason,
-        "retry_after_ms" => refusal.retry_after_ms, "duration_ms" => elapsed_ms(started));
+        "endpoint" => &refusal.endpoint, "status" => refusal.status.as_u16(),
+        "reason" => &refusal.reason, "retry_after_ms" => refusal.retry_after_ms,
+        "duration_ms" => elapsed_ms(started));
     refuse(&refusal)
 }
 
+/// A request without an answer; its client has left if it is dropped.
+struct Unanswered {
+    id: Option<String>,
+    is_ended: bool,
+    shared: Arc<Shared>,
+    started: Instant,
+}
+
+impl Unanswered {
+    fn new(shared: &Arc<Shared>, id: Option<String>, started: Instant) -> Self {
+        Self {
+            id,
+            is_ended: false,
+            shared: Arc::clone(shared),
+            started,
+        }
+    }
+
+    fn end(mut self) -> Option<String> {
+        self.is_ended = true;
+        self.id.take()
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        let duration_ms = elapsed_ms(self.started);
+        self.shared.note_end(None, Outcome::ClientLeft, duration_ms);
+        info!(self.shared.log, "request ended"; "request" => &self.id,
+            "outcome" => ?Outcome::ClientLeft, "reason" => "the client left before an answer",
+            "duration_ms" => duration_ms);
+    }
+}
+
 async fn read(
     shared: &Arc<Shared>,
     parts: Parts,
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -40,6 +40,8 @@
 /// Why this instance ends a request with an answer of its own.
 #[derive(Debug, Clone)]
 pub(crate) struct Refusal {
+    /// Last endpoint that had the request, by id.
+    pub(crate) endpoint: Option<String>,
     pub(crate) outcome: Outcome,
     pub(crate) reason: String,
     pub(crate) retry_after_ms: Option<u64>,
@@ -49,6 +51,7 @@
 impl Refusal {
     pub(crate) fn new(outcome: Outcome, status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
+            endpoint: None,
             outcome,
             reason: reason.into(),
             retry_after_ms: None,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -412,6 +412,12 @@
             }
             End::ClientLeft => {}
         }
+        let reason = match &end {
+            End::Broken(reason) => Some(reason.as_str()),
+            End::ClientLeft => Some("the client left within the answer"),
+            End::Complete => None,
+            End::TimedOut => Some("the answer did not end in time"),
+        };
         if let End::Broken(reason) = &end {
             warn!(shared.log, "stream broken off"; "request" => call.id(), "reason" => reason);
         }
@@ -424,7 +430,7 @@
                 .streamed(customer, kind, first_ms, gap_max_ms);
         }
         info!(shared.log, "request ended"; "request" => call.id(), "outcome" => ?outcome,
-            "status" => 200, "waited_ms" => attempts.waited_ms, "route" => &call.route.name,
+            "status" => 200, "reason" => reason, "waited_ms" => attempts.waited_ms, "route" => &call.route.name,
             "customer" => call.customer.as_deref(), "endpoint" => &slot.endpoint.id,
             "events" => reader.events(), "moves" => moves, "first_ms" => first_ms, "gap_max_ms" => gap_max_ms,
             "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -117,6 +117,9 @@
             return;
         }
         let Some(target) = shared.admit_move(want).await else {
+            info!(shared.log, "move not begun"; "request" => call.id(),
+                "from" => &slot.endpoint.id, "data_centre" => &slot.endpoint.data_centre,
+                "reason" => "no endpoint in reach has room", "excluded" => want.excluded.len());
             *self = Self::retry(Vec::new());
             return;
         };
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use class::{CUSTOMERS_MAX, Class};
 pub use error::Error;
-pub use log::{LINES_PER_SECOND_DEFAULT, Level, logger};
+pub use log::{LINES_PER_SECOND_DEFAULT, Level, logger, logger_to};
 pub use metrics::Metrics;
 pub use serving::{Beliefs, EndedRequest, ServingMetrics};
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -38,10 +38,16 @@
 /// Events wait in a bounded queue for a thread that writes, so that a stalled reader holds nothing
 /// up. Lines beyond those allowed in a second are dropped, counted, and reported in the next one.
 pub fn logger(level: Level, lines_per_second: u32) -> Logger {
-    let lines = Logfmt::new(io::stdout())
-        .set_prefix(write_event)
-        .build()
-        .fuse();
+    logger_to(io::stdout(), level, lines_per_second)
+}
+
+/// The same for another output.
+pub fn logger_to(
+    output: impl Write + Send + 'static,
+    level: Level,
+    lines_per_second: u32,
+) -> Logger {
+    let lines = Logfmt::new(output).set_prefix(write_event).build().fuse();
     let filtered = lines.filter_level(level.0).fuse();
     let limited = Limited {
         drain: filtered,
