Give members, room and late placements of the fleet files of their own

Cause: fleet.rs had grown to 610 lines and three jobs. No behaviour changes: what an endpoint runs, the room that a request holds, and the rate of placements are types in files of their own beside the fleet.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,13 +1,15 @@
 //! Endpoints as this instance knows them, and the requests that wait for room on them.
 
 mod asking;
+mod member;
+mod placed;
+mod slot;
 
-use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use catalog::{Catalog, Engine};
-use placement::{Candidate, Demand, Load, choose, reading_engines};
+use placement::{Candidate, Demand, Load, choose};
 use registry::{EndpointLoad, EndpointState, LoadTotals, ReservationsSeen};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
@@ -15,8 +17,11 @@
 use crate::clock::elapsed_ms;
 use crate::endpoint::Endpoint;
 use crate::outcome::Refusal;
-use crate::{Distance, Place, ReturnSchedule, WaitQueue, slowness_percent};
+use crate::{Distance, Place, ReturnSchedule, WaitQueue};
 pub(crate) use asking::Asking;
+use member::{Member, compare_paces, last_for_reading};
+use placed::{Placed, RATE_WINDOW_MS};
+pub(crate) use slot::Slot;
 
 /// Spacing of returns before any request was served from the queue.
 const SPACING_MS_DEFAULT: u64 = 200;
@@ -24,9 +29,6 @@
 /// Longest spacing of returns.
 const SPACING_MS_MAX: u64 = 2_000;
 
-/// Time over which the rate of requests is taken.
-const RATE_WINDOW_MS: usize = 3_000;
-
 /// Endpoints that a registry chooses from. Choosing the best of a few by fresh sums spreads requests
 /// nearly as well as choosing of all, and keeps the question short in a large fleet.
 const OPTIONS_MAX: usize = 16;
@@ -38,9 +40,6 @@
 /// Factor by which copies to another data centre are slower.
 const MOVE_FAR_FACTOR: u64 = 2;
 
-/// Events of all instances from which an endpoint's pace is known.
-const EVENTS_MIN: u32 = 8;
-
 /// Share of the latest interval in the average of the spacing: one in this many.
 const SPACING_SHARE: u64 = 4;
 
@@ -68,38 +67,6 @@
     spacing_ms: u64,
 }
 
-/// Times of the requests that this instance has placed of late.
-#[derive(Debug, Default)]
-struct Placed(VecDeque<u64>);
-
-impl Placed {
-    fn note(&mut self, now_ms: u64) {
-        self.0.push_back(now_ms);
-        self.count(now_ms);
-    }
-
-    fn count(&mut self, now_ms: u64) -> usize {
-        let is_old = |at_ms: &mut u64| *at_ms + (RATE_WINDOW_MS as u64) <= now_ms;
-        while self.0.pop_front_if(is_old).is_some() {}
-        self.0.len()
-    }
-}
-
-#[derive(Debug)]
-struct Member {
-    born_ms: u64,
-    endpoint: Arc<Endpoint>,
-    is_cold: bool,
-    is_silent: bool,
-    /// Typical time of an event, as last known.
-    pace_us: Option<u64>,
-    reported: Load,
-    reported_outcomes: (u32, u32),
-    slots: u32,
-    /// Time that its work takes, in percent of that of the median endpoint.
-    slowness_percent: u64,
-}
-
 #[derive(Debug)]
 struct Waiting {
     wake: oneshot::Sender<Slot>,
@@ -119,45 +86,6 @@
     pub(crate) wait_ms: u64,
 }
 
-/// Room on an endpoint, given back when dropped.
-#[derive(Debug)]
-pub(crate) struct Slot {
-    pub(crate) endpoint: Arc<Endpoint>,
-    fleet: Arc<Fleet>,
-    load: Load,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        {
-            let mut own = self.endpoint.own();
-            own.load = own.load.without(&self.load);
-        }
-        self.fleet.serve_waiting();
-    }
-}
-
-impl Slot {
-    /// The prompt has been read.
-    pub(crate) fn note_first_event(&mut self) {
-        let read = std::mem::take(&mut self.load.prefill_tokens);
-        self.endpoint.own().load.prefill_tokens -= read;
-    }
-
-    /// The memory of the run that moves has been copied.
-    pub(crate) fn note_copied(&mut self) {
-        let copied = std::mem::take(&mut self.load.arriving_tokens);
-        self.endpoint.own().load.arriving_tokens -= copied;
-    }
-
-    /// Corrects the prediction of the tokens held at the end.
-    pub(crate) fn predict(&mut self, tokens: u64) {
-        let mut own = self.endpoint.own();
-        own.load.tokens = own.load.tokens - self.load.tokens + tokens;
-        self.load.tokens = tokens;
-    }
-}
-
 impl Fleet {
     pub(crate) fn new(place: Place) -> Arc<Self> {
         Arc::new(Self {
@@ -262,7 +190,7 @@
             let found = totals.loads.binary_search_by(|load| load.id.cmp(id));
             member.set_total(now_ms, found.ok().map(|at| &totals.loads[at]));
         }
-        inner.compare_paces();
+        compare_paces(&mut inner.members);
         drop(inner);
         self.serve_waiting();
     }
@@ -487,14 +415,6 @@
     }
 }
 
-/// Greatest rank of the engines that are preferred for requests that mostly read.
-fn last_for_reading(members: &[&Member]) -> Option<(bool, u64)> {
-    let mut ranks: Vec<_> = members.iter().map(|member| member.reading_rank()).collect();
-    ranks.sort_unstable();
-    let count = reading_engines(ranks.len());
-    ranks.get(count.checked_sub(1)?).copied()
-}
-
 /// A place in the queue, given up when dropped.
 struct Queued {
     fleet: Arc<Fleet>,
@@ -521,26 +441,6 @@
         own * others * unseen_ms / RATE_WINDOW_MS
     }
 
-    /// Compares the endpoints of each service.
-    fn compare_paces(&mut self) {
-        let mut services: Vec<String> = self
-            .members
-            .iter()
-            .filter(|member| member.pace_us.is_some())
-            .map(|member| member.endpoint.service.clone())
-            .collect();
-        services.sort_unstable();
-        services.dedup();
-        for service in services {
-            let is_of_service = |member: &&mut Member| member.endpoint.service == service;
-            let members: Vec<_> = self.members.iter_mut().filter(is_of_service).collect();
-            let paces_us: Vec<_> = members.iter().map(|member| member.pace_us).collect();
-            for (member, percent) in members.into_iter().zip(slowness_percent(&paces_us)) {
-                member.slowness_percent = percent;
-            }
-        }
-    }
-
     /// Requests that are served before a new one.
     fn ahead(&self, want: &Want) -> u64 {
         self.queue.ahead(want.priority, &want.service) as u64
@@ -557,54 +457,3 @@
         self.spacing_ms = (self.spacing_ms * (SPACING_SHARE - 1) + interval_ms) / SPACING_SHARE;
     }
 }
-
-impl Member {
-    fn new(registration: &registry::Registration) -> Self {
-        Self {
-            born_ms: registration.born_ms,
-            endpoint: Endpoint::new(registration),
-            is_cold: false,
-            is_silent: false,
-            pace_us: None,
-            reported: Load::default(),
-            reported_outcomes: (0, 0),
-            slots: registration.slots,
-            slowness_percent: 100,
-        }
-    }
-
-    fn is(&self, registration: &registry::Registration) -> bool {
-        self.born_ms == registration.born_ms
-            && self.endpoint.pool.address() == registration.address
-            && self.endpoint.service == registration.service
-    }
-
-    /// Order in which endpoints are set apart for requests that mostly read: slow ones first, as
-    /// reading takes less of the engines' time than writing.
-    fn reading_rank(&self) -> (bool, u64) {
-        (self.slowness_percent <= 100, self.endpoint.rank)
-    }
-
-    fn set_total(&mut self, now_ms: u64, total: Option<&EndpointLoad>) {
-        if let Some(total) = total
-            && total.events >= EVENTS_MIN
-        {
-            self.pace_us = Some(total.events_us / u64::from(total.events));
-        }
-        let (own_failures, own_successes) = self.reported_outcomes;
-        let (others, failures_elsewhere, successes_elsewhere) = match total {
-            Some(total) => (
-                total.load.without(&self.reported),
-                total.failures.saturating_sub(own_failures),
-                total.successes.saturating_sub(own_successes),
-            ),
-            None => (Load::default(), 0, 0),
-        };
-        let mut own = self.endpoint.own();
-        own.others = others;
-        let (failures, successes) = own.health.counts(now_ms);
-        let failures = failures + failures_elsewhere;
-        let successes = successes + successes_elsewhere;
-        own.health.judge(now_ms, failures, successes);
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/fleet/member.rs
@@ -0,0 +1,106 @@
+use std::sync::Arc;
+
+use placement::{Load, reading_engines};
+use registry::EndpointLoad;
+
+use crate::endpoint::Endpoint;
+use crate::slowness_percent;
+
+/// Events of all instances from which an endpoint's pace is known.
+const EVENTS_MIN: u32 = 8;
+
+/// An endpoint, with what all instances run there.
+#[derive(Debug)]
+pub(super) struct Member {
+    born_ms: u64,
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) is_cold: bool,
+    pub(super) is_silent: bool,
+    /// Typical time of an event, as last known.
+    pub(super) pace_us: Option<u64>,
+    pub(super) reported: Load,
+    pub(super) reported_outcomes: (u32, u32),
+    pub(super) slots: u32,
+    /// Time that its work takes, in percent of that of the median endpoint.
+    pub(super) slowness_percent: u64,
+}
+
+impl Member {
+    pub(super) fn new(registration: &registry::Registration) -> Self {
+        Self {
+            born_ms: registration.born_ms,
+            endpoint: Endpoint::new(registration),
+            is_cold: false,
+            is_silent: false,
+            pace_us: None,
+            reported: Load::default(),
+            reported_outcomes: (0, 0),
+            slots: registration.slots,
+            slowness_percent: 100,
+        }
+    }
+
+    /// Whether it is the incarnation that a registration is of.
+    pub(super) fn is(&self, registration: &registry::Registration) -> bool {
+        self.born_ms == registration.born_ms
+            && self.endpoint.pool.address() == registration.address
+            && self.endpoint.service == registration.service
+    }
+
+    /// Order in which endpoints are set apart for requests that mostly read: slow ones first, as
+    /// reading takes less of the engines' time than writing.
+    pub(super) fn reading_rank(&self) -> (bool, u64) {
+        (self.slowness_percent <= 100, self.endpoint.rank)
+    }
+
+    /// Takes the sums over all instances, of which this one's last report is a part.
+    pub(super) fn set_total(&mut self, now_ms: u64, total: Option<&EndpointLoad>) {
+        if let Some(total) = total
+            && total.events >= EVENTS_MIN
+        {
+            self.pace_us = Some(total.events_us / u64::from(total.events));
+        }
+        let (own_failures, own_successes) = self.reported_outcomes;
+        let (others, failures_elsewhere, successes_elsewhere) = match total {
+            Some(total) => (
+                total.load.without(&self.reported),
+                total.failures.saturating_sub(own_failures),
+                total.successes.saturating_sub(own_successes),
+            ),
+            None => (Load::default(), 0, 0),
+        };
+        let mut own = self.endpoint.own();
+        own.others = others;
+        let (failures, successes) = own.health.counts(now_ms);
+        let failures = failures + failures_elsewhere;
+        let successes = successes + successes_elsewhere;
+        own.health.judge(now_ms, failures, successes);
+    }
+}
+
+/// Greatest rank of the engines that are preferred for requests that mostly read.
+pub(super) fn last_for_reading(members: &[&Member]) -> Option<(bool, u64)> {
+    let mut ranks: Vec<_> = members.iter().map(|member| member.reading_rank()).collect();
+    ranks.sort_unstable();
+    let count = reading_engines(ranks.len());
+    ranks.get(count.checked_sub(1)?).copied()
+}
+
+/// Compares the endpoints of each service.
+pub(super) fn compare_paces(members: &mut [Member]) {
+    let mut services: Vec<String> = members
+        .iter()
+        .filter(|member| member.pace_us.is_some())
+        .map(|member| member.endpoint.service.clone())
+        .collect();
+    services.sort_unstable();
+    services.dedup();
+    for service in services {
+        let is_of_service = |member: &&mut Member| member.endpoint.service == service;
+        let members: Vec<_> = members.iter_mut().filter(is_of_service).collect();
+        let paces_us: Vec<_> = members.iter().map(|member| member.pace_us).collect();
+        for (member, percent) in members.into_iter().zip(slowness_percent(&paces_us)) {
+            member.slowness_percent = percent;
+        }
+    }
+}
