--- a/crates/gentiancleat/src/options.rs
+++ b/crates/gentiancleat/src/options.rs
@@ -1,5 +1,7 @@
 //! Flags of the command line.
 
+use std::net::SocketAddr;
+
 use gumdrop::Options;
 
 /// Flags and command of one call.
@@ -102,6 +104,12 @@
 pub(crate) struct PlatformOptions {
     #[options(help = "print this text")]
     pub(crate) help: bool,
+    #[options(
+        help = "where it listens for other instances, if not at the machine's address",
+        meta = "IP:PORT",
+        no_short
+    )]
+    pub(crate) inner_listen: Option<SocketAddr>,
     #[options(help = "least severity that is logged", meta = "LEVEL", no_short)]
     pub(crate) log_level: Option<String>,
     #[options(help = "most log lines in a second", meta = "LINES", no_short)]
--- a/crates/gentiancleat/src/platform_instance.rs
+++ b/crates/gentiancleat/src/platform_instance.rs
@@ -6,7 +6,7 @@
 
 use gateway::Gateway;
 use platform::{ControlApi, Settings};
-use registry::Registry;
+use registry::{Registry, RegistrySettings};
 use slog::{Logger, info, warn};
 use telemetry::{LINES_PER_SECOND_DEFAULT, Level, Metrics, logger};
 use tokio::runtime::Builder;
@@ -39,12 +39,12 @@
         .map_err(Error::failed)?;
     let lines_per_second = options.log_lines_per_second;
     let log = logger(level, lines_per_second.unwrap_or(LINES_PER_SECOND_DEFAULT));
-    runtime.block_on(serve(settings, options.metrics_port, &log))
+    runtime.block_on(serve(settings, options, &log))
 }
 
-async fn serve(settings: Settings, metrics_port: Option<u16>, log: &Logger) -> Result<(), Error> {
+async fn serve(settings: Settings, options: &PlatformOptions, log: &Logger) -> Result<(), Error> {
     let metrics = Arc::new(Metrics::open().map_err(Error::failed)?);
-    if let Some(port) = metrics_port {
+    if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(settings.ip(), port);
         MetricsServer::bind(address, &metrics, log)
             .await
@@ -53,9 +53,14 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::failed)?;
     let hangup = signal(SignalKind::hangup()).map_err(Error::failed)?;
     let registry = match settings.registry(log) {
-        Some(registry) => Some(Arc::new(
-            Registry::open(registry).await.map_err(Error::failed)?,
-        )),
+        Some(registry) => {
+            let registry = RegistrySettings {
+                inner_listen: options.inner_listen,
+                ..registry
+            };
+            let registry = Registry::open(registry).await.map_err(Error::failed)?;
+            Some(Arc::new(registry))
+        }
         None => None,
     };
     if let (Some(registry), Some(address)) = (&registry, settings.control_address()) {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -55,6 +55,7 @@
     /// Panics outside a tokio runtime.
     pub async fn open(settings: RegistrySettings) -> Result<Self, Error> {
         let address = settings.inner_address;
+        let listen = settings.inner_listen.unwrap_or(address);
         let log = settings.log.clone();
         let heartbeat_interval_ms = settings.heartbeat_interval_ms;
         let seeds = settings.seeds.clone();
@@ -68,7 +69,7 @@
             prover: Arc::clone(&prover),
             publisher: Arc::clone(&publisher),
         };
-        let server = server.bind(address).await?;
+        let server = server.bind(listen).await?;
         let (shared, waiting) = mpsc::unbounded_channel();
         let exchange = Sharer {
             address,
--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -12,6 +12,8 @@
     pub heartbeat_interval_ms: u64,
     /// Where other instances connect; all registries use the same port.
     pub inner_address: SocketAddr,
+    /// Where it listens for them, if elsewhere, as behind a forwarder.
+    pub inner_listen: Option<SocketAddr>,
     /// Whether the group is being founded: this start is the first of the whole deployment.
     pub is_founding: bool,
     /// Where events are logged.
--- a/crates/registry/tests/support/mod.rs
+++ b/crates/registry/tests/support/mod.rs
@@ -76,6 +76,7 @@
                 data: self.data(number),
                 heartbeat_interval_ms: 1_200,
                 inner_address: self.address(number),
+                inner_listen: None,
                 is_founding,
                 log: Logger::root(Discard, o!()),
                 seeds: (1..=SEEDS).map(|seed| self.address(seed)).collect(),
