Merge news of endpoints in parts, and follow a part of a large fleet

Every answer to a poll made a gateway merge all endpoints of all registries anew (15,000 records at 300 machines), registries answered every poll at every change, and every exchange carried the sums of all endpoints. Ruled out: elections (the next acknowledgement came after 3.1 to 3.2 s at every size). Change: a gateway merges what a part of the news names and shares the rest; registries collect news for 0.25 ms for each subscriber; records travel in the short form; of a service with more than 64 endpoints each gateway follows 64 of its own, and the registry that reserves room knows all. Tests of each without a network.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Endpoints as this instance knows them, and the requests that wait for room on them.
 
 mod asking;
+mod following;
 mod member;
 mod placed;
 mod slot;
@@ -10,7 +11,7 @@
 
 use catalog::{Catalog, Engine};
 use placement::{Candidate, Demand, Load, choose};
-use registry::{EndpointLoad, EndpointState, LoadTotals, ReservationsSeen};
+use registry::{EndpointLoad, EndpointState, Followed, LoadTotals, ReservationsSeen};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
@@ -19,7 +20,8 @@
 use crate::outcome::Refusal;
 use crate::{Distance, Place, ReturnSchedule, WaitQueue};
 pub(crate) use asking::Asking;
-use member::{Member, compare_paces, last_for_reading};
+pub use following::{follow_key, last_followed};
+use member::{Member, compare_paces, follow, last_for_reading};
 use placed::{Placed, RATE_WINDOW_MS};
 pub(crate) use slot::Slot;
 
@@ -49,14 +51,20 @@
     inner: Mutex<Inner>,
     opened: Instant,
     place: Place,
+    /// Chooses the part of a large service that this instance follows.
+    seed: u64,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     catalog: Option<Arc<Catalog>>,
     exchange_interval_ms: u64,
+    /// Sorted names of the endpoints that are followed; empty where all are.
+    followed: Vec<String>,
     generations: Placed,
     instances: u32,
+    /// Whether the registry that sums has been told which endpoints are followed.
+    is_followed_named: bool,
     /// Sorted by id.
     members: Vec<Member>,
     plain_calls: Placed,
@@ -95,6 +103,7 @@
             }),
             opened: Instant::now(),
             place,
+            seed: rand::random(),
         })
     }
 
@@ -138,10 +147,33 @@
         for gone in known {
             gone.endpoint.leave();
         }
+        let followed = follow(&mut inner.members, self.seed);
+        if followed != inner.followed {
+            inner.followed = followed;
+            inner.is_followed_named = false;
+        }
         drop(inner);
         self.serve_waiting();
     }
 
+    /// Endpoints whose sums this instance wants; they are named once.
+    pub(crate) fn followed(&self) -> Followed {
+        let mut inner = self.lock();
+        if inner.followed.is_empty() {
+            return Followed::All;
+        }
+        if std::mem::replace(&mut inner.is_followed_named, true) {
+            return Followed::Unchanged;
+        }
+        Followed::Named(inner.followed.clone())
+    }
+
+    /// Names the endpoints that are followed in the next exchange, as an answer is missing or the
+    /// registry does not know them.
+    pub(crate) fn name_followed_again(&self) {
+        self.lock().is_followed_named = false;
+    }
+
     /// What this instance runs and has seen of each endpoint, and the reservations that are in it.
     pub(crate) fn loads(&self) -> (Vec<EndpointLoad>, ReservationsSeen) {
         let now_ms = self.now_ms();
@@ -335,6 +367,7 @@
         let is_usable = |member: &&Member| {
             member.endpoint.service == want.service
                 && !member.endpoint.is_leaving()
+                && (member.is_followed || want.leaves.is_some())
                 && !want.excluded.contains(&member.endpoint.id)
                 && self.is_in_reach(want, &member.endpoint)
         };
--- a/crates/gateway/src/fleet/member.rs
+++ b/crates/gateway/src/fleet/member.rs
@@ -3,6 +3,7 @@
 use placement::{Load, reading_engines};
 use registry::EndpointLoad;
 
+use super::following::{follow_key, last_followed};
 use crate::endpoint::Endpoint;
 use crate::slowness_percent;
 
@@ -15,6 +16,8 @@
     born_ms: u64,
     pub(super) endpoint: Arc<Endpoint>,
     pub(super) is_cold: bool,
+    /// Whether new requests may go there, as its load is followed.
+    pub(super) is_followed: bool,
     pub(super) is_silent: bool,
     /// Typical time of an event, as last known.
     pub(super) pace_us: Option<u64>,
@@ -31,6 +34,7 @@
             born_ms: registration.born_ms,
             endpoint: Endpoint::new(registration),
             is_cold: false,
+            is_followed: true,
             is_silent: false,
             pace_us: None,
             reported: Load::default(),
@@ -88,19 +92,45 @@
 
 /// Compares the endpoints of each service.
 pub(super) fn compare_paces(members: &mut [Member]) {
-    let mut services: Vec<String> = members
-        .iter()
-        .filter(|member| member.pace_us.is_some())
-        .map(|member| member.endpoint.service.clone())
-        .collect();
-    services.sort_unstable();
-    services.dedup();
-    for service in services {
-        let is_of_service = |member: &&mut Member| member.endpoint.service == service;
-        let members: Vec<_> = members.iter_mut().filter(is_of_service).collect();
+    for mut members in by_service(members) {
+        if members.iter().all(|member| member.pace_us.is_none()) {
+            continue;
+        }
         let paces_us: Vec<_> = members.iter().map(|member| member.pace_us).collect();
-        for (member, percent) in members.into_iter().zip(slowness_percent(&paces_us)) {
+        for (member, percent) in members.iter_mut().zip(slowness_percent(&paces_us)) {
             member.slowness_percent = percent;
         }
     }
 }
+
+/// Chooses the endpoints of each service that are followed; their names are sorted, and empty where
+/// all are.
+pub(super) fn follow(members: &mut [Member], seed: u64) -> Vec<String> {
+    let mut are_all = true;
+    for mut members in by_service(members) {
+        let ranks: Vec<u64> = members.iter().map(|member| member.endpoint.rank).collect();
+        let last = last_followed(&ranks, seed);
+        are_all &= last.is_none();
+        for member in &mut members {
+            member.is_followed =
+                last.is_none_or(|last| follow_key(member.endpoint.rank, seed) <= last);
+        }
+    }
+    if are_all {
+        return Vec::new();
+    }
+    let followed = members.iter().filter(|member| member.is_followed);
+    followed.map(|member| member.endpoint.id.clone()).collect()
+}
+
+fn by_service(members: &mut [Member]) -> Vec<Vec<&mut Member>> {
+    let mut services: Vec<(String, Vec<&mut Member>)> = Vec::new();
+    for member in members {
+        let service = &member.endpoint.service;
+        match services.binary_search_by(|known| known.0.cmp(service)) {
+            Ok(at) => services[at].1.push(member),
+            Err(at) => services.insert(at, (service.clone(), vec![member])),
+        }
+    }
+    services.into_iter().map(|service| service.1).collect()
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -135,16 +135,23 @@
             shared.fleet.trim();
             shared.note_beliefs();
         }
+        let followed = shared.fleet.followed();
         let (loads, reservations) = shared.fleet.loads();
         let services = shared.service_loads();
-        let exchange = shared.subscription.exchange(loads, reservations, services);
+        let exchange = shared
+            .subscription
+            .exchange(followed, loads, reservations, services);
         match exchange.await {
             Ok(totals) => {
+                if totals.are_names_wanted {
+                    shared.fleet.name_followed_again();
+                }
                 last_answer = Instant::now();
                 shared.fleet.set_totals(&totals, interval_ms);
                 shared.set_service_totals(&totals.services);
             }
             Err(error) => {
+                shared.fleet.name_followed_again();
                 debug!(shared.log, "loads not exchanged"; "error" => %error);
                 if last_answer.elapsed() >= Duration::from_millis(EXCHANGE_AGE_MS_MAX) {
                     shared
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 
 pub use dialect::{AnswerHead, CallHead, CopyOutcome, Dialect, Dispatch, Prompt, RunCopy};
 pub use event_reader::EventReader;
+pub use fleet::{follow_key, last_followed};
 pub use gateway::{Error, Gateway};
 pub use health::Health;
 pub use pace::{Pace, slowness_percent};
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -122,7 +122,8 @@
     pub is_cold: bool,
     /// Whether it is preferred for requests that mostly read.
     pub is_for_reading: bool,
-    /// What it runs.
+    /// What it runs; whoever is asked to choose knows that better.
+    #[serde(skip)]
     pub load: Load,
     /// Memory of its engine; 0 for plain endpoints.
     pub memory_tokens: u64,
--- a/crates/registry/src/directory_view.rs
+++ b/crates/registry/src/directory_view.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::{EndpointState, Record, Registration};
 
@@ -6,8 +7,13 @@
 ///
 /// Of what the registries say of an endpoint, the latest incarnation and the most advanced state
 /// hold. An endpoint is silent where no registry has heard it lately.
+///
+/// Pattern: all endpoints of a large fleet register again at once, and the news come from every
+/// registry in many small parts. Only what a part names is merged anew; the rest is shared.
 #[derive(Debug, Default)]
 pub struct DirectoryView {
+    /// Endpoints by what all sources say, also those that left; sorted by id.
+    merged: Vec<Endpoint>,
     /// Sorted by address of the registry.
     sources: Vec<Source>,
 }
@@ -18,7 +24,7 @@
     epoch: u64,
     is_connected: bool,
     /// Sorted by id.
-    records: Vec<Record>,
+    records: Vec<Endpoint>,
     registry: SocketAddr,
 }
 
@@ -28,7 +34,7 @@
     /// Whether no registry has heard it lately.
     pub is_silent: bool,
     /// What it says of itself.
-    pub registration: Registration,
+    pub registration: Arc<Registration>,
 }
 
 impl DirectoryView {
@@ -43,6 +49,7 @@
 
     /// Takes the changes that a registry sent; of a new epoch, they are all that it knows.
     pub fn update(&mut self, registry: SocketAddr, epoch: u64, cursor: u64, records: Vec<Record>) {
+        let is_any_connected = self.is_any_connected();
         let at = self.find(registry).unwrap_or_else(|at| {
             let source = Source {
                 cursor: 0,
@@ -55,38 +62,81 @@
             at
         });
         let source = &mut self.sources[at];
+        let is_all_new = source.epoch != epoch || !source.is_connected || !is_any_connected;
         if source.epoch != epoch {
             source.records.clear();
         }
         source.epoch = epoch;
         source.cursor = cursor;
         source.is_connected = true;
+        let mut changed = Vec::new();
         for record in records {
+            changed.push(record.registration.id.clone());
             source.put(record);
         }
+        if is_all_new {
+            self.merge_all();
+            return;
+        }
+        for id in changed {
+            self.merge(&id);
+        }
     }
 
     /// Notes that a registry is out of reach; what it said stays, but not that endpoints live.
     pub fn disconnect(&mut self, registry: SocketAddr) {
         if let Ok(at) = self.find(registry) {
             self.sources[at].is_connected = false;
+            self.merge_all();
         }
     }
 
     /// All endpoints that have not left, sorted by id.
     #[must_use]
     pub fn endpoints(&self) -> Vec<Endpoint> {
-        let mut merged: Vec<Endpoint> = Vec::new();
-        let is_any_connected = self.sources.iter().any(|source| source.is_connected);
+        let mut endpoints = self.merged.clone();
+        end_reused_addresses(&mut endpoints);
+        endpoints.retain(|endpoint| endpoint.registration.state != EndpointState::Gone);
+        endpoints
+    }
+
+    fn is_any_connected(&self) -> bool {
+        self.sources.iter().any(|source| source.is_connected)
+    }
+
+    fn merge_all(&mut self) {
+        let records = self.sources.iter().flat_map(|source| &source.records);
+        let mut ids: Vec<String> = records
+            .map(|record| record.registration.id.clone())
+            .collect();
+        ids.sort_unstable();
+        ids.dedup();
+        self.merged.clear();
+        for id in ids {
+            self.merge(&id);
+        }
+    }
+
+    /// Merges what the sources say of one endpoint.
+    fn merge(&mut self, id: &str) {
+        let is_any_connected = self.is_any_connected();
+        let mut merged: Option<Endpoint> = None;
         for source in &self.sources {
-            let is_heard = source.is_connected || !is_any_connected;
-            for record in &source.records {
-                merge(&mut merged, record, is_heard);
-            }
+            let Ok(at) = position(&source.records, id) else {
+                continue;
+            };
+            let mut record = source.records[at].clone();
+            record.is_silent |= is_any_connected && !source.is_connected;
+            merged = Some(match merged {
+                Some(known) => known.with(record),
+                None => record,
+            });
+        }
+        match (position(&self.merged, id), merged) {
+            (Ok(at), Some(endpoint)) => self.merged[at] = endpoint,
+            (Err(at), Some(endpoint)) => self.merged.insert(at, endpoint),
+            (_, None) => {}
         }
-        end_reused_addresses(&mut merged);
-        merged.retain(|endpoint| endpoint.registration.state != EndpointState::Gone);
-        merged
     }
 
     fn find(&self, registry: SocketAddr) -> Result<usize, usize> {
@@ -97,41 +147,37 @@
 
 impl Source {
     fn put(&mut self, record: Record) {
-        let id = &record.registration.id;
-        let found = self
-            .records
-            .binary_search_by(|known| known.registration.id.cmp(id));
-        match found {
+        let record = Endpoint {
+            is_silent: record.is_silent,
+            registration: Arc::new(record.registration),
+        };
+        match position(&self.records, &record.registration.id) {
             Ok(at) => self.records[at] = record,
             Err(at) => self.records.insert(at, record),
         }
     }
 }
 
-fn merge(merged: &mut Vec<Endpoint>, record: &Record, is_heard: bool) {
-    let registration = &record.registration;
-    let found = merged.binary_search_by(|known| known.registration.id.cmp(&registration.id));
-    let is_silent = record.is_silent || !is_heard;
-    match found {
-        Ok(at) => {
-            let known = &mut merged[at];
-            if known.registration.born_ms == registration.born_ms {
-                known.is_silent &= is_silent;
-            }
-            if rank(&known.registration) < rank(registration) {
-                known.registration = registration.clone();
-            }
-        }
-        Err(at) => {
-            let endpoint = Endpoint {
-                is_silent,
-                registration: registration.clone(),
-            };
-            merged.insert(at, endpoint);
+impl Endpoint {
+    /// What holds, where another registry says something else.
+    fn with(self, other: Self) -> Self {
+        let is_same = self.registration.born_ms == other.registration.born_ms;
+        let (older, latest) = if rank(&self.registration) < rank(&other.registration) {
+            (self, other)
+        } else {
+            (other, self)
+        };
+        Self {
+            is_silent: latest.is_silent && (older.is_silent || !is_same),
+            registration: latest.registration,
         }
     }
 }
 
+fn position(endpoints: &[Endpoint], id: &str) -> Result<usize, usize> {
+    endpoints.binary_search_by(|known| known.registration.id.as_str().cmp(id))
+}
+
 fn rank(registration: &Registration) -> (u64, EndpointState, u64) {
     (
         registration.born_ms,
@@ -154,7 +200,7 @@
         let registration = &mut endpoint.registration;
         let after = latest.partition_point(|known| known.0 <= registration.address);
         if latest[after - 1].1 > registration.born_ms {
-            registration.state = EndpointState::Gone;
+            Arc::make_mut(registration).state = EndpointState::Gone;
         }
     }
 }
--- a/crates/registry/src/inner.rs
+++ b/crates/registry/src/inner.rs
@@ -78,8 +78,8 @@
     pub is_proven: bool,
     /// Whether the registry leads the group.
     pub is_leader: bool,
-    /// Endpoints that changed.
-    pub records: Vec<Record>,
+    /// Endpoints that changed: [`Record`]s in the short form of postcard.
+    pub records: Vec<u8>,
     /// Inner addresses of all registries.
     pub registries: Vec<SocketAddr>,
     /// Subscribers that polled lately.
@@ -114,9 +114,23 @@
     pub requests: u64,
 }
 
+/// Endpoints whose sums an instance wants.
+#[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Followed {
+    /// All.
+    #[default]
+    All,
+    /// Some, by name.
+    Named(Vec<String>),
+    /// Those that it named last.
+    Unchanged,
+}
+
 /// What one instance runs and has sent.
 #[derive(Debug, Clone, Default, Deserialize, Serialize)]
 pub struct LoadReport {
+    /// Endpoints whose sums it wants.
+    pub followed: Followed,
     /// Name of the instance.
     pub instance: String,
     /// Its load, sorted by endpoint.
@@ -152,7 +166,7 @@
 /// An endpoint that suits a request.
 #[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct RoomOption {
-    /// The endpoint, with its load as the instance knows it.
+    /// The endpoint, without its load.
     pub candidate: Candidate,
     /// Its name.
     pub id: String,
@@ -172,6 +186,8 @@
 /// What all instances run.
 #[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadTotals {
+    /// Whether the endpoints that it follows have to be named, as the registry does not know them.
+    pub are_names_wanted: bool,
     /// Instances that reported lately.
     pub instances: u32,
     /// Sums, sorted by endpoint.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -42,12 +42,13 @@
 pub use document::{Document, DocumentMachine};
 pub use error::Error;
 pub use inner::{
-    EndpointLoad, LoadReport, LoadTotals, Notice, PollAnswer, PollRequest, Record, Reservation,
-    ReservationRequest, ReservationsSeen, RoomOption, ServiceLoad,
+    EndpointLoad, Followed, LoadReport, LoadTotals, Notice, PollAnswer, PollRequest, Record,
+    Reservation, ReservationRequest, ReservationsSeen, RoomOption, ServiceLoad,
 };
 pub use lease::Lease;
 pub use load_board::LoadBoard;
 pub use membership::{Roll, next_change};
+pub use publisher::news_delay;
 pub use registration::{EndpointState, Registration};
 pub use registry::Registry;
 pub use settings::{RegistrySettings, SubscriptionSettings};
--- a/crates/registry/src/load_board.rs
+++ b/crates/registry/src/load_board.rs
@@ -7,8 +7,8 @@
 use placement::{Demand, Load, choose};
 
 use crate::{
-    EndpointLoad, LoadReport, LoadTotals, Reservation, ReservationRequest, ReservationsSeen,
-    RoomOption, ServiceLoad,
+    EndpointLoad, Followed, LoadReport, LoadTotals, Reservation, ReservationRequest,
+    ReservationsSeen, RoomOption, ServiceLoad,
 };
 
 /// Time after which the report of an instance that sends no more counts for nothing; ten reports
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 struct Reported {
     at_ms: u64,
+    /// Names of the endpoints whose sums it wants; none where it wants all.
+    followed: Option<Vec<String>>,
     report: LoadReport,
 }
 
@@ -56,13 +58,20 @@
             self.add(load);
         }
         let instance = report.instance.clone();
+        let found = self
+            .reports
+            .binary_search_by(|known| known.report.instance.cmp(&instance));
+        let (followed, are_names_wanted) = match (&report.followed, found) {
+            (Followed::All, _) => (None, false),
+            (Followed::Named(names), _) => (Some(names.clone()), false),
+            (Followed::Unchanged, Ok(at)) => (self.reports[at].followed.take(), false),
+            (Followed::Unchanged, Err(_)) => (None, true),
+        };
         let reported = Reported {
             at_ms: now_ms,
+            followed,
             report,
         };
-        let found = self
-            .reports
-            .binary_search_by(|known| known.report.instance.cmp(&instance));
         match found {
             Ok(at) => {
                 let older = std::mem::replace(&mut self.reports[at], reported);
@@ -70,7 +79,14 @@
             }
             Err(at) => self.reports.insert(at, reported),
         }
-        self.totals(&instance)
+        let (Ok(at) | Err(at)) = found;
+        let loads = self.loads(&instance, self.reports[at].followed.as_deref());
+        LoadTotals {
+            are_names_wanted,
+            instances: u32::try_from(self.reports.len()).unwrap_or(u32::MAX),
+            loads,
+            services: self.service_totals(),
+        }
     }
 
     /// Reserves room on the best of some endpoints; `draw` decides between nearly equal ones.
@@ -173,11 +189,34 @@
         }
     }
 
-    /// Sums of all reports, with what other instances have reserved.
-    fn totals(&self, instance: &str) -> LoadTotals {
-        let mut loads = self.sums.clone();
-        let elsewhere = self.reserved.iter();
-        for reserved in elsewhere.filter(|reserved| reserved.instance != instance) {
+    /// Sums of the endpoints that an instance follows, with what others have reserved there.
+    fn loads(&self, instance: &str, followed: Option<&[String]>) -> Vec<EndpointLoad> {
+        let Some(names) = followed else {
+            let mut loads = self.sums.clone();
+            self.add_reserved(instance, &mut loads, |_| true);
+            return loads;
+        };
+        let find = |name: &String| {
+            let found = self.sums.binary_search_by(|sum| sum.id.cmp(name));
+            found.ok().map(|at| self.sums[at].clone())
+        };
+        let mut loads: Vec<EndpointLoad> = names.iter().filter_map(find).collect();
+        self.add_reserved(instance, &mut loads, |id| {
+            names.binary_search_by(|name| name.as_str().cmp(id)).is_ok()
+        });
+        loads
+    }
+
+    fn add_reserved(
+        &self,
+        instance: &str,
+        loads: &mut Vec<EndpointLoad>,
+        is_wanted: impl Fn(&str) -> bool,
+    ) {
+        for reserved in &self.reserved {
+            if reserved.instance == instance || !is_wanted(&reserved.endpoint) {
+                continue;
+            }
             match loads.binary_search_by(|sum| sum.id.cmp(&reserved.endpoint)) {
                 Ok(at) => loads[at].load.add(&reserved.load),
                 Err(at) => loads.insert(
@@ -190,11 +229,6 @@
                 ),
             }
         }
-        LoadTotals {
-            instances: u32::try_from(self.reports.len()).expect("instances fit"),
-            loads,
-            services: self.service_totals(),
-        }
     }
 
     fn service_totals(&self) -> Vec<ServiceLoad> {
--- a/crates/registry/src/publisher.rs
+++ b/crates/registry/src/publisher.rs
@@ -16,6 +16,13 @@
 /// Time after which an instance that polls no more is no subscriber.
 const SUBSCRIBER_TTL_MS: u64 = 2_000;
 
+/// Time for which news of endpoints are collected, for each subscriber: a change wakes all of them,
+/// and so many changes a second would otherwise mean as many answers to each.
+const NEWS_US_PER_SUBSCRIBER: u64 = 250;
+
+/// Longest time for which news are collected; small beside the time that endpoints leave.
+const NEWS_MS_MAX: u64 = 250;
+
 /// Longest time that a subscriber may wait for news.
 const HOLD_MS_MAX: u64 = 2_000;
 
@@ -99,9 +106,16 @@
             0
         };
         let is_new = |version: u64| version > request.document_version;
+        let news_delay = news_delay(lock(&self.subscribers).len());
+        let news = async {
+            let changed = directory_changed.wait_for(|latest| *latest > cursor);
+            // The publisher holds the sender, so the wait does not fail.
+            let _ = changed.await.map(drop);
+            sleep(news_delay).await;
+        };
         tokio::select! {
             biased;
-            _ = directory_changed.wait_for(|latest| *latest > cursor) => {}
+            () = news => {}
             _ = document.wait_for(|held| is_new(held.version)) => {}
             () = sleep_until(deadline) => {}
         }
@@ -113,7 +127,8 @@
             document: is_new(held.version).then_some(held),
             is_leader: self.group.leader().0,
             is_proven,
-            records: directory.changes_since(cursor),
+            records: postcard::to_stdvec(&directory.changes_since(cursor))
+                .expect("records can be encoded"),
             registries: self.registries(),
             subscribers: u32::try_from(lock(&self.subscribers).len()).expect("instances fit"),
         }
@@ -149,6 +164,14 @@
     }
 }
 
+/// Time for which news of endpoints are collected before subscribers are told.
+#[must_use]
+pub fn news_delay(subscribers: usize) -> Duration {
+    let subscribers = u64::try_from(subscribers).unwrap_or(u64::MAX);
+    let delay = Duration::from_micros(subscribers.saturating_mul(NEWS_US_PER_SUBSCRIBER));
+    delay.min(Duration::from_millis(NEWS_MS_MAX))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -11,9 +11,9 @@
 use crate::inner::{LoadReport, PollAnswer, PollRequest};
 use crate::link::{Link, within};
 use crate::{
-    DirectoryView, Document, Endpoint, EndpointLoad, Error, Lease, LoadTotals, Reservation,
-    ReservationRequest, ReservationsSeen, RoomOption, ServiceLoad, SubscriptionSettings,
-    boot_time_ms,
+    DirectoryView, Document, Endpoint, EndpointLoad, Error, Followed, Lease, LoadTotals, Record,
+    Reservation, ReservationRequest, ReservationsSeen, RoomOption, ServiceLoad,
+    SubscriptionSettings, boot_time_ms,
 };
 
 /// Time that a registry may hold a poll without news.
@@ -143,6 +143,7 @@
     /// Panics if memory runs out.
     pub async fn exchange(
         &self,
+        followed: Followed,
         loads: Vec<EndpointLoad>,
         reservations: ReservationsSeen,
         services: Vec<ServiceLoad>,
@@ -152,6 +153,7 @@
         })?;
         let client = link.client().await?;
         let report = LoadReport {
+            followed,
             instance: self.shared.settings.instance.clone(),
             loads,
             reservations,
@@ -269,7 +271,7 @@
         let context = within(HOLD_MS + ANSWER_SLACK_MS);
         let answer = client.poll(context, request).await;
         let answer = answer.map_err(|error| link.error(&error))?;
-        self.take(link.address(), asked_ms, answer);
+        self.take(link.address(), asked_ms, &answer);
         Ok(())
     }
 
@@ -287,7 +289,7 @@
         }
     }
 
-    fn take(self: &Arc<Self>, registry: SocketAddr, asked_ms: u64, answer: PollAnswer) {
+    fn take(self: &Arc<Self>, registry: SocketAddr, asked_ms: u64, answer: &PollAnswer) {
         let is_installed = match &answer.document {
             Some(document) => self.install(document),
             None => true,
@@ -306,10 +308,19 @@
             polled.is_leader = answer.is_leader;
         }
         let (epoch, cursor) = (answer.directory_epoch, answer.directory_cursor);
-        let is_changed = !answer.records.is_empty();
-        state.view.update(registry, epoch, cursor, answer.records);
-        if is_changed {
-            self.publish_endpoints(&state);
+        match postcard::from_bytes::<Vec<Record>>(&answer.records) {
+            Ok(records) => {
+                let is_changed = !records.is_empty();
+                state.view.update(registry, epoch, cursor, records);
+                if is_changed {
+                    self.publish_endpoints(&state);
+                }
+            }
+            Err(error) => {
+                // They are asked for again, as the position stays.
+                warn!(self.log, "news of endpoints not understood"; "registry" => %registry,
+                    "error" => %error);
+            }
         }
         drop(state);
         self.add_registries(&answer.registries, true);
--- a/crates/registry/tests/a_lease_counts_from_the_question.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_question.rs
@@ -6,8 +6,8 @@
 use placement::Load;
 use quickcheck::QuickCheck;
 use registry::{
-    Document, DocumentMachine, EndpointLoad, Lease, LoadBoard, LoadReport, ReservationsSeen,
-    ServiceLoad,
+    Document, DocumentMachine, EndpointLoad, Followed, Lease, LoadBoard, LoadReport,
+    ReservationsSeen, ServiceLoad,
 };
 use tokio::sync::watch;
 
@@ -85,6 +85,7 @@
 
 fn report(instance: &str, runs: u32) -> LoadReport {
     LoadReport {
+        followed: Followed::All,
         instance: instance.to_owned(),
         loads: vec![EndpointLoad {
             id: "a".to_owned(),
--- a/crates/registry/tests/heartbeats_come_in_any_order.rs
+++ b/crates/registry/tests/heartbeats_come_in_any_order.rs
@@ -1,8 +1,12 @@
 //! Heartbeats that come late, twice, in any order, from older incarnations or at reused addresses
 //! leave the directory as the latest incarnation says.
 
+use std::sync::Arc;
+
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use registry::{Directory, DirectoryView, EndpointState, Record, Recorded, Registration};
+use registry::{
+    Directory, DirectoryView, EndpointState, Record, Recorded, Registration, news_delay,
+};
 
 const SILENT_AFTER_MS: u64 = 4_200;
 
@@ -216,7 +220,44 @@
     let ids: Vec<_> = view
         .endpoints()
         .into_iter()
-        .map(|endpoint| endpoint.registration.id)
+        .map(|endpoint| endpoint.registration.id.clone())
         .collect();
     assert_eq!(ids, ["b"]);
 }
+
+/// Pattern: all endpoints of a large fleet register again at once, in many small parts.
+#[test]
+fn a_part_of_the_news_leaves_all_other_endpoints_as_they_were() {
+    let mut view = DirectoryView::default();
+    let registry = "10.0.0.1:7200".parse().unwrap();
+    let all = (0..100).map(|number| {
+        record(
+            registration(&format!("{number:03}"), number + 1, 5, 1),
+            false,
+        )
+    });
+    view.update(registry, 1, 1, all.collect());
+    let before = view.endpoints();
+    let changed = record(draining(registration("042", 43, 5, 2)), false);
+    view.update(registry, 1, 2, vec![changed]);
+    let after = view.endpoints();
+    let kept = before.iter().zip(&after);
+    let kept = kept.filter(|(one, other)| Arc::ptr_eq(&one.registration, &other.registration));
+    assert_eq!(kept.count(), 99);
+    assert_eq!(after[42].registration.state, EndpointState::Draining);
+}
+
+#[test]
+fn news_are_collected_for_longer_the_more_subscribers_there_are() {
+    const ANSWERS_PER_SECOND_MAX: f64 = 4_500.0;
+    for subscribers in [1, 9, 85, 300, 1_000] {
+        let delay_s = news_delay(subscribers).as_secs_f64();
+        #[allow(clippy::cast_precision_loss, reason = "small numbers")]
+        let answers_per_second = subscribers as f64 / delay_s;
+        assert!(
+            answers_per_second <= ANSWERS_PER_SECOND_MAX,
+            "{subscribers}"
+        );
+        assert!(delay_s <= 0.25, "endpoints that leave are told in time");
+    }
+}
--- a/crates/registry/tests/room_that_is_reserved_counts_at_once.rs
+++ b/crates/registry/tests/room_that_is_reserved_counts_at_once.rs
@@ -2,8 +2,8 @@
 
 use placement::{Candidate, Demand, Load};
 use registry::{
-    EndpointLoad, LoadBoard, LoadReport, Reservation, ReservationRequest, ReservationsSeen,
-    RoomOption,
+    EndpointLoad, Followed, LoadBoard, LoadReport, Reservation, ReservationRequest,
+    ReservationsSeen, RoomOption,
 };
 
 const ENGINES: usize = 72;
@@ -27,6 +27,7 @@
         ..EndpointLoad::default()
     });
     LoadReport {
+        followed: Followed::All,
         instance: instance.to_owned(),
         loads: loads.collect(),
         reservations: ReservationsSeen {
@@ -132,3 +133,24 @@
     board.exchange(NOW_MS, report("z", &full, 0, &[]));
     assert_eq!(board.reserve(NOW_MS, &draft("y", 0), 1), Reservation::Full);
 }
+
+/// Pattern: many instances before many endpoints.
+#[test]
+fn an_instance_gets_the_sums_that_it_follows() {
+    let mut board = board();
+    board.exchange(NOW_MS, report("z", &[(1, 2), (2, 3), (3, 4)], 0, &[]));
+    let mut asked = |followed| {
+        let report = LoadReport {
+            followed,
+            ..report("y", &[(2, 1)], 0, &[])
+        };
+        let totals = board.exchange(NOW_MS, report);
+        let runs = totals.loads.iter().map(|load| load.load.runs);
+        (runs.collect::<Vec<_>>(), totals.are_names_wanted)
+    };
+    assert_eq!(asked(Followed::Unchanged), (vec![2, 4, 4], true));
+    let named = Followed::Named(vec![id(2), id(9)]);
+    assert_eq!(asked(named), (vec![4], false));
+    assert_eq!(asked(Followed::Unchanged), (vec![4], false));
+    assert_eq!(asked(Followed::All), (vec![2, 4, 4], false));
+}
