Copy a run once more if its first copy waited long

Ruled out: the way to the target (38 to 50 ms for most); copies to other regions for runs without room (they would hold the link of the engine that leaves for 1.5 s each). Change: after a first copy of 0.4 to 1.15 s a second one is made while the run goes on; if the engine is gone first, the run goes on at the first. A move without room is logged once.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,5 +40,5 @@
 pub use retry_budget::{RetryBudget, RetryLimits, Sendings};
 pub use return_schedule::ReturnSchedule;
 pub use settings::{Distance, GatewaySettings, Place};
-pub use transfer::ends_soon;
+pub use transfer::{ends_soon, is_copied_again};
 pub use wait_queue::{WaitQueue, Waiter};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -233,6 +233,15 @@
     /// Goes on after the endpoint broke the stream off.
     async fn recover(&mut self, how: &str) -> Option<End> {
         self.reader.reset();
+        if let Some(arrival) = self.motion.take_earlier() {
+            return match self.go_on_at(*arrival).await {
+                Ok(()) => None,
+                Err((miss, _)) => {
+                    let reason = format!("the endpoint broke off {how}, and at the copy: {miss}");
+                    self.resume(&reason).await
+                }
+            };
+        }
         let now_ms = self.attempts.shared.fleet.now_ms();
         self.slot.endpoint.own().health.fail(now_ms);
         self.resume(&format!("the endpoint broke off {how}")).await
@@ -287,25 +296,37 @@
         }
     }
 
-    /// Goes on at the copy of a run; the run itself ends with its connection.
+    /// Goes on at the copy of a run that still runs, or leaves it where it is.
     async fn switch(&mut self, arrival: Arrival) -> Option<End> {
-        let shared = Arc::clone(&self.attempts.shared);
-        if !shared.take_repeat(&self.attempts.call.service) {
-            self.motion.try_again(arrival);
-            return None;
+        match self.go_on_at(arrival).await {
+            Ok(()) => None,
+            Err((miss @ (Miss::Rejected(_) | Miss::Unreachable(_)), arrival)) => {
+                info!(self.attempts.shared.log, "copy not taken";
+                    "request" => self.attempts.call.id(),
+                    "endpoint" => &arrival.slot.endpoint.id, "reason" => %miss);
+                self.motion.try_again(arrival);
+                None
+            }
+            Err((miss, _)) => Some(End::Broken(format!("the stream did not go on: {miss}"))),
+        }
+    }
+
+    /// Goes on at the copy of a run; the run itself ends with its connection.
+    async fn go_on_at(&mut self, arrival: Arrival) -> Result<(), (Miss, Arrival)> {
+        if !self
+            .attempts
+            .shared
+            .take_repeat(&self.attempts.call.service)
+        {
+            let miss = Miss::Rejected("the budget for repeats is spent".to_owned());
+            return Err((miss, arrival));
         }
         match self.continue_at(&arrival.slot, Some(&arrival.copy)).await {
             Ok(accepted) => {
                 self.adopt(accepted, arrival.slot, true);
-                None
+                Ok(())
             }
-            Err(miss @ (Miss::Rejected(_) | Miss::Unreachable(_))) => {
-                info!(shared.log, "copy not taken"; "request" => self.attempts.call.id(),
-                    "endpoint" => &arrival.slot.endpoint.id, "reason" => %miss);
-                self.motion.try_again(arrival);
-                None
-            }
-            Err(miss) => Some(End::Broken(format!("the stream did not go on: {miss}"))),
+            Err(miss) => Err((miss, arrival)),
         }
     }
 
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -9,12 +9,13 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::clock::elapsed_ms;
 use crate::connection::Pool;
 use crate::endpoint::Endpoint;
 use crate::fleet::{Slot, Want};
 use crate::handler::Call;
 use crate::shared::Shared;
-use crate::{CopyOutcome, Dialect, RunCopy, ends_soon};
+use crate::{CopyOutcome, Dialect, RunCopy, ends_soon, is_copied_again};
 
 /// Longest time for one copy; endpoints are gone by then.
 const COPY_TIMEOUT_MS: u64 = 2_500;
@@ -28,8 +29,11 @@
 pub(super) enum Motion {
     /// Its memory is being copied.
     Copying {
+        began: Instant,
         copy: CopyTask,
         departure: Departure,
+        /// Handle of an earlier copy at the same target.
+        earlier: Option<String>,
         target: Slot,
     },
     /// The run stays.
@@ -117,9 +121,12 @@
             return;
         }
         let Some(target) = shared.admit_move(want).await else {
-            info!(shared.log, "move not begun"; "request" => call.id(),
-                "from" => &slot.endpoint.id, "data_centre" => &slot.endpoint.data_centre,
-                "reason" => "no endpoint in reach has room", "excluded" => want.excluded.len());
+            if matches!(self, Self::Watching(_)) {
+                info!(shared.log, "move not begun"; "request" => call.id(),
+                    "from" => &slot.endpoint.id, "data_centre" => &slot.endpoint.data_centre,
+                    "reason" => "no endpoint in reach has room",
+                    "excluded" => want.excluded.len());
+            }
             *self = Self::retry(Vec::new());
             return;
         };
@@ -139,8 +146,10 @@
         let pool = Arc::clone(&target.endpoint.pool);
         tokio::spawn(async move { pool.warm().await });
         *self = Self::Copying {
+            began: Instant::now(),
             copy: departure.copy(&target),
             departure,
+            earlier: None,
             target,
         };
     }
@@ -157,6 +166,19 @@
         *self = Self::retry(departure.full);
     }
 
+    /// Earlier copy of a run whose endpoint is gone before a later one was made.
+    pub(super) fn take_earlier(&mut self) -> Option<Box<Arrival>> {
+        match std::mem::replace(self, Self::Fixed) {
+            Self::Copying {
+                departure,
+                earlier: Some(handle),
+                target,
+                ..
+            } => Some(departure.arrive(target, handle)),
+            _ => None,
+        }
+    }
+
     /// Frees a copy that is not needed, also one that is still being made.
     pub(super) fn free(self) {
         let Self::Copying {
@@ -174,7 +196,9 @@
 
     fn on_copied(&mut self, outcome: CopyOutcome) -> Moved {
         let Self::Copying {
+            began,
             mut departure,
+            earlier,
             mut target,
             ..
         } = std::mem::replace(self, Self::Fixed)
@@ -182,15 +206,27 @@
             return Moved::Nothing;
         };
         departure.note("run copied", &target, &outcome);
+        let outcome = match (outcome, earlier) {
+            (CopyOutcome::Copied { handle }, None) if is_copied_again(elapsed_ms(began)) => {
+                target.note_copied();
+                *self = Self::Copying {
+                    began,
+                    copy: departure.copy(&target),
+                    departure,
+                    earlier: Some(handle),
+                    target,
+                };
+                return Moved::Nothing;
+            }
+            (CopyOutcome::Copied { handle }, _) | (_, Some(handle)) => {
+                CopyOutcome::Copied { handle }
+            }
+            (outcome, None) => outcome,
+        };
         match outcome {
             CopyOutcome::Copied { handle } => {
                 target.note_copied();
-                let source = departure.source.address();
-                return Moved::Copied(Box::new(Arrival {
-                    copy: RunCopy { handle, source },
-                    slot: target,
-                    departure,
-                }));
+                return Moved::Copied(departure.arrive(target, handle));
             }
             CopyOutcome::NoSuchRun => {}
             CopyOutcome::NoRoom => {
@@ -227,6 +263,15 @@
         })
     }
 
+    fn arrive(self, target: Slot, handle: String) -> Box<Arrival> {
+        let source = self.source.address();
+        Box::new(Arrival {
+            copy: RunCopy { handle, source },
+            slot: target,
+            departure: self,
+        })
+    }
+
     /// Frees a copy at both ends.
     fn free(&self, handle: &str) {
         let request = self.dialect.free_request(handle);
