Name what the place of an endpoint means, and free earlier copies too

Read as a newcomer: a pair of numbers said what the distance of an endpoint means to a request, five files had no head, and a log line ran past the margin. A run that ends while it is copied a second time freed the copy only if that one was made; the first is freed now too.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -81,6 +81,15 @@
     want: Want,
 }
 
+/// What the place of an endpoint means to a request.
+#[derive(Debug)]
+struct Way {
+    /// Factor by which copies are slower there.
+    copy_factor: u64,
+    /// Delay by which it is disfavoured.
+    delay_ms: u64,
+}
+
 /// What a request wants of the fleet.
 #[derive(Debug, Clone)]
 pub(crate) struct Want {
@@ -384,10 +393,10 @@
         well.into_iter()
             .map(|member| {
                 let endpoint = &member.endpoint;
-                let (distance_ms, copy_factor) = self.distance(want, endpoint);
+                let way = self.way(want, endpoint);
                 let candidate = Candidate {
-                    copy_tokens_per_s: copy_tokens_per_s / copy_factor,
-                    distance_ms,
+                    copy_tokens_per_s: copy_tokens_per_s / way.copy_factor,
+                    distance_ms: way.delay_ms,
                     is_cold: member.is_cold,
                     is_for_reading: Some(member.reading_rank()) <= last_for_reading,
                     load: endpoint.load(),
@@ -408,12 +417,15 @@
         self.place.distance(source, &endpoint.data_centre) < Distance::OtherRegion
     }
 
-    /// Delay that the place of an endpoint means, and the factor by which copies are slower there.
-    fn distance(&self, want: &Want, endpoint: &Endpoint) -> (u64, u64) {
-        match &want.leaves {
-            None => (self.place.distance_ms(&endpoint.data_centre), 1),
-            Some(source) if *source == endpoint.data_centre => (0, 1),
-            Some(_) => (MOVE_FAR_MS, MOVE_FAR_FACTOR),
+    fn way(&self, want: &Want, endpoint: &Endpoint) -> Way {
+        let (copy_factor, delay_ms) = match &want.leaves {
+            None => (1, self.place.distance_ms(&endpoint.data_centre)),
+            Some(source) if *source == endpoint.data_centre => (1, 0),
+            Some(_) => (MOVE_FAR_FACTOR, MOVE_FAR_MS),
+        };
+        Way {
+            copy_factor,
+            delay_ms,
         }
     }
 
--- a/crates/gateway/src/fleet/asking.rs
+++ b/crates/gateway/src/fleet/asking.rs
@@ -1,3 +1,5 @@
+//! Questions for room that are on their way to the registry that sums loads.
+
 use std::sync::Arc;
 
 use placement::{Candidate, Demand};
--- a/crates/gateway/src/fleet/member.rs
+++ b/crates/gateway/src/fleet/member.rs
@@ -1,3 +1,5 @@
+//! What an instance knows of each endpoint of its fleet.
+
 use std::sync::Arc;
 
 use placement::{Load, reading_engines};
--- a/crates/gateway/src/fleet/placed.rs
+++ b/crates/gateway/src/fleet/placed.rs
@@ -1,3 +1,5 @@
+//! Counts the requests that were placed lately.
+
 use std::collections::VecDeque;
 
 /// Time over which the rate of requests is taken.
--- a/crates/gateway/src/fleet/slot.rs
+++ b/crates/gateway/src/fleet/slot.rs
@@ -1,3 +1,5 @@
+//! Room on an endpoint, and what its request does to the load there.
+
 use std::sync::Arc;
 
 use placement::Load;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -451,9 +451,10 @@
                 .streamed(customer, kind, first_ms, gap_max_ms);
         }
         info!(shared.log, "request ended"; "request" => call.id(), "outcome" => ?outcome,
-            "status" => 200, "reason" => reason, "waited_ms" => attempts.waited_ms, "route" => &call.route.name,
-            "customer" => call.customer.as_deref(), "endpoint" => &slot.endpoint.id,
-            "events" => reader.events(), "moves" => moves, "first_ms" => first_ms, "gap_max_ms" => gap_max_ms,
+            "status" => 200, "reason" => reason, "waited_ms" => attempts.waited_ms,
+            "route" => &call.route.name, "customer" => call.customer.as_deref(),
+            "endpoint" => &slot.endpoint.id, "events" => reader.events(), "moves" => moves,
+            "first_ms" => first_ms, "gap_max_ms" => gap_max_ms,
             "document_version" => call.catalog.version(), "duration_ms" => call.elapsed_ms());
     }
 }
--- a/crates/gateway/src/relay/motion.rs
+++ b/crates/gateway/src/relay/motion.rs
@@ -1,3 +1,5 @@
+//! Takes a run off an endpoint that leaves, step by step, while its stream goes on.
+
 use std::future::pending;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -182,13 +184,20 @@
     /// Frees a copy that is not needed, also one that is still being made.
     pub(super) fn free(self) {
         let Self::Copying {
-            copy, departure, ..
+            copy,
+            departure,
+            earlier,
+            ..
         } = self
         else {
             return;
         };
         tokio::spawn(async move {
-            if let CopyOutcome::Copied { handle } = copy.await {
+            let handle = match copy.await {
+                CopyOutcome::Copied { handle } => Some(handle),
+                _ => earlier,
+            };
+            if let Some(handle) = handle {
                 departure.free(&handle);
             }
         });
