Count questions for room by their outcome

Cause: on-call engineers could not see how often gateways choose alone, which is when engines are crowded. Change: reservations_total with the outcomes room, full and silent, in the table of metrics; a test scrapes it.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -24,6 +24,17 @@
     Silent,
 }
 
+impl Asked {
+    /// Name in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Room(_) => "room",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 impl Shared {
     /// Room for a request, once there is some; refuses where none is expected in time.
     pub(crate) async fn admit(&self, want: &Want) -> Result<Slot, Refusal> {
@@ -47,6 +58,12 @@
     }
 
     async fn ask(&self, want: &Want) -> Asked {
+        let asked = self.reserve(want).await;
+        self.metrics.asked_for_room(asked.name());
+        asked
+    }
+
+    async fn reserve(&self, want: &Want) -> Asked {
         let now_ms = self.fleet.now_ms();
         if now_ms < self.reservations_paused_until_ms.load(Ordering::Relaxed) {
             return Asked::Silent;
--- a/crates/telemetry/src/serving.rs
+++ b/crates/telemetry/src/serving.rs
@@ -23,6 +23,7 @@
     moves: Counter<u64>,
     pauses: Histogram<f64>,
     repeats: Counter<u64>,
+    reservations: Counter<u64>,
     waiting: Gauge<u64>,
     waits: Histogram<f64>,
 }
@@ -67,6 +68,7 @@
             moves: meter.u64_counter("moves").build(),
             pauses: histogram("longest_pause"),
             repeats: meter.u64_counter("repeated_sendings").build(),
+            reservations: meter.u64_counter("reservations").build(),
             waiting: meter.u64_gauge("waiting_requests").build(),
             waits: histogram("time_for_room"),
         }
@@ -105,6 +107,12 @@
         self.repeats.add(1, &attributes);
     }
 
+    /// Counts a question for room by its outcome.
+    pub fn asked_for_room(&self, outcome: &'static str) {
+        self.reservations
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Sets what the gateway believes.
     pub fn believes(&self, beliefs: &Beliefs) {
         self.document_version.record(beliefs.document_version, &[]);
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -38,3 +38,25 @@
         .unwrap();
     assert!(other.ends_with(" 20"), "{other}");
 }
+
+#[test]
+fn questions_for_room_are_counted_by_their_outcome() {
+    let metrics = Metrics::open().unwrap();
+    let serving = metrics.serving();
+    serving.asked_for_room("room");
+    serving.asked_for_room("silent");
+    serving.asked_for_room("room");
+    let text = metrics.scrape().unwrap();
+    let count = |outcome: &str| {
+        let is_series = |line: &&str| {
+            line.starts_with("reservations_total")
+                && line.contains(&format!("outcome=\"{outcome}\""))
+        };
+        let line = text.lines().find(is_series).unwrap();
+        line.rsplit(' ').next().unwrap().to_owned()
+    };
+    assert_eq!(
+        (count("room").as_str(), count("silent").as_str()),
+        ("2", "1")
+    );
+}
