Leave an endpoint only once another one has answered

Callers saw: a stream that paused for 0.7 s was cut, and a request whose endpoint answered late got 502, when no other endpoint had capacity, when the other one rejected the request or was silent as well, or when the retry budget was spent. A migrated generation was cut when its target was silent for 1.2 s, although its source still generated.

Cause: a request and a stream gave up their attempt when a timer fired, and looked for a replacement afterwards. Whatever then failed ended the answer. Class of fault: a working resource is released before its replacement is secured.

Change: an attempt (attempt.rs) waits for its response until the request's deadline. What used to be its time limit now only starts another attempt beside it; the first answer wins and the others are cancelled. A relay reads its endpoint while a continuation elsewhere is pending, forwards what comes, and switches when the other endpoint has answered. Events that the other one repeats are skipped by their ids. A resumption is cancelled if the endpoint continues. Only a stream that its endpoint broke off depends on the continuation.

Unchanged: when a replacement is requested, what it needs (capacity, budget, max_attempts), that a late endpoint counts one failure, and that a generation does not stay at its source after its target may have run it (it answered 500 or reset the connection).

Ruled out: a longer limit alone (6 s) leaves a silent target fatal; staying at the source after the limit loses a target that answers late.

--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,317 @@
+//! One attempt of a request at one endpoint.
+//!
+//! An attempt waits for its response until the request's deadline: a silent endpoint may still
+//! answer. Its owner decides whether a further attempt is made meanwhile. A dropped attempt closes
+//! its connection, and the endpoint then stops its work.
+
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use thiserror::Error;
+use tokio::time::{Instant, timeout};
+
+use crate::clock::elapsed_ms;
+use crate::connection::{EndpointResponse, SendError};
+use crate::endpoint::Endpoint;
+use crate::fleet::{PlacementRequest, Slot};
+use crate::gateway_state::GatewayState;
+use crate::handler::RoutedRequest;
+use crate::outcome::RequestError;
+use crate::{AttemptHead, CacheCopy, ResponseHead};
+
+/// Time for which a retry waits for capacity, and after which a client may retry it.
+pub(crate) const RETRY_WAIT_MS: u64 = 200;
+
+/// Position from which a stream resumes; the default is its start.
+#[derive(Debug, Default)]
+pub(crate) struct ResumePoint {
+    pub(crate) copy: Option<CacheCopy>,
+    pub(crate) last_event_id: Option<u64>,
+}
+
+/// Response that is neither a rejection nor another request's, with its parsed head.
+pub(crate) struct AcceptedResponse {
+    pub(crate) head: ResponseHead,
+    pub(crate) response: EndpointResponse,
+}
+
+/// Reason why an attempt got no response.
+#[derive(Debug, Error)]
+pub(crate) enum AttemptError {
+    /// The request may have run.
+    #[error("the endpoint failed: {0}")]
+    Failed(String),
+    /// The endpoint rejected the request; it did not run.
+    #[error("the endpoint did not run it: {0}")]
+    Rejected(String),
+    /// The request may still be running.
+    #[error("the endpoint did not answer in time")]
+    TimedOut,
+    /// The endpoint could not be reached; the request did not run.
+    #[error("the endpoint was not reached: {0}")]
+    Unreachable(String),
+}
+
+/// Result of an attempt that was placed, or the reason why it was not.
+pub(crate) enum AttemptOutcome {
+    Accepted(Box<AcceptedResponse>, Slot),
+    Failed(AttemptError, Slot),
+    /// No capacity was free, or the retry budget is spent; nothing was sent.
+    NotPlaced(RequestError),
+}
+
+/// Outcome of an attempt, and how long it waited for capacity.
+pub(crate) struct AttemptEnd {
+    pub(crate) outcome: AttemptOutcome,
+    pub(crate) waited_ms: u64,
+}
+
+/// Attempt that has not ended.
+pub(crate) struct PendingAttempt {
+    end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
+    progress: Arc<AttemptProgress>,
+}
+
+/// State of an attempt that its owner sees while it is pending.
+#[derive(Debug, Default)]
+struct AttemptProgress {
+    /// Endpoint that the request is sent to, and since when; set once capacity is occupied.
+    sent_to: OnceLock<(Arc<Endpoint>, Instant)>,
+    /// Whether the endpoint's delay has been counted as a failure.
+    is_overdue: AtomicBool,
+}
+
+/// Starts the attempts of one request.
+#[derive(Clone)]
+pub(crate) struct AttemptSender {
+    gateway: Arc<GatewayState>,
+    request: Arc<RoutedRequest>,
+}
+
+impl PendingAttempt {
+    /// Waits for the end. The future may be dropped and requested again until it has ended.
+    pub(crate) fn end(&mut self) -> &mut (impl Future<Output = AttemptEnd> + Unpin) {
+        &mut self.end
+    }
+
+    /// Id of the endpoint that the request is sent to; `None` while it waits for capacity.
+    pub(crate) fn endpoint_id(&self) -> Option<&str> {
+        let (endpoint, _) = self.progress.sent_to.get()?;
+        Some(&endpoint.id)
+    }
+
+    /// Time from which the request was sent; `None` while it waits for capacity.
+    pub(crate) fn sent_at(&self) -> Option<Instant> {
+        let (_, sent_at) = self.progress.sent_to.get()?;
+        Some(*sent_at)
+    }
+
+    /// Counts a failure of the endpoint, once, as it has not answered in time.
+    pub(crate) fn mark_overdue(&self, now_ms: u64) {
+        if let Some((endpoint, _)) = self.progress.sent_to.get() {
+            self.progress.record_failure(endpoint, now_ms);
+        }
+    }
+}
+
+impl AttemptProgress {
+    fn record_failure(&self, endpoint: &Endpoint, now_ms: u64) {
+        if !self.is_overdue.swap(true, Ordering::Relaxed) {
+            endpoint.stats().health.record_failure(now_ms);
+        }
+    }
+}
+
+impl AttemptSender {
+    pub(crate) fn new(gateway: &Arc<GatewayState>, request: &Arc<RoutedRequest>) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            request: Arc::clone(request),
+        }
+    }
+
+    /// Starts an attempt that is placed first; `is_retry` if it needs the retry budget.
+    pub(crate) fn place_and_send(
+        &self,
+        placement: PlacementRequest,
+        resume_point: ResumePoint,
+        is_retry: bool,
+    ) -> PendingAttempt {
+        let sender = self.clone();
+        let place = async move {
+            let placed = sender.place(&placement, is_retry).await;
+            placed.map_err(AttemptOutcome::NotPlaced)
+        };
+        self.start(place, resume_point)
+    }
+
+    /// Starts an attempt at an occupied slot, if the retry budget allows it.
+    pub(crate) fn retry_at(&self, slot: Slot, resume_point: ResumePoint) -> PendingAttempt {
+        let sender = self.clone();
+        let place = async move {
+            match sender.take_from_budget() {
+                Ok(()) => Ok(slot),
+                Err(error) => Err(AttemptOutcome::Failed(
+                    AttemptError::Rejected(error.reason),
+                    slot,
+                )),
+            }
+        };
+        self.start(place, resume_point)
+    }
+
+    fn start(
+        &self,
+        place: impl Future<Output = Result<Slot, AttemptOutcome>> + Send + 'static,
+        resume_point: ResumePoint,
+    ) -> PendingAttempt {
+        let sender = self.clone();
+        let progress = Arc::new(AttemptProgress::default());
+        let shared_progress = Arc::clone(&progress);
+        let end = async move {
+            let wait_started_at = Instant::now();
+            let placed = place.await;
+            let waited_ms = elapsed_ms(wait_started_at);
+            let outcome = match placed {
+                Ok(slot) => sender.exchange(slot, &resume_point, &shared_progress).await,
+                Err(outcome) => outcome,
+            };
+            AttemptEnd { outcome, waited_ms }
+        };
+        PendingAttempt {
+            end: Box::pin(end),
+            progress,
+        }
+    }
+
+    async fn place(
+        &self,
+        placement: &PlacementRequest,
+        is_retry: bool,
+    ) -> Result<Slot, RequestError> {
+        let slot = self.gateway.admit(placement).await?;
+        if is_retry {
+            self.take_from_budget()?;
+        }
+        Ok(slot)
+    }
+
+    fn take_from_budget(&self) -> Result<(), RequestError> {
+        if self.gateway.try_retry(&self.request.service) {
+            return Ok(());
+        }
+        Err(RequestError::not_run(
+            "the budget for repeats is spent",
+            RETRY_WAIT_MS,
+        ))
+    }
+
+    /// Sends the request, and waits for the head of its response until the deadline.
+    async fn exchange(
+        &self,
+        slot: Slot,
+        resume_point: &ResumePoint,
+        progress: &AttemptProgress,
+    ) -> AttemptOutcome {
+        let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
+        let (endpoint, _) = progress.sent_to.get_or_init(sent_to);
+        match self
+            .request_response(endpoint, resume_point, progress)
+            .await
+        {
+            Ok(accepted) => AttemptOutcome::Accepted(Box::new(accepted), slot),
+            Err(error) => AttemptOutcome::Failed(error, slot),
+        }
+    }
+
+    async fn request_response(
+        &self,
+        endpoint: &Endpoint,
+        resume_point: &ResumePoint,
+        progress: &AttemptProgress,
+    ) -> Result<AcceptedResponse, AttemptError> {
+        let request = self.endpoint_request(&endpoint.id, resume_point);
+        let is_copied = resume_point.copy.is_some();
+        let may_reuse = is_copied || self.request.route.retry_class.is_idempotent();
+        let remaining = Duration::from_millis(self.request.remaining_ms());
+        let sent = timeout(remaining, endpoint.pool.send(request, may_reuse)).await;
+        let now_ms = self.gateway.fleet.now_ms();
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::NotSent(reason))) => {
+                endpoint.stats().health.record_unreachable(now_ms);
+                return Err(AttemptError::Unreachable(reason));
+            }
+            Ok(Err(SendError::MayHaveRun(reason))) => {
+                progress.record_failure(endpoint, now_ms);
+                return Err(AttemptError::Failed(reason));
+            }
+            Err(_) => {
+                progress.record_failure(endpoint, now_ms);
+                return Err(AttemptError::TimedOut);
+            }
+        };
+        let status = response.parts.status;
+        let head = self
+            .gateway
+            .dialect
+            .parse_response_head(status, &response.parts.headers);
+        if head.is_misdirected {
+            endpoint.set_leaving();
+            return Err(AttemptError::Rejected(
+                "another endpoint has the address".to_owned(),
+            ));
+        }
+        if head.is_not_run {
+            return Err(AttemptError::Rejected(format!(
+                "the endpoint answered {status}"
+            )));
+        }
+        if head.request_id.as_deref() != self.request.head.request_id.as_deref() {
+            progress.record_failure(endpoint, now_ms);
+            return Err(AttemptError::Failed(
+                "the answer is another request's".to_owned(),
+            ));
+        }
+        Ok(AcceptedResponse { head, response })
+    }
+
+    fn endpoint_request(
+        &self,
+        endpoint_id: &str,
+        resume_point: &ResumePoint,
+    ) -> Request<Full<Bytes>> {
+        let routed = &self.request;
+        let mut request = Request::new(Full::new(routed.body.clone()));
+        *request.method_mut() = routed.method.clone();
+        *request.uri_mut() = routed.path.clone().into();
+        let mut headers = routed.headers.clone();
+        let is_generation = routed.head.generation.is_some();
+        let attempt = AttemptHead {
+            copy: resume_point.copy.as_ref(),
+            customer: routed.customer.as_deref(),
+            endpoint_id,
+            last_event_id: resume_point.last_event_id.or(routed.client_last_event_id()),
+            priority: is_generation.then_some(routed.priority),
+            remaining_ms: routed.remaining_ms(),
+        };
+        self.gateway
+            .dialect
+            .write_attempt_headers(&mut headers, &attempt);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+impl RoutedRequest {
+    /// Last event that the client received, if the route allows it to resume a stream.
+    fn client_last_event_id(&self) -> Option<u64> {
+        let may_resume = self.route.retry_class.is_idempotent();
+        self.head.last_event_id.filter(|_| may_resume)
+    }
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,26 +1,33 @@
 //! Sends one request to endpoints until it is answered or no further attempt is allowed.
+//!
+//! An idempotent request whose endpoint does not answer in time is sent to another one as well. The
+//! first attempt continues meanwhile: its endpoint may only pause, and the other one may reject the
+//! request or be silent too. The first answer is forwarded, and the other attempts are cancelled.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use futures::future::select_all;
+use http_body_util::{BodyExt, Limited};
 use hyper::http::response;
-use hyper::{Request, Response, StatusCode, header};
+use hyper::{Response, StatusCode, header};
 use placement::PREFILL_TOKENS_PER_MS;
 use slog::{debug, info};
-use thiserror::Error;
-use tokio::time::{Instant, timeout};
-
-use crate::clock::elapsed_ms;
-use crate::connection::{Connection, EndpointResponse, SendError};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::ResponseHead;
+use crate::attempt::{
+    AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender, PendingAttempt,
+    RETRY_WAIT_MS, ResumePoint,
+};
+use crate::connection::{Connection, EndpointResponse};
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::{Outcome, RequestError};
 use crate::relay::Relay;
 use crate::response::{ResponseBody, full_body, strip_hop_by_hop_headers};
-use crate::{AttemptHead, CacheCopy, ResponseHead};
 
 /// Least remaining time for which an attempt is made.
 const REMAINING_MS_MIN: u64 = 20;
@@ -35,17 +42,14 @@
 /// network and the endpoint's work.
 const WAIT_PERCENT: u64 = 70;
 
-/// Shortest time limit of an attempt that may be followed by another, so that ordinary slow
-/// responses are waited for.
-const ATTEMPT_MS_MIN: u64 = 350;
+/// Shortest time after which an attempt without a response is joined by another, so that ordinary
+/// slow responses are waited for.
+const OVERDUE_MS_MIN: u64 = 350;
 
 /// Target latencies after which a stream without its first event is requested from another
 /// endpoint. The prompt is prefilled once more there, so a merely busy engine is waited for.
 pub(crate) const FIRST_EVENT_TARGET_LATENCIES: u64 = 2;
 
-/// Time for which a retry waits for capacity.
-const RETRY_WAIT_MS: u64 = 200;
-
 /// Statuses that promise clients that the request has not run. Without the endpoint's not-run
 /// header the promise may be false, so such a response is not forwarded.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
@@ -62,6 +66,10 @@
     /// Error response of an endpoint, with the endpoint's id; forwarded if later attempts fail too.
     fallback: Option<(Response<ResponseBody>, String)>,
     pub(crate) gateway: Arc<GatewayState>,
+    /// Attempts that have not ended, oldest first.
+    in_flight: Vec<PendingAttempt>,
+    /// Earliest time for an attempt beside those in flight.
+    next_attempt_at: Instant,
     /// Attempts that have certainly not run.
     not_run_count: u32,
     /// Attempts that may have run.
@@ -71,42 +79,14 @@
     pub(crate) waited_ms: u64,
 }
 
-/// Position from which a stream resumes; the default is its start.
-#[derive(Debug, Default)]
-pub(crate) struct ResumePoint<'a> {
-    pub(crate) copy: Option<&'a CacheCopy>,
-    pub(crate) last_event_id: Option<u64>,
-}
-
-/// Response that is neither a rejection nor another request's, with its parsed head.
-pub(crate) struct AcceptedResponse {
-    pub(crate) head: ResponseHead,
-    pub(crate) response: EndpointResponse,
-}
-
-/// Reason why an attempt got no response.
-#[derive(Debug, Error)]
-pub(crate) enum AttemptError {
-    /// The request may have run.
-    #[error("the endpoint failed: {0}")]
-    Failed(String),
-    /// The endpoint rejected the request; it did not run.
-    #[error("the endpoint did not run it: {0}")]
-    Rejected(String),
-    /// The request may still be running.
-    #[error("the endpoint did not answer in time")]
-    TimedOut,
-    /// The endpoint could not be reached; the request did not run.
-    #[error("the endpoint was not reached: {0}")]
-    Unreachable(String),
-}
-
 impl Attempts {
     pub(crate) fn new(gateway: Arc<GatewayState>, request: Arc<RoutedRequest>) -> Self {
         Self {
             excluded_ids: Vec::new(),
             fallback: None,
             gateway,
+            in_flight: Vec::new(),
+            next_attempt_at: Instant::now(),
             not_run_count: 0,
             possible_runs: 0,
             request,
@@ -133,92 +113,79 @@
 
     async fn try_endpoints(&mut self) -> Result<Response<ResponseBody>, RequestError> {
         loop {
-            if self.request.remaining_ms() < REMAINING_MS_MIN {
-                return Err(self.unanswered_error("its time is over"));
-            }
-            let wait_started_at = Instant::now();
-            let admitted = self.gateway.admit(&self.placement_request()).await;
-            self.record_wait(elapsed_ms(wait_started_at));
-            let slot = match admitted {
-                Ok(slot) => slot,
-                Err(error) if self.possible_runs == 0 => return Err(error),
-                Err(error) => return Err(self.unanswered_error(&error.reason)),
-            };
-            let is_retry = self.possible_runs + self.not_run_count > 0;
-            if is_retry && !self.gateway.try_retry(&self.request.service) {
-                return Err(self.unanswered_error("the budget for repeats is spent"));
+            if self.in_flight.is_empty() {
+                if self.request.remaining_ms() < REMAINING_MS_MIN {
+                    return Err(self.unanswered_error("its time is over"));
+                }
+                let is_retry = self.possible_runs + self.not_run_count > 0;
+                self.start_attempt(is_retry);
             }
-            let limit_ms = self.attempt_limit_ms();
-            let sent = self.send(&slot, &ResumePoint::default(), limit_ms).await;
-            let error = match sent {
-                Ok(accepted) => {
-                    self.possible_runs += 1;
-                    if let Some(result) = self.forward(accepted, slot).await {
-                        return result;
+            let attempt_at = self.next_attempt_at();
+            let end = tokio::select! {
+                biased;
+                end = next_end(&mut self.in_flight) => end,
+                () = sleep_until(attempt_at), if self.may_run_again() => {
+                    if self.next_attempt_at() <= Instant::now() {
+                        self.start_attempt_beside_overdue();
                     }
                     continue;
                 }
-                Err(error) => error,
             };
-            self.excluded_ids.push(slot.endpoint.id.clone());
-            drop(slot);
-            if let Some(error) = self.record_attempt_error(&error) {
-                return Err(error);
+            if let Some(result) = self.apply_end(end).await {
+                return result;
             }
         }
     }
 
-    /// Makes one attempt, and waits for the head of its response.
-    pub(crate) async fn send(
-        &self,
-        slot: &Slot,
-        resume_point: &ResumePoint<'_>,
-        limit_ms: u64,
-    ) -> Result<AcceptedResponse, AttemptError> {
-        let endpoint = &slot.endpoint;
-        let request = self.endpoint_request(&endpoint.id, resume_point);
-        let is_copied = resume_point.copy.is_some();
-        let may_reuse = is_copied || self.request.route.retry_class.is_idempotent();
-        let sent = endpoint.pool.send(request, may_reuse);
+    fn start_attempt(&mut self, is_retry: bool) {
+        let sender = AttemptSender::new(&self.gateway, &self.request);
+        let placement = self.placement_request(is_retry);
+        let attempt = sender.place_and_send(placement, ResumePoint::default(), is_retry);
+        self.in_flight.push(attempt);
+    }
+
+    /// Time at which the newest attempt is overdue, so that another may start beside it.
+    fn next_attempt_at(&self) -> Instant {
+        let newest = self.in_flight.last();
+        let sent_at = newest.and_then(PendingAttempt::sent_at);
+        let overdue_at = sent_at.unwrap_or_else(Instant::now) + self.overdue_after();
+        overdue_at.max(self.next_attempt_at)
+    }
+
+    fn start_attempt_beside_overdue(&mut self) {
         let now_ms = self.gateway.fleet.now_ms();
-        let response = match timeout(Duration::from_millis(limit_ms), sent).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent(reason))) => {
-                endpoint.stats().health.record_unreachable(now_ms);
-                return Err(AttemptError::Unreachable(reason));
-            }
-            Ok(Err(SendError::MayHaveRun(reason))) => {
-                endpoint.stats().health.record_failure(now_ms);
-                return Err(AttemptError::Failed(reason));
+        for attempt in &self.in_flight {
+            attempt.mark_overdue(now_ms);
+            info!(self.gateway.log, "attempt overdue"; "request" => self.request.id(),
+                "endpoint" => attempt.endpoint_id());
+        }
+        self.start_attempt(true);
+    }
+
+    /// Returns the result of the request, or `None` while it may still be answered.
+    async fn apply_end(
+        &mut self,
+        end: AttemptEnd,
+    ) -> Option<Result<Response<ResponseBody>, RequestError>> {
+        self.record_wait(end.waited_ms);
+        let error = match end.outcome {
+            AttemptOutcome::Accepted(accepted, slot) => {
+                self.possible_runs += 1;
+                return self.forward(*accepted, slot).await;
             }
-            Err(_) => {
-                endpoint.stats().health.record_failure(now_ms);
-                return Err(AttemptError::TimedOut);
+            AttemptOutcome::Failed(error, slot) => {
+                self.excluded_ids.push(slot.endpoint.id.clone());
+                drop(slot);
+                self.record_attempt_error(&error)
             }
+            AttemptOutcome::NotPlaced(error) if self.possible_runs == 0 => Some(error),
+            AttemptOutcome::NotPlaced(error) => Some(self.unanswered_error(&error.reason)),
         };
-        let status = response.parts.status;
-        let head = self
-            .gateway
-            .dialect
-            .parse_response_head(status, &response.parts.headers);
-        if head.is_misdirected {
-            endpoint.set_leaving();
-            return Err(AttemptError::Rejected(
-                "another endpoint has the address".to_owned(),
-            ));
-        }
-        if head.is_not_run {
-            return Err(AttemptError::Rejected(format!(
-                "the endpoint answered {status}"
-            )));
-        }
-        if head.request_id.as_deref() != self.request.head.request_id.as_deref() {
-            endpoint.stats().health.record_failure(now_ms);
-            return Err(AttemptError::Failed(
-                "the answer is another request's".to_owned(),
-            ));
+        if !self.in_flight.is_empty() {
+            self.next_attempt_at = Instant::now() + self.overdue_after();
+            return None;
         }
-        Ok(AcceptedResponse { head, response })
+        error.map(Err)
     }
 
     /// Forwards a response to the client; `None` if another endpoint is to be tried.
@@ -229,6 +196,7 @@
     ) -> Option<Result<Response<ResponseBody>, RequestError>> {
         let status = accepted.response.parts.status;
         if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
+            self.cancel_in_flight();
             return Some(Ok(Relay::spawn(self, accepted, slot)));
         }
         let AcceptedResponse { head, response } = accepted;
@@ -266,7 +234,7 @@
             return self.check_retry(&format!("the endpoint answered {status}"));
         }
         let response = client_response(parts, bytes);
-        if status.is_server_error() && self.may_run_again() {
+        if status.is_server_error() && self.may_still_be_answered() {
             self.excluded_ids.push(endpoint.id.clone());
             self.fallback = Some((response, endpoint.id.clone()));
             return None;
@@ -291,7 +259,7 @@
 
     /// Returns an error if no further attempt is allowed after a response that cannot be forwarded.
     fn check_retry(&self, reason: &str) -> Option<Result<Response<ResponseBody>, RequestError>> {
-        if self.may_run_again() {
+        if self.may_still_be_answered() {
             debug!(self.gateway.log, "request retried"; "request" => self.request.id(),
                 "reason" => reason);
             return None;
@@ -333,25 +301,51 @@
         RequestError::not_run(reason, RETRY_WAIT_MS)
     }
 
+    /// Whether a further attempt may start, beside those in flight.
     fn may_run_again(&self) -> bool {
         let route = &self.request.route;
-        route.retry_class.is_idempotent() && self.possible_runs < route.attempts_max
+        let in_flight = u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX);
+        route.retry_class.is_idempotent()
+            && self.not_run_count < NOT_RUN_ATTEMPTS_MAX
+            && self.possible_runs + in_flight < route.attempts_max
     }
 
-    fn placement_request(&self) -> PlacementRequest {
+    fn may_still_be_answered(&self) -> bool {
+        !self.in_flight.is_empty() || self.may_run_again()
+    }
+
+    /// Drops the attempts that lost to an answer; those that were sent may have run.
+    fn cancel_in_flight(&mut self) {
+        for attempt in self.in_flight.drain(..) {
+            if let Some(endpoint_id) = attempt.endpoint_id() {
+                self.possible_runs += 1;
+                self.excluded_ids.push(endpoint_id.to_owned());
+            }
+        }
+    }
+
+    fn placement_request(&self, is_retry: bool) -> PlacementRequest {
         let request = &self.request;
         let demand = request.demand();
         let prefill_ms = demand.prefill_tokens / PREFILL_TOKENS_PER_MS;
         let target_ms = request.route.target_latency_ms * WAIT_PERCENT / 100;
         let wait_ms = target_ms.saturating_sub(prefill_ms + request.elapsed_ms());
-        let wait_ms = if self.possible_runs + self.not_run_count > 0 {
+        let wait_ms = if is_retry {
             wait_ms.max(RETRY_WAIT_MS)
         } else {
             wait_ms
         };
+        let in_flight_ids = self
+            .in_flight
+            .iter()
+            .filter_map(PendingAttempt::endpoint_id);
+        let excluded_ids = self.excluded_ids.iter().map(String::as_str);
         PlacementRequest {
             demand,
-            excluded_ids: self.excluded_ids.clone(),
+            excluded_ids: excluded_ids
+                .chain(in_flight_ids)
+                .map(str::to_owned)
+                .collect(),
             priority: request.priority,
             service: request.service.clone(),
             source_data_centre: None,
@@ -359,56 +353,23 @@
         }
     }
 
-    /// Time limit for the head of a response, after which another endpoint may be tried.
-    fn attempt_limit_ms(&self) -> u64 {
+    /// Time without a response after which another endpoint is tried as well.
+    fn overdue_after(&self) -> Duration {
         let route = &self.request.route;
-        let is_last =
-            !route.retry_class.is_idempotent() || self.possible_runs + 1 >= route.attempts_max;
-        let remaining_ms = self.request.remaining_ms();
-        if is_last {
-            return remaining_ms;
-        }
-        let limit_ms = if route.retry_class.is_stream() {
+        let overdue_ms = if route.retry_class.is_stream() {
             route.target_latency_ms * FIRST_EVENT_TARGET_LATENCIES
         } else {
             route.target_latency_ms
         };
-        remaining_ms.min(limit_ms.max(ATTEMPT_MS_MIN))
-    }
-
-    fn endpoint_request(
-        &self,
-        endpoint_id: &str,
-        resume_point: &ResumePoint<'_>,
-    ) -> Request<Full<Bytes>> {
-        let routed = &self.request;
-        let mut request = Request::new(Full::new(routed.body.clone()));
-        *request.method_mut() = routed.method.clone();
-        *request.uri_mut() = routed.path.clone().into();
-        let mut headers = routed.headers.clone();
-        let is_generation = routed.head.generation.is_some();
-        let attempt = AttemptHead {
-            copy: resume_point.copy,
-            customer: routed.customer.as_deref(),
-            endpoint_id,
-            last_event_id: resume_point.last_event_id.or(routed.client_last_event_id()),
-            priority: is_generation.then_some(routed.priority),
-            remaining_ms: routed.remaining_ms(),
-        };
-        self.gateway
-            .dialect
-            .write_attempt_headers(&mut headers, &attempt);
-        *request.headers_mut() = headers;
-        request
+        Duration::from_millis(overdue_ms.max(OVERDUE_MS_MIN))
     }
 }
 
-impl RoutedRequest {
-    /// Last event that the client received, if the route allows it to resume a stream.
-    fn client_last_event_id(&self) -> Option<u64> {
-        let may_resume = self.route.retry_class.is_idempotent();
-        self.head.last_event_id.filter(|_| may_resume)
-    }
+/// Waits until one of the attempts ends, and removes it.
+async fn next_end(in_flight: &mut Vec<PendingAttempt>) -> AttemptEnd {
+    let (end, at, _) = select_all(in_flight.iter_mut().map(PendingAttempt::end)).await;
+    in_flight.remove(at);
+    end
 }
 
 /// Returns a connection to the pool after its response, unless the endpoint closes it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! so. The gateway's own responses with status 429 or 503 promise that the request has not run.
 
 mod admission;
+mod attempt;
 mod attempts;
 mod clock;
 mod connection;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,11 @@
 //! migrated with its KV cache. If the endpoint is gone too early, the generation continues from a
 //! complete KV cache copy, if any. A resumable stream is requested again after its last event.
 //! Any other interrupted stream is aborted, so that the client does not take it for complete.
+//!
+//! A stream leaves its endpoint only once another one has answered. Until then its events are
+//! forwarded, and if no other endpoint answers, it stays. Silence alone never ends a stream.
 
+mod continuation;
 mod migration;
 
 use std::sync::Arc;
@@ -19,17 +23,18 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use crate::attempts::{
-    AcceptedResponse, AttemptError, Attempts, FIRST_EVENT_TARGET_LATENCIES, ResumePoint,
-    client_parts, keep_connection,
+use crate::attempt::{
+    AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender, ResumePoint,
 };
+use crate::attempts::{Attempts, FIRST_EVENT_TARGET_LATENCIES, client_parts, keep_connection};
 use crate::clock::milliseconds;
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::outcome::Outcome;
 use crate::response::{IncompleteBody, ResponseBody, channel_body};
-use crate::{CacheCopy, EventReader, ResponseHead};
-use migration::{CompleteCopy, Migration, MigrationStep};
+use crate::{EventReader, ResponseHead};
+use continuation::Continuation;
+use migration::{CompleteCopy, Migration, MigrationStep, UsedCopy};
 
 /// Chunks that are buffered for a slow client.
 const BUFFERED_CHUNKS_MAX: usize = 16;
@@ -41,10 +46,6 @@
 /// Shortest time without an event after which a stream is requested from another endpoint.
 const STALL_MS_MIN: u64 = 700;
 
-/// Longest wait for the response head when a stream continues on another endpoint; clients leave
-/// after two seconds.
-const CONTINUATION_TIMEOUT_MS: u64 = 1_200;
-
 /// Time for which a resumed stream waits for capacity.
 const RESUME_WAIT_MS: u64 = 300;
 
@@ -61,17 +62,21 @@
     body: Incoming,
     body_sender: mpsc::Sender<Result<Bytes, IncompleteBody>>,
     connection: Connection,
+    continuation: Option<Continuation>,
     endpoint_switches: u32,
     first_event_ms: Option<u64>,
     gap_ms_max: u64,
     head: ResponseHead,
+    /// Whether the endpoint broke off the stream, so that only a continuation can complete it.
+    is_broken_off: bool,
     last_event_at: Instant,
     migration: Migration,
     /// Predicted tokens in memory at the end of the generation.
     predicted_tokens: u64,
     reader: EventReader,
     slot: Slot,
-    switched_at: Instant,
+    /// Time from which a pause of the stream counts, if there was no later event.
+    stall_start_at: Instant,
 }
 
 /// Event that a relay reacts to.
@@ -80,6 +85,7 @@
     /// Data of the body; `None` after an error.
     BodyFrame(Option<Bytes>),
     ClientLeft,
+    ContinuationEnded(AttemptEnd),
     Migration(MigrationStep),
     Stalled,
     TimedOut,
@@ -117,16 +123,18 @@
             body: response.body,
             body_sender,
             connection: response.connection,
+            continuation: None,
             endpoint_switches: 0,
             first_event_ms: None,
             gap_ms_max: 0,
             head,
+            is_broken_off: false,
             last_event_at: Instant::now(),
             migration: Migration::watch(&slot.endpoint),
             predicted_tokens,
             reader: EventReader::default(),
             slot,
-            switched_at: Instant::now(),
+            stall_start_at: Instant::now(),
         };
         tokio::spawn(relay.run());
         Response::from_parts(parts, channel_body(body_receiver))
@@ -148,7 +156,8 @@
             biased;
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
             () = sleep_until(self.attempts.request.deadline) => RelayEvent::TimedOut,
-            frame = self.body.frame() => match frame {
+            end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
+            frame = self.body.frame(), if !self.is_broken_off => match frame {
                 Some(Ok(frame)) => RelayEvent::BodyFrame(frame.into_data().ok()),
                 Some(Err(_)) => RelayEvent::BodyFrame(None),
                 None => RelayEvent::BodyEnded,
@@ -162,14 +171,15 @@
     async fn react(&mut self, event: RelayEvent) -> Option<StreamEnd> {
         match event {
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
-                self.recover("within an event").await
+                self.recover("within an event")
             }
             RelayEvent::BodyEnded => Some(StreamEnd::Complete),
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
-            RelayEvent::BodyFrame(None) => self.recover("without its end").await,
+            RelayEvent::BodyFrame(None) => self.recover("without its end"),
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
+            RelayEvent::ContinuationEnded(end) => self.apply_continuation(end),
             RelayEvent::Migration(step) => self.continue_migration(step).await,
-            RelayEvent::Stalled => self.resume("no event came in time").await,
+            RelayEvent::Stalled => self.resume("no event came in time"),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
         }
     }
@@ -183,6 +193,7 @@
         if whole_events.is_empty() {
             return None;
         }
+        self.cancel_resumption("the endpoint sent the next event");
         let gap = self.last_event_at.elapsed();
         let gap_ms = milliseconds(gap);
         self.last_event_at = Instant::now();
@@ -235,7 +246,7 @@
 
     fn stall_at(&self) -> Instant {
         let request = &self.attempts.request;
-        if !self.is_resumable() || self.attempts.possible_runs >= request.route.attempts_max {
+        if self.is_broken_off || self.continuation.is_some() || !self.may_resume() {
             return request.deadline;
         }
         let stall_ms = match self.first_event_ms {
@@ -244,121 +255,168 @@
                 (request.route.target_latency_ms * FIRST_EVENT_TARGET_LATENCIES).max(STALL_MS_MIN)
             }
         };
-        self.last_event_at.max(self.switched_at) + Duration::from_millis(stall_ms)
+        self.last_event_at.max(self.stall_start_at) + Duration::from_millis(stall_ms)
+    }
+
+    fn may_resume(&self) -> bool {
+        self.is_resumable()
+            && self.attempts.possible_runs < self.attempts.request.route.attempts_max
     }
 
     /// Continues elsewhere after the endpoint interrupted the stream; `how` ends the logged reason.
-    async fn recover(&mut self, how: &str) -> Option<StreamEnd> {
+    fn recover(&mut self, how: &str) -> Option<StreamEnd> {
         self.reader.discard_partial();
-        if let Some(copy) = self.migration.take_first_copy() {
-            return match self.continue_from_copy(*copy).await {
-                Ok(()) => None,
-                Err((error, _)) => {
-                    let reason = format!("the endpoint broke off {how}, and at the copy: {error}");
-                    self.resume(&reason).await
-                }
-            };
+        self.is_broken_off = true;
+        let first_copy = self.migration.take_first_copy();
+        if self.continuation.is_some() {
+            return None;
+        }
+        let reason = format!("the endpoint broke off {how}");
+        if let Some(copy) = first_copy {
+            self.continue_from_copy(*copy, reason);
+            return None;
         }
         let now_ms = self.attempts.gateway.fleet.now_ms();
         self.slot.endpoint.stats().health.record_failure(now_ms);
-        self.resume(&format!("the endpoint broke off {how}")).await
+        self.resume(&reason)
     }
 
     /// Requests the stream from another endpoint, starting after its last event.
-    async fn resume(&mut self, reason: &str) -> Option<StreamEnd> {
-        let request = Arc::clone(&self.attempts.request);
-        let gateway = Arc::clone(&self.attempts.gateway);
-        if !self.is_resumable() || self.attempts.possible_runs >= request.route.attempts_max {
-            return Some(StreamEnd::Broken(reason.to_owned()));
+    fn resume(&mut self, reason: &str) -> Option<StreamEnd> {
+        if !self.may_resume() {
+            return self.end_if_broken_off(reason.to_owned());
         }
-        self.attempts
-            .excluded_ids
-            .push(self.slot.endpoint.id.clone());
+        let request = &self.attempts.request;
+        let mut excluded_ids = self.attempts.excluded_ids.clone();
+        excluded_ids.push(self.slot.endpoint.id.clone());
         let placement = PlacementRequest {
             demand: request.demand(),
-            excluded_ids: self.attempts.excluded_ids.clone(),
+            excluded_ids,
             priority: request.priority,
             service: request.service.clone(),
             source_data_centre: None,
             wait_ms_max: RESUME_WAIT_MS.min(request.remaining_ms()),
         };
-        let Ok(slot) = gateway.admit(&placement).await else {
-            return Some(StreamEnd::Broken(format!(
-                "{reason}, and there is no room elsewhere"
-            )));
+        let sender = AttemptSender::new(&self.attempts.gateway, request);
+        self.continuation = Some(Continuation {
+            attempt: sender.place_and_send(placement, self.resume_point(), true),
+            copy: None,
+            reason: reason.to_owned(),
+        });
+        None
+    }
+
+    /// Drops a pending resumption. If it was sent, it may have run.
+    fn cancel_resumption(&mut self, reason: &str) {
+        let is_resumption = |continuation: &mut Continuation| continuation.copy.is_none();
+        let Some(resumption) = self.continuation.take_if(is_resumption) else {
+            return;
         };
-        if !gateway.try_retry(&request.service) {
-            return Some(StreamEnd::Broken(format!(
-                "{reason}, and the budget is spent"
-            )));
+        if let Some(endpoint_id) = resumption.attempt.endpoint_id() {
+            info!(self.attempts.gateway.log, "stream not resumed";
+                "request" => self.attempts.request.id(), "endpoint" => endpoint_id,
+                "reason" => reason);
+            self.attempts.possible_runs += 1;
+            self.attempts.excluded_ids.push(endpoint_id.to_owned());
         }
-        info!(gateway.log, "stream resumed"; "request" => request.id(),
-            "endpoint" => &slot.endpoint.id, "last_event" => self.reader.last_event_id(),
-            "reason" => reason);
-        self.attempts.possible_runs += 1;
-        match self.request_continuation(&slot, None).await {
-            Ok(accepted) => {
-                self.switch_endpoint(accepted, slot, false);
-                None
+    }
+
+    /// Applies the end of the pending continuation.
+    fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
+        let Continuation { copy, reason, .. } = self.continuation.take()?;
+        self.stall_start_at = Instant::now();
+        let (error, slot) = match end.outcome {
+            AttemptOutcome::Accepted(accepted, slot) => {
+                let status = accepted.response.parts.status;
+                if status.is_success() {
+                    self.switch_endpoint(*accepted, slot, copy.is_some(), &reason);
+                    return None;
+                }
+                let answered = format!("the endpoint answered {status}");
+                (AttemptError::Failed(answered), slot)
             }
-            Err(error) => Some(StreamEnd::Broken(format!(
-                "the stream did not go on: {error}"
-            ))),
+            AttemptOutcome::Failed(error, slot) => (error, slot),
+            AttemptOutcome::NotPlaced(error) => {
+                return self.end_if_broken_off(format!("{reason}, and {}", error.reason));
+            }
+        };
+        match copy {
+            Some(copy) => self.apply_copy_failure(&error, copy, &slot),
+            None => self.apply_resumption_failure(&error, &slot),
         }
     }
 
-    async fn continue_migration(&mut self, step: MigrationStep) -> Option<StreamEnd> {
-        match step {
-            MigrationStep::CopyComplete(copy) => self.finish_migration(*copy).await,
-            MigrationStep::StartDue => {
-                self.start_migration().await;
-                None
-            }
-            MigrationStep::Unchanged => None,
+    fn apply_resumption_failure(&mut self, error: &AttemptError, slot: &Slot) -> Option<StreamEnd> {
+        if matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut) {
+            self.attempts.possible_runs += 1;
         }
+        self.attempts.excluded_ids.push(slot.endpoint.id.clone());
+        self.end_if_broken_off(format!("the stream did not go on: {error}"))
     }
 
-    /// Continues from the copy of a running generation. If the target does not run it, the
-    /// generation stays at the source and the migration is retried.
-    async fn finish_migration(&mut self, copy: CompleteCopy) -> Option<StreamEnd> {
-        match self.continue_from_copy(copy).await {
-            Ok(()) => None,
-            Err((error @ (AttemptError::Rejected(_) | AttemptError::Unreachable(_)), copy)) => {
+    /// Keeps the generation at its source if the target certainly does not run it. It cannot
+    /// continue beside a run that the target may have started.
+    fn apply_copy_failure(
+        &mut self,
+        error: &AttemptError,
+        copy: UsedCopy,
+        slot: &Slot,
+    ) -> Option<StreamEnd> {
+        if self.is_broken_off {
+            return self.resume(&format!("the endpoint broke off, and at the copy: {error}"));
+        }
+        match error {
+            AttemptError::Rejected(_) | AttemptError::Unreachable(_) => {
                 info!(self.attempts.gateway.log, "KV cache copy not used";
                     "request" => self.attempts.request.id(),
-                    "endpoint" => &copy.slot.endpoint.id, "reason" => %error);
-                self.migration.discard_copy_and_retry(copy);
+                    "endpoint" => &slot.endpoint.id, "reason" => %error);
+                self.migration.discard_copy_and_retry(copy, slot);
                 None
             }
-            Err((error, _)) => Some(StreamEnd::Broken(format!(
+            AttemptError::Failed(_) | AttemptError::TimedOut => Some(StreamEnd::Broken(format!(
                 "the stream did not go on: {error}"
             ))),
         }
     }
 
-    /// Continues from a copy. The source ends the generation when its connection closes.
-    async fn continue_from_copy(
-        &mut self,
-        copy: CompleteCopy,
-    ) -> Result<(), (AttemptError, CompleteCopy)> {
-        if !self
-            .attempts
-            .gateway
-            .try_retry(&self.attempts.request.service)
-        {
-            let error = AttemptError::Rejected("the budget for repeats is spent".to_owned());
-            return Err((error, copy));
+    /// Ends a stream that its endpoint broke off; any other one stays there.
+    fn end_if_broken_off(&mut self, reason: String) -> Option<StreamEnd> {
+        if self.is_broken_off {
+            return Some(StreamEnd::Broken(reason));
         }
-        match self
-            .request_continuation(&copy.slot, Some(&copy.cache_copy))
-            .await
-        {
-            Ok(accepted) => {
-                self.switch_endpoint(accepted, copy.slot, true);
-                Ok(())
+        self.stall_start_at = Instant::now();
+        info!(self.attempts.gateway.log, "stream not resumed";
+            "request" => self.attempts.request.id(), "endpoint" => &self.slot.endpoint.id,
+            "last_event" => self.reader.last_event_id(), "reason" => reason);
+        None
+    }
+
+    async fn continue_migration(&mut self, step: MigrationStep) -> Option<StreamEnd> {
+        match step {
+            MigrationStep::CopyComplete(copy) => {
+                self.cancel_resumption("its KV cache copy is complete");
+                self.continue_from_copy(*copy, "the endpoint leaves".to_owned());
             }
-            Err(error) => Err((error, copy)),
+            MigrationStep::StartDue => self.start_migration().await,
+            MigrationStep::Unchanged => {}
         }
+        None
+    }
+
+    /// Requests the generation at the target of its copy. It continues at the source until the
+    /// target answers, and ends there when the connection closes.
+    fn continue_from_copy(&mut self, copy: CompleteCopy, reason: String) {
+        let (slot, copy) = copy.into_parts();
+        let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
+        let resume_point = ResumePoint {
+            copy: Some(copy.cache_copy.clone()),
+            ..self.resume_point()
+        };
+        self.continuation = Some(Continuation {
+            attempt: sender.retry_at(slot, resume_point),
+            copy: Some(copy),
+            reason,
+        });
     }
 
     async fn start_migration(&mut self) {
@@ -401,39 +459,41 @@
             .await;
     }
 
-    /// Requests the events after the last one from an endpoint, from a KV cache copy if given.
-    async fn request_continuation(
-        &mut self,
-        slot: &Slot,
-        copy: Option<&CacheCopy>,
-    ) -> Result<AcceptedResponse, AttemptError> {
-        let resume_point = ResumePoint {
-            copy,
+    /// Position after the last event.
+    fn resume_point(&self) -> ResumePoint {
+        ResumePoint {
+            copy: None,
             last_event_id: self.reader.last_event_id(),
-        };
-        let limit_ms = CONTINUATION_TIMEOUT_MS.min(self.attempts.request.remaining_ms());
-        let accepted = self.attempts.send(slot, &resume_point, limit_ms).await?;
-        let status = accepted.response.parts.status;
-        if !status.is_success() {
-            return Err(AttemptError::Failed(format!(
-                "the endpoint answered {status}"
-            )));
         }
-        Ok(accepted)
     }
 
-    fn switch_endpoint(&mut self, accepted: AcceptedResponse, slot: Slot, is_copied: bool) {
+    fn switch_endpoint(
+        &mut self,
+        accepted: AcceptedResponse,
+        slot: Slot,
+        is_copied: bool,
+        reason: &str,
+    ) {
         let request = &self.attempts.request;
         info!(self.attempts.gateway.log, "stream switched endpoint"; "request" => request.id(),
             "from" => &self.slot.endpoint.id, "to" => &slot.endpoint.id,
-            "is_copied" => is_copied, "last_event" => self.reader.last_event_id());
+            "is_copied" => is_copied, "last_event" => self.reader.last_event_id(),
+            "reason" => reason);
+        if !is_copied {
+            self.attempts.possible_runs += 1;
+            self.attempts
+                .excluded_ids
+                .push(self.slot.endpoint.id.clone());
+        }
         self.reader.discard_partial();
+        self.reader.skip_forwarded_events();
         self.endpoint_switches += 1;
         self.body = accepted.response.body;
         self.connection = accepted.response.connection;
         self.head = accepted.head;
+        self.is_broken_off = false;
         self.migration = Migration::watch(&slot.endpoint);
-        self.switched_at = Instant::now();
+        self.stall_start_at = Instant::now();
         self.slot = slot;
     }
 
@@ -442,6 +502,7 @@
             attempts,
             body_sender,
             connection,
+            continuation,
             endpoint_switches,
             first_event_ms,
             gap_ms_max,
@@ -462,6 +523,9 @@
         match &end {
             StreamEnd::Complete => {
                 migration.free_copy();
+                if let Some(copy) = continuation.and_then(|continuation| continuation.copy) {
+                    copy.free();
+                }
                 slot.endpoint.stats().health.record_success(now_ms);
                 keep_connection(connection, &head, &slot);
             }
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -66,8 +66,13 @@
 
 /// Complete KV cache copy, with the slot that it occupies on the target.
 pub(super) struct CompleteCopy {
+    copy: UsedCopy,
+    slot: Slot,
+}
+
+/// KV cache copy from which a target is asked to continue.
+pub(super) struct UsedCopy {
     pub(super) cache_copy: CacheCopy,
-    pub(super) slot: Slot,
     source: MigrationSource,
 }
 
@@ -159,14 +164,10 @@
     }
 
     /// Frees a copy that the target did not continue from, and tries another target after a pause.
-    pub(super) fn discard_copy_and_retry(&mut self, copy: CompleteCopy) {
-        let CompleteCopy {
-            cache_copy,
-            slot,
-            mut source,
-        } = copy;
-        source.failed_target_ids.push(slot.endpoint.id.clone());
-        source.free_copy(&cache_copy.handle);
+    pub(super) fn discard_copy_and_retry(&mut self, copy: UsedCopy, target: &Slot) {
+        copy.free();
+        let mut source = copy.source;
+        source.failed_target_ids.push(target.endpoint.id.clone());
         *self = Self::schedule_retry(source.failed_target_ids);
     }
 
@@ -260,6 +261,19 @@
     }
 }
 
+impl CompleteCopy {
+    pub(super) fn into_parts(self) -> (Slot, UsedCopy) {
+        (self.slot, self.copy)
+    }
+}
+
+impl UsedCopy {
+    /// Frees the copy at the source and the target.
+    pub(super) fn free(&self) {
+        self.source.free_copy(&self.cache_copy.handle);
+    }
+}
+
 impl MigrationSource {
     fn copy_to(&self, target: &Slot) -> CopyTask {
         let target = target.endpoint.pool.address();
@@ -281,11 +295,11 @@
 
     fn into_complete_copy(self, target: Slot, handle: String) -> Box<CompleteCopy> {
         let source = self.pool.address();
-        Box::new(CompleteCopy {
+        let copy = UsedCopy {
             cache_copy: CacheCopy { handle, source },
-            slot: target,
             source: self,
-        })
+        };
+        Box::new(CompleteCopy { copy, slot: target })
     }
 
     /// Frees a copy at the source and the target.
--- a/crates/gateway/tests/streams_pass_whole_events_only.rs
+++ b/crates/gateway/tests/streams_pass_whole_events_only.rs
@@ -45,3 +45,25 @@
     assert_eq!(forwarded, "id: 5\ndata: y\n\n");
     assert_eq!((reader.event_count(), reader.last_event_id()), (2, Some(5)));
 }
+
+/// Guards against events that reach a client twice when another endpoint continues a stream from a
+/// position before the last forwarded event.
+#[test]
+fn events_before_the_continuation_are_skipped() {
+    fn holds(forwarded_count: u8, repeated_count: u8, chunk_length: u8) -> bool {
+        let forwarded_count = u64::from(forwarded_count);
+        let whole = stream(forwarded_count + 5);
+        let mut reader = EventReader::default();
+        let mut forwarded = reader.push(Bytes::from(stream(forwarded_count))).to_vec();
+        reader.skip_forwarded_events();
+        let first = forwarded_count.saturating_sub(u64::from(repeated_count));
+        let continuation = &whole[stream(first).len()..];
+        for chunk in continuation.chunks(usize::from(chunk_length).max(1)) {
+            forwarded.extend_from_slice(&reader.push(Bytes::copy_from_slice(chunk)));
+        }
+        forwarded == whole && reader.event_count() == forwarded_count + 5
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(holds as fn(u8, u8, u8) -> bool);
+}
