Read the request body before a refusal is written

Callers saw: a complete request whose body was still on its way when the gateway refused it (unknown key or route, no lease, draining, too long) ended with a reset connection and without the refusal. Changes of the configuration cause such refusals.

Cause: hyper closes the connection if a response is written before the end of the request body, and bytes that arrive then reset it.

Change: every error response is preceded by reading and discarding the rest of the body, within the document's length limit and the request's deadline; nothing is kept in memory. If its end is not reached, the response announces the close. A client that waits for 100 Continue is refused at once, without it.

Ruled out: writing the refusal first and reading on afterwards needs control of hyper's connection that it does not give.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -1,7 +1,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use catalog::Catalog;
+use catalog::{Catalog, Limits};
 use registry::{Document, DocumentSink, ServiceLoad, Subscription};
 use slog::{Logger, warn};
 use telemetry::{EndedRequest, GatewayGauges, GatewayMetrics};
@@ -149,6 +149,12 @@
     pub(crate) fn current(&self) -> Option<Arc<Catalog>> {
         lock(&self.current).clone()
     }
+
+    /// Limits of the catalog, or the default ones if there is none.
+    pub(crate) fn limits(&self) -> Limits {
+        self.current()
+            .map_or_else(Limits::default, |catalog| catalog.limits())
+    }
 }
 
 impl DocumentSink for ActiveCatalog {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -4,23 +4,24 @@
 
 use bytes::Bytes;
 use catalog::{Catalog, LookupError, Route};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use placement::Demand;
 use slog::info;
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Duration, Instant};
 
 use crate::attempts::Attempts;
 use crate::clock::{elapsed_ms, milliseconds};
 use crate::gateway_state::GatewayState;
 use crate::outcome::{Outcome, RequestError};
+use crate::request_body::RequestBody;
 use crate::response::{ResponseBody, error_response, strip_hop_by_hop_headers};
 use crate::{GenerationSize, RequestHead};
 
-/// Timeout of requests that name none.
+/// Timeout of requests that name none, and upper limit for those without a route.
 const TIMEOUT_MS_DEFAULT: u64 = 30_000;
 
 /// Time after which a client may retry if this instance has no valid catalog. Within this time an
@@ -102,10 +103,17 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let started_at = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (parts, incoming) = request.into_parts();
     let mut head = gateway.dialect.parse_request_head(&parts.headers);
+    let timeout_ms = head.timeout_ms.unwrap_or(TIMEOUT_MS_DEFAULT);
+    let mut body = RequestBody {
+        bytes_max: gateway.active_catalog.limits().body_bytes_max,
+        deadline: started_at + Duration::from_millis(timeout_ms.min(TIMEOUT_MS_DEFAULT)),
+        incoming,
+        is_continue_expected: parts.headers.contains_key(header::EXPECT),
+    };
     let guard = ClientLeftGuard::new(gateway, head.request_id.clone(), started_at);
-    let (request, error) = match route(gateway, parts, body, &mut head, started_at).await {
+    let (request, error) = match route(gateway, parts, &mut body, &mut head, started_at).await {
         Ok(request) => {
             let request = Arc::new(request);
             let attempts = Attempts::new(Arc::clone(gateway), Arc::clone(&request));
@@ -119,6 +127,7 @@
         }
         Err(error) => (None, error),
     };
+    let is_body_read = body.discard().await;
     let request_id = guard.disarm();
     gateway.record_end(request.as_deref(), error.outcome, elapsed_ms(started_at));
     info!(gateway.log, "request ended"; "request" => request_id, "outcome" => ?error.outcome,
@@ -126,7 +135,12 @@
         "endpoint" => &error.endpoint_id, "status" => error.status.as_u16(),
         "reason" => &error.reason, "retry_after_ms" => error.retry_after_ms,
         "duration_ms" => elapsed_ms(started_at));
-    error_response(&error)
+    let mut response = error_response(&error);
+    if !is_body_read {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
 }
 
 /// Logs and counts a client that left before its response, if dropped while armed. hyper drops the
@@ -173,7 +187,7 @@
 async fn route(
     gateway: &Arc<GatewayState>,
     parts: Parts,
-    body: Incoming,
+    body: &mut RequestBody,
     head: &mut RequestHead,
     started_at: Instant,
 ) -> Result<RoutedRequest, RequestError> {
@@ -209,7 +223,7 @@
     let service = route.pick_service(rand::random()).to_owned();
     let timeout_ms = head.timeout_ms.unwrap_or(TIMEOUT_MS_DEFAULT);
     let allowed_ms = timeout_ms.min(route.timeout_ms);
-    let deadline = started_at + Duration::from_millis(allowed_ms);
+    body.deadline = started_at + Duration::from_millis(allowed_ms);
     if gateway.is_draining() && route.retry_class.is_stream() && !route.retry_class.is_idempotent()
     {
         return Err(RequestError::not_run(
@@ -217,8 +231,7 @@
             DRAINING_RETRY_AFTER_MS,
         ));
     }
-    let body_bytes_max = catalog.limits().body_bytes_max;
-    let body = read_body(body, body_bytes_max, allowed_ms).await?;
+    let bytes = body.read().await?;
     if !gateway.has_valid_catalog() {
         // The lease may have expired while the body was read.
         return Err(RequestError::not_run(
@@ -231,10 +244,10 @@
     headers.remove(header::EXPECT);
     let path = uri.path_and_query().cloned();
     Ok(RoutedRequest {
-        body,
+        body: bytes,
         catalog: Arc::clone(&catalog),
         customer,
-        deadline,
+        deadline: body.deadline,
         head: std::mem::take(head),
         headers,
         method,
@@ -246,28 +259,6 @@
     })
 }
 
-async fn read_body(
-    body: Incoming,
-    bytes_max: usize,
-    timeout_ms: u64,
-) -> Result<Bytes, RequestError> {
-    let collected = Limited::new(body, bytes_max).collect();
-    match timeout(Duration::from_millis(timeout_ms), collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::new(
-            Outcome::Malformed,
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is longer than {bytes_max} bytes"),
-        )),
-        Ok(Err(error)) => Err(RequestError::new(
-            Outcome::Malformed,
-            StatusCode::BAD_REQUEST,
-            error.to_string(),
-        )),
-        Err(_) => Err(RequestError::timed_out("the body did not come in time")),
-    }
-}
-
 fn request_error(error: LookupError) -> RequestError {
     match error {
         LookupError::UnknownKey => RequestError::new(
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use catalog::Limits;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -158,10 +157,7 @@
     mut closing: watch::Receiver<bool>,
     _count_guard: ConnectionCountGuard,
 ) {
-    let limits = match gateway.active_catalog.current() {
-        Some(catalog) => catalog.limits(),
-        None => Limits::default(),
-    };
+    let limits = gateway.active_catalog.limits();
     let log = gateway.log.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod migration_policy;
 mod outcome;
 mod relay;
+mod request_body;
 mod response;
 mod retry_after_schedule;
 mod retry_budget;
