--- a/crates/gateway/tests/streams_pass_whole_events_only.rs
+++ b/crates/gateway/tests/streams_pass_whole_events_only.rs
@@ -67,3 +67,23 @@
         .tests(500)
         .quickcheck(holds as fn(u8, u8, u8) -> bool);
 }
+
+/// Guards against a final event without an id that is lost after a change of endpoints.
+#[test]
+fn events_without_an_id_are_not_taken_for_repeated_ones() {
+    let mut reader = EventReader::default();
+    reader.push(Bytes::from_static(b"id: 0\ndata: a\n\n"));
+    reader.skip_forwarded_events();
+    let forwarded = reader.push(Bytes::from_static(b"data: [DONE]\n\n"));
+    assert_eq!(forwarded, "data: [DONE]\n\n");
+}
+
+/// Guards against events that are skipped although none was forwarded before a change of endpoints.
+#[test]
+fn nothing_is_skipped_if_nothing_was_forwarded() {
+    let mut reader = EventReader::default();
+    reader.skip_forwarded_events();
+    reader.push(Bytes::from_static(b"id: 0\ndata: a\n\n"));
+    let forwarded = reader.push(Bytes::from_static(b"data: note\n\n"));
+    assert_eq!(forwarded, "data: note\n\n");
+}
