Count an endpoint as answering with an event or a whole body

Callers saw: a stream was cut, and a late plain answer became 504, because a second endpoint had sent a response head and then nothing, while the first one would have gone on.

Cause: the attempt that got a response head first won, before it had delivered anything.

Change: an attempt ends with the first whole event of a stream, or with the whole body of any other response, still within the deadline. A stream switches with that event, so its source runs on for that much longer. A stream that breaks off before its first event is a failed attempt now, which a resumable route may repeat and any other answers 502; it was a 200 that was cut.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,30 +3,37 @@
 //! An attempt waits for its response until the request's deadline: a silent endpoint may still
 //! answer. Its owner decides whether a further attempt is made meanwhile. A dropped attempt closes
 //! its connection, and the endpoint then stops its work.
+//!
+//! An endpoint has answered once its response is worth more than that of another one that may still
+//! come: with the whole body, or with the first event of a stream.
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::http::response;
+use hyper::{Request, StatusCode};
 use thiserror::Error;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock::elapsed_ms;
-use crate::connection::{EndpointResponse, SendError};
+use crate::connection::{Connection, EndpointResponse, SendError};
 use crate::endpoint::Endpoint;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::RequestError;
-use crate::{AttemptHead, CacheCopy, ResponseHead};
+use crate::{AttemptHead, CacheCopy, EventReader, ResponseHead};
 
 /// Time for which a retry waits for capacity, and after which a client may retry it.
 pub(crate) const RETRY_WAIT_MS: u64 = 200;
 
+/// Longest response body that is collected before it is forwarded; streams are not collected.
+const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 /// Position from which a stream resumes; the default is its start.
 #[derive(Debug, Default)]
 pub(crate) struct ResumePoint {
@@ -36,8 +43,17 @@
 
 /// Response that is neither a rejection nor another request's, with its parsed head.
 pub(crate) struct AcceptedResponse {
+    pub(crate) body: AcceptedBody,
+    pub(crate) connection: Connection,
     pub(crate) head: ResponseHead,
-    pub(crate) response: EndpointResponse,
+    pub(crate) parts: response::Parts,
+}
+
+/// Body of a response, as far as it was received.
+pub(crate) enum AcceptedBody {
+    /// Bytes with the first event, and the rest; no bytes if the stream ended without an event.
+    Stream(Bytes, Incoming),
+    Whole(Bytes),
 }
 
 /// Reason why an attempt got no response.
@@ -238,29 +254,42 @@
         let request = self.endpoint_request(&endpoint.id, resume_point);
         let is_copied = resume_point.copy.is_some();
         let may_reuse = is_copied || self.request.route.retry_class.is_idempotent();
-        let remaining = Duration::from_millis(self.request.remaining_ms());
-        let sent = timeout(remaining, endpoint.pool.send(request, may_reuse)).await;
+        let answered = async {
+            let sent = endpoint.pool.send(request, may_reuse).await;
+            let response = sent.map_err(AttemptError::from)?;
+            self.accept(endpoint, response).await
+        };
+        let answered = timeout_at(self.request.deadline, answered).await;
+        let answered = answered.unwrap_or(Err(AttemptError::TimedOut));
         let now_ms = self.gateway.fleet.now_ms();
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent(reason))) => {
+        match &answered {
+            Err(AttemptError::Unreachable(_)) => {
                 endpoint.stats().health.record_unreachable(now_ms);
-                return Err(AttemptError::Unreachable(reason));
-            }
-            Ok(Err(SendError::MayHaveRun(reason))) => {
-                progress.record_failure(endpoint, now_ms);
-                return Err(AttemptError::Failed(reason));
             }
-            Err(_) => {
+            Err(AttemptError::Failed(_) | AttemptError::TimedOut) => {
                 progress.record_failure(endpoint, now_ms);
-                return Err(AttemptError::TimedOut);
             }
-        };
-        let status = response.parts.status;
+            Ok(_) | Err(AttemptError::Rejected(_)) => {}
+        }
+        answered
+    }
+
+    /// Checks the head of a response, and waits until the endpoint has answered.
+    async fn accept(
+        &self,
+        endpoint: &Endpoint,
+        response: EndpointResponse,
+    ) -> Result<AcceptedResponse, AttemptError> {
+        let EndpointResponse {
+            body,
+            connection,
+            parts,
+        } = response;
+        let status = parts.status;
         let head = self
             .gateway
             .dialect
-            .parse_response_head(status, &response.parts.headers);
+            .parse_response_head(status, &parts.headers);
         if head.is_misdirected {
             endpoint.set_leaving();
             return Err(AttemptError::Rejected(
@@ -273,12 +302,24 @@
             )));
         }
         if head.request_id.as_deref() != self.request.head.request_id.as_deref() {
-            progress.record_failure(endpoint, now_ms);
             return Err(AttemptError::Failed(
                 "the answer is another request's".to_owned(),
             ));
         }
-        Ok(AcceptedResponse { head, response })
+        let body = if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
+            read_first_event(body).await?
+        } else {
+            let collected = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
+            let collected = collected
+                .map_err(|error| AttemptError::Failed(format!("the answer broke off: {error}")))?;
+            AcceptedBody::Whole(collected.to_bytes())
+        };
+        Ok(AcceptedResponse {
+            body,
+            connection,
+            head,
+            parts,
+        })
     }
 
     fn endpoint_request(
@@ -308,6 +349,41 @@
     }
 }
 
+impl From<SendError> for AttemptError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::MayHaveRun(reason) => Self::Failed(reason),
+            SendError::NotSent(reason) => Self::Unreachable(reason),
+        }
+    }
+}
+
+/// Reads a stream up to its first whole event, or to its end.
+async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, AttemptError> {
+    let mut reader = EventReader::default();
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            AttemptError::Failed(format!("the stream broke off before an event: {error}"))
+        })?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        received.extend_from_slice(&bytes);
+        if !reader.push(bytes).is_empty() {
+            return Ok(AcceptedBody::Stream(received.freeze(), body));
+        }
+        if reader.is_partial_too_long() {
+            return Err(AttemptError::Failed("an event is too long".to_owned()));
+        }
+    }
+    if reader.has_partial_event() {
+        let reason = "the stream broke off within its first event";
+        return Err(AttemptError::Failed(reason.to_owned()));
+    }
+    Ok(AcceptedBody::Stream(Bytes::new(), body))
+}
+
 impl RoutedRequest {
     /// Last event that the client received, if the route allows it to resume a stream.
     fn client_last_event_id(&self) -> Option<u64> {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -9,24 +9,23 @@
 
 use bytes::Bytes;
 use futures::future::select_all;
-use http_body_util::{BodyExt, Limited};
 use hyper::http::response;
 use hyper::{Response, StatusCode, header};
 use placement::PREFILL_TOKENS_PER_MS;
 use slog::{debug, info};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 use crate::ResponseHead;
 use crate::attempt::{
-    AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender, PendingAttempt,
-    RETRY_WAIT_MS, ResumePoint,
+    AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
+    PendingAttempt, RETRY_WAIT_MS, ResumePoint,
 };
-use crate::connection::{Connection, EndpointResponse};
+use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::{Outcome, RequestError};
-use crate::relay::Relay;
+use crate::relay::{Relay, RelayedStream};
 use crate::response::{ResponseBody, full_body, strip_hop_by_hop_headers};
 
 /// Least remaining time for which an attempt is made.
@@ -35,9 +34,6 @@
 /// Attempts that were rejected or did not reach an endpoint, after which the request is refused.
 const NOT_RUN_ATTEMPTS_MAX: u32 = 3;
 
-/// Longest response body that is collected before it is forwarded; streams are not collected.
-const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
-
 /// Percentage of the target latency for which a request waits for capacity; the rest is for the
 /// network and the endpoint's work.
 const WAIT_PERCENT: u64 = 70;
@@ -48,7 +44,7 @@
 
 /// Target latencies after which a stream without its first event is requested from another
 /// endpoint. The prompt is prefilled once more there, so a merely busy engine is waited for.
-pub(crate) const FIRST_EVENT_TARGET_LATENCIES: u64 = 2;
+const FIRST_EVENT_TARGET_LATENCIES: u64 = 2;
 
 /// Statuses that promise clients that the request has not run. Without the endpoint's not-run
 /// header the promise may be false, so such a response is not forwarded.
@@ -131,7 +127,7 @@
                     continue;
                 }
             };
-            if let Some(result) = self.apply_end(end).await {
+            if let Some(result) = self.apply_end(end) {
                 return result;
             }
         }
@@ -163,7 +159,7 @@
     }
 
     /// Returns the result of the request, or `None` while it may still be answered.
-    async fn apply_end(
+    fn apply_end(
         &mut self,
         end: AttemptEnd,
     ) -> Option<Result<Response<ResponseBody>, RequestError>> {
@@ -171,7 +167,7 @@
         let error = match end.outcome {
             AttemptOutcome::Accepted(accepted, slot) => {
                 self.possible_runs += 1;
-                return self.forward(*accepted, slot).await;
+                return self.forward(*accepted, slot);
             }
             AttemptOutcome::Failed(error, slot) => {
                 self.excluded_ids.push(slot.endpoint.id.clone());
@@ -189,40 +185,33 @@
     }
 
     /// Forwards a response to the client; `None` if another endpoint is to be tried.
-    async fn forward(
+    fn forward(
         &mut self,
         accepted: AcceptedResponse,
         slot: Slot,
     ) -> Option<Result<Response<ResponseBody>, RequestError>> {
-        let status = accepted.response.parts.status;
-        if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
-            self.cancel_in_flight();
-            return Some(Ok(Relay::spawn(self, accepted, slot)));
-        }
-        let AcceptedResponse { head, response } = accepted;
-        let EndpointResponse {
+        let AcceptedResponse {
             body,
             connection,
+            head,
             parts,
-        } = response;
-        let endpoint = Arc::clone(&slot.endpoint);
-        let remaining = Duration::from_millis(self.request.remaining_ms());
-        let collected = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        let now_ms = self.gateway.fleet.now_ms();
-        let bytes = match timeout(remaining, collected).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) => {
-                endpoint.stats().health.record_failure(now_ms);
-                self.excluded_ids.push(endpoint.id.clone());
-                return self.check_retry(&format!("the answer broke off: {error}"));
-            }
-            Err(_) => {
-                endpoint.stats().health.record_failure(now_ms);
-                return Some(Err(RequestError::timed_out(
-                    "the answer did not end in time",
-                )));
+        } = accepted;
+        let bytes = match body {
+            AcceptedBody::Whole(bytes) => bytes,
+            AcceptedBody::Stream(first, rest) => {
+                self.cancel_in_flight();
+                let stream = RelayedStream {
+                    body: rest,
+                    connection,
+                    head,
+                    slot,
+                };
+                return Some(Ok(Relay::spawn(self, stream, parts, first)));
             }
         };
+        let status = parts.status;
+        let endpoint = Arc::clone(&slot.endpoint);
+        let now_ms = self.gateway.fleet.now_ms();
         if status.is_server_error() {
             endpoint.stats().health.record_failure(now_ms);
         } else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 //! complete KV cache copy, if any. A resumable stream is requested again after its last event.
 //! Any other interrupted stream is aborted, so that the client does not take it for complete.
 //!
-//! A stream leaves its endpoint only once another one has answered. Until then its events are
+//! A stream leaves its endpoint only once another one has sent an event. Until then its events are
 //! forwarded, and if no other endpoint answers, it stays. Silence alone never ends a stream.
 
 mod continuation;
@@ -18,15 +18,17 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::response;
 use placement::Demand;
 use slog::{info, warn};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 use crate::attempt::{
-    AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender, ResumePoint,
+    AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
+    ResumePoint,
 };
-use crate::attempts::{Attempts, FIRST_EVENT_TARGET_LATENCIES, client_parts, keep_connection};
+use crate::attempts::{Attempts, client_parts, keep_connection};
 use crate::clock::milliseconds;
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
@@ -56,17 +58,22 @@
 /// New prediction of an output that exceeds its prediction, in percent of the output so far.
 const EXCEEDED_PREDICTION_PERCENT: u64 = 125;
 
+/// Stream from one endpoint, behind its first event.
+pub(crate) struct RelayedStream {
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+    pub(crate) head: ResponseHead,
+    pub(crate) slot: Slot,
+}
+
 /// Task that forwards one stream to its client.
 pub(crate) struct Relay {
     attempts: Attempts,
-    body: Incoming,
     body_sender: mpsc::Sender<Result<Bytes, IncompleteBody>>,
-    connection: Connection,
     continuation: Option<Continuation>,
     endpoint_switches: u32,
     first_event_ms: Option<u64>,
     gap_ms_max: u64,
-    head: ResponseHead,
     /// Whether the endpoint broke off the stream, so that only a continuation can complete it.
     is_broken_off: bool,
     last_event_at: Instant,
@@ -74,7 +81,7 @@
     /// Predicted tokens in memory at the end of the generation.
     predicted_tokens: u64,
     reader: EventReader,
-    slot: Slot,
+    stream: RelayedStream,
     /// Time from which a pause of the stream counts, if there was no later event.
     stall_start_at: Instant,
 }
@@ -101,15 +108,16 @@
 }
 
 impl Relay {
-    /// Starts to forward a stream, and returns the response for the client.
+    /// Starts to forward a stream from its `first` bytes on, and returns the response for the
+    /// client.
     pub(crate) fn spawn(
         attempts: &mut Attempts,
-        accepted: AcceptedResponse,
-        slot: Slot,
+        stream: RelayedStream,
+        parts: response::Parts,
+        first: Bytes,
     ) -> Response<ResponseBody> {
-        let AcceptedResponse { head, response } = accepted;
         let (body_sender, body_receiver) = mpsc::channel(BUFFERED_CHUNKS_MAX);
-        let parts = client_parts(response.parts);
+        let parts = client_parts(parts);
         let request = Arc::clone(&attempts.request);
         let mut relay_attempts = Attempts::new(Arc::clone(&attempts.gateway), request);
         relay_attempts
@@ -120,34 +128,32 @@
         let predicted_tokens = relay_attempts.request.demand().predicted_tokens;
         let relay = Self {
             attempts: relay_attempts,
-            body: response.body,
             body_sender,
-            connection: response.connection,
             continuation: None,
             endpoint_switches: 0,
             first_event_ms: None,
             gap_ms_max: 0,
-            head,
             is_broken_off: false,
             last_event_at: Instant::now(),
-            migration: Migration::watch(&slot.endpoint),
+            migration: Migration::watch(&stream.slot.endpoint),
             predicted_tokens,
             reader: EventReader::default(),
-            slot,
+            stream,
             stall_start_at: Instant::now(),
         };
-        tokio::spawn(relay.run());
+        tokio::spawn(relay.run(first));
         Response::from_parts(parts, channel_body(body_receiver))
     }
 
-    async fn run(mut self) {
-        let end = loop {
+    async fn run(mut self, first: Bytes) {
+        let mut end = self.forward(first).await;
+        while end.is_none() {
             let event = self.next_event().await;
-            if let Some(end) = self.react(event).await {
-                break end;
-            }
-        };
-        self.finish(end).await;
+            end = self.react(event).await;
+        }
+        if let Some(end) = end {
+            self.finish(end).await;
+        }
     }
 
     async fn next_event(&mut self) -> RelayEvent {
@@ -157,7 +163,7 @@
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
             () = sleep_until(self.attempts.request.deadline) => RelayEvent::TimedOut,
             end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
-            frame = self.body.frame(), if !self.is_broken_off => match frame {
+            frame = self.stream.body.frame(), if !self.is_broken_off => match frame {
                 Some(Ok(frame)) => RelayEvent::BodyFrame(frame.into_data().ok()),
                 Some(Err(_)) => RelayEvent::BodyFrame(None),
                 None => RelayEvent::BodyEnded,
@@ -177,7 +183,7 @@
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
             RelayEvent::BodyFrame(None) => self.recover("without its end"),
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
-            RelayEvent::ContinuationEnded(end) => self.apply_continuation(end),
+            RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
             RelayEvent::Migration(step) => self.continue_migration(step).await,
             RelayEvent::Stalled => self.resume("no event came in time"),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
@@ -201,7 +207,8 @@
             let events = (self.reader.event_count() - previous_count).max(1);
             let interval_us = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX) / events;
             let now_ms = self.attempts.gateway.fleet.now_ms();
-            self.slot
+            self.stream
+                .slot
                 .endpoint
                 .stats()
                 .intervals
@@ -209,7 +216,7 @@
             self.gap_ms_max = self.gap_ms_max.max(gap_ms);
         } else {
             self.first_event_ms = Some(self.attempts.request.elapsed_ms());
-            self.slot.complete_prefill();
+            self.stream.slot.complete_prefill();
         }
         self.update_prediction();
         if self.body_sender.send(Ok(whole_events)).await.is_err() {
@@ -228,7 +235,7 @@
             let output_tokens =
                 output_tokens.min(generation.output_tokens_max.max(self.output_tokens()));
             self.predicted_tokens = generation.prompt_tokens + output_tokens;
-            self.slot.set_predicted_tokens(self.predicted_tokens);
+            self.stream.slot.set_predicted_tokens(self.predicted_tokens);
         }
     }
 
@@ -249,12 +256,8 @@
         if self.is_broken_off || self.continuation.is_some() || !self.may_resume() {
             return request.deadline;
         }
-        let stall_ms = match self.first_event_ms {
-            Some(_) => (request.route.event_gap_target_ms * STALL_GAP_TARGETS).max(STALL_MS_MIN),
-            None => {
-                (request.route.target_latency_ms * FIRST_EVENT_TARGET_LATENCIES).max(STALL_MS_MIN)
-            }
-        };
+        let stall_ms = request.route.event_gap_target_ms * STALL_GAP_TARGETS;
+        let stall_ms = stall_ms.max(STALL_MS_MIN);
         self.last_event_at.max(self.stall_start_at) + Duration::from_millis(stall_ms)
     }
 
@@ -277,7 +280,12 @@
             return None;
         }
         let now_ms = self.attempts.gateway.fleet.now_ms();
-        self.slot.endpoint.stats().health.record_failure(now_ms);
+        self.stream
+            .slot
+            .endpoint
+            .stats()
+            .health
+            .record_failure(now_ms);
         self.resume(&reason)
     }
 
@@ -288,7 +296,7 @@
         }
         let request = &self.attempts.request;
         let mut excluded_ids = self.attempts.excluded_ids.clone();
-        excluded_ids.push(self.slot.endpoint.id.clone());
+        excluded_ids.push(self.stream.slot.endpoint.id.clone());
         let placement = PlacementRequest {
             demand: request.demand(),
             excluded_ids,
@@ -322,17 +330,28 @@
     }
 
     /// Applies the end of the pending continuation.
-    fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
+    async fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
         let Continuation { copy, reason, .. } = self.continuation.take()?;
         self.stall_start_at = Instant::now();
         let (error, slot) = match end.outcome {
             AttemptOutcome::Accepted(accepted, slot) => {
-                let status = accepted.response.parts.status;
-                if status.is_success() {
-                    self.switch_endpoint(*accepted, slot, copy.is_some(), &reason);
-                    return None;
+                let AcceptedResponse {
+                    body,
+                    connection,
+                    head,
+                    parts,
+                } = *accepted;
+                if let AcceptedBody::Stream(first, rest) = body {
+                    let stream = RelayedStream {
+                        body: rest,
+                        connection,
+                        head,
+                        slot,
+                    };
+                    self.switch_endpoint(stream, copy.is_some(), &reason);
+                    return self.forward(first).await;
                 }
-                let answered = format!("the endpoint answered {status}");
+                let answered = format!("the endpoint answered {}", parts.status);
                 (AttemptError::Failed(answered), slot)
             }
             AttemptOutcome::Failed(error, slot) => (error, slot),
@@ -386,7 +405,7 @@
         }
         self.stall_start_at = Instant::now();
         info!(self.attempts.gateway.log, "stream not resumed";
-            "request" => self.attempts.request.id(), "endpoint" => &self.slot.endpoint.id,
+            "request" => self.attempts.request.id(), "endpoint" => &self.stream.slot.endpoint.id,
             "last_event" => self.reader.last_event_id(), "reason" => reason);
         None
     }
@@ -439,7 +458,7 @@
             .saturating_sub(output_tokens)
             .max(output_tokens / REMAINING_OUTPUT_DIVISOR);
         let mut excluded_ids = self.migration.failed_target_ids().to_vec();
-        excluded_ids.push(self.slot.endpoint.id.clone());
+        excluded_ids.push(self.stream.slot.endpoint.id.clone());
         let placement = PlacementRequest {
             demand: Demand {
                 kv_copy_tokens: prompt_tokens + output_tokens,
@@ -451,11 +470,17 @@
             excluded_ids,
             priority: request.priority,
             service: request.service.clone(),
-            source_data_centre: Some(self.slot.endpoint.data_centre.clone()),
+            source_data_centre: Some(self.stream.slot.endpoint.data_centre.clone()),
             wait_ms_max: 0,
         };
         self.migration
-            .start(&gateway, &request, &self.slot, remaining_tokens, &placement)
+            .start(
+                &gateway,
+                &request,
+                &self.stream.slot,
+                remaining_tokens,
+                &placement,
+            )
             .await;
     }
 
@@ -467,51 +492,46 @@
         }
     }
 
-    fn switch_endpoint(
-        &mut self,
-        accepted: AcceptedResponse,
-        slot: Slot,
-        is_copied: bool,
-        reason: &str,
-    ) {
+    fn switch_endpoint(&mut self, mut stream: RelayedStream, is_copied: bool, reason: &str) {
         let request = &self.attempts.request;
+        let source_id = &self.stream.slot.endpoint.id;
         info!(self.attempts.gateway.log, "stream switched endpoint"; "request" => request.id(),
-            "from" => &self.slot.endpoint.id, "to" => &slot.endpoint.id,
+            "from" => source_id, "to" => &stream.slot.endpoint.id,
             "is_copied" => is_copied, "last_event" => self.reader.last_event_id(),
             "reason" => reason);
         if !is_copied {
             self.attempts.possible_runs += 1;
-            self.attempts
-                .excluded_ids
-                .push(self.slot.endpoint.id.clone());
+            self.attempts.excluded_ids.push(source_id.clone());
         }
         self.reader.discard_partial();
         self.reader.skip_forwarded_events();
         self.endpoint_switches += 1;
-        self.body = accepted.response.body;
-        self.connection = accepted.response.connection;
-        self.head = accepted.head;
         self.is_broken_off = false;
-        self.migration = Migration::watch(&slot.endpoint);
+        self.migration = Migration::watch(&stream.slot.endpoint);
         self.stall_start_at = Instant::now();
-        self.slot = slot;
+        stream.slot.complete_prefill();
+        self.stream = stream;
     }
 
     async fn finish(self, end: StreamEnd) {
         let Self {
             attempts,
             body_sender,
-            connection,
             continuation,
             endpoint_switches,
             first_event_ms,
             gap_ms_max,
-            head,
             migration,
             reader,
-            slot,
+            stream,
             ..
         } = self;
+        let RelayedStream {
+            connection,
+            head,
+            slot,
+            ..
+        } = stream;
         let (gateway, request) = (&attempts.gateway, &attempts.request);
         let now_ms = gateway.fleet.now_ms();
         let outcome = match &end {
