Skip only events whose ids were forwarded

Callers would see: a final event without an id, or any event without one if nothing had been forwarded, is lost after a stream changed its endpoint, and the stream ends as complete. The users' endpoints number all events, so it was found by the review, not by callers.

Cause: the reader skipped everything up to the first new id. It now stops at the first event that has no forwarded id, and does not start if nothing was forwarded.

Evidence: two tests of streams_pass_whole_events_only.rs failed before and pass; the property that repeated events come once still holds.

--- a/crates/gateway/src/event_reader.rs
+++ b/crates/gateway/src/event_reader.rs
@@ -68,13 +68,14 @@
         self.last_event_id
     }
 
-    /// Removes events that were forwarded already, up to the first new one.
+    /// Removes events that were forwarded already, up to the first one whose id is new or missing.
     fn skip_forwarded(&mut self, mut whole: Bytes) -> Bytes {
         let Some(last_event_id) = self.last_event_id.filter(|_| self.skips_forwarded) else {
+            self.skips_forwarded = false;
             return whole;
         };
         while let Some(end) = first_event_end(&whole) {
-            if event_ids(&whole[..end]).any(|id| id > last_event_id) {
+            if !event_ids(&whole[..end]).any(|id| id <= last_event_id) {
                 self.skips_forwarded = false;
                 return whole;
             }
