Try the next endpoint at once after a rejection beside a silent one

Callers saw: with one endpoint silent and a second one that rejects the request, a third was asked only a whole overdue time later (705 ms in place of 357 for a plain request, 1,206 in place of 606 for a stream).

Cause: every end of an attempt postponed the next one, not only a lack of capacity, which would otherwise be asked for again at once.

Evidence: a_rejection_beside_a_silent_endpoint_is_followed_at_once failed before and passes.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -64,7 +64,7 @@
     pub(crate) gateway: Arc<GatewayState>,
     /// Attempts that have not ended, oldest first.
     in_flight: Vec<PendingAttempt>,
-    /// Earliest time for an attempt beside those in flight.
+    /// Earliest time for an attempt beside those in flight, after one found no capacity.
     next_attempt_at: Instant,
     /// Attempts that have certainly not run.
     not_run_count: u32,
@@ -164,6 +164,9 @@
         end: AttemptEnd,
     ) -> Option<Result<Response<ResponseBody>, RequestError>> {
         self.record_wait(end.waited_ms);
+        if matches!(end.outcome, AttemptOutcome::NotPlaced(_)) {
+            self.next_attempt_at = Instant::now() + self.overdue_after();
+        }
         let error = match end.outcome {
             AttemptOutcome::Accepted(accepted, slot) => {
                 self.possible_runs += 1;
@@ -178,7 +181,6 @@
             AttemptOutcome::NotPlaced(error) => Some(self.unanswered_error(&error.reason)),
         };
         if !self.in_flight.is_empty() {
-            self.next_attempt_at = Instant::now() + self.overdue_after();
             return None;
         }
         error.map(Err)
