Forward an error response in time although an endpoint is silent

Callers saw: an endpoint answered 500, another one was silent, and the 500 reached the client at its deadline, when it had left (2,000 ms in place of 352 before the attempts ran side by side).

Cause: while another attempt is pending, an error response waits for a better one, without a limit of its own. It is forwarded 100 ms before the deadline now.

Evidence: an_error_beside_a_silent_endpoint_arrives_before_the_deadline failed before and passes.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -31,6 +31,10 @@
 /// Least remaining time for which an attempt is made.
 const REMAINING_MS_MIN: u64 = 20;
 
+/// Time before the deadline at which an error response is forwarded although another attempt is
+/// pending, so that it reaches the client in time.
+const FALLBACK_MARGIN_MS: u64 = 100;
+
 /// Attempts that were rejected or did not reach an endpoint, after which the request is refused.
 const NOT_RUN_ATTEMPTS_MAX: u32 = 3;
 
@@ -116,7 +120,7 @@
                 let is_retry = self.possible_runs + self.not_run_count > 0;
                 self.start_attempt(is_retry);
             }
-            let attempt_at = self.next_attempt_at();
+            let (attempt_at, fallback_at) = (self.next_attempt_at(), self.fallback_at());
             let end = tokio::select! {
                 biased;
                 end = next_end(&mut self.in_flight) => end,
@@ -126,6 +130,9 @@
                     }
                     continue;
                 }
+                () = sleep_until(fallback_at), if self.fallback.is_some() => {
+                    return Err(self.unanswered_error("no better answer came in time"));
+                }
             };
             if let Some(result) = self.apply_end(end) {
                 return result;
@@ -133,6 +140,12 @@
         }
     }
 
+    fn fallback_at(&self) -> Instant {
+        let margin = Duration::from_millis(FALLBACK_MARGIN_MS);
+        let deadline = self.request.deadline;
+        deadline.checked_sub(margin).unwrap_or(deadline)
+    }
+
     fn start_attempt(&mut self, is_retry: bool) {
         let sender = AttemptSender::new(&self.gateway, &self.request);
         let placement = self.placement_request(is_retry);
