Ask an endpoint again that was full when a stream paused

Callers saw: a stream paused, another endpoint rejected its resumption for lack of capacity, the stream went on and broke off later, and was cut although that endpoint had capacity by then.

Cause: a rejected resumption excluded its endpoint for the rest of the stream. Only one that may have run excludes it now; an endpoint that accepts no connection is ejected by its health for a while anyway.

Evidence: an_endpoint_that_was_full_is_asked_again_after_a_break failed before and passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -368,8 +368,8 @@
     fn apply_resumption_failure(&mut self, error: &AttemptError, slot: &Slot) -> Option<StreamEnd> {
         if matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut) {
             self.attempts.possible_runs += 1;
+            self.attempts.excluded_ids.push(slot.endpoint.id.clone());
         }
-        self.attempts.excluded_ids.push(slot.endpoint.id.clone());
         self.end_if_broken_off(format!("the stream did not go on: {error}"))
     }
 
