Answer requests before a planned stop ends

Callers saw: a whole request that waited for a silent endpoint when its instance was stopped got neither an answer nor a refusal; its connection ended with the process.

Cause: a drain waited for its requests, and nothing told the requests when it would end. Attempts that wait for a silent endpoint until their own deadline made that more likely.

Change: the state of a gateway holds the end of its drain. Requests without a response are answered 300 ms before it: 503 if nothing was sent, 504 if they may have run, and a stream is cut visibly.

Not covered: a request whose body is still being read when the drain ends.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -97,7 +97,15 @@
     /// Makes attempts until one is answered, and returns the response for the client.
     pub(crate) async fn run(mut self) -> Result<Response<ResponseBody>, RequestError> {
         self.gateway.record_request(&self.request.service);
-        let error = match self.try_endpoints().await {
+        let gateway = Arc::clone(&self.gateway);
+        let result = tokio::select! {
+            result = self.try_endpoints() => result,
+            () = gateway.stops_soon() => {
+                self.cancel_in_flight();
+                Err(self.stopped_error())
+            }
+        };
+        let error = match result {
             Ok(response) => return Ok(response),
             Err(error) => error,
         };
@@ -305,6 +313,14 @@
         RequestError::not_run(reason, RETRY_WAIT_MS)
     }
 
+    fn stopped_error(&self) -> RequestError {
+        let reason = "this instance stops";
+        if self.possible_runs > 0 {
+            return RequestError::timed_out(reason);
+        }
+        RequestError::not_run(reason, RETRY_WAIT_MS)
+    }
+
     /// Whether a further attempt may start, beside those in flight.
     fn may_run_again(&self) -> bool {
         let route = &self.request.route;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,9 @@
 /// Number of load exchanges after which expired connections are closed and gauges are updated.
 const HOUSEKEEPING_EXCHANGES: u32 = 8;
 
+/// Part of the drain timeout that is kept for the end of the process.
+const EXIT_MARGIN_MS: u64 = 400;
+
 /// Errors of [`Gateway::bind`].
 #[derive(Debug, ThisError)]
 pub enum Error {
@@ -81,7 +84,7 @@
             budgets: Mutex::new(Vec::new()),
             dialect,
             drain_timeout_ms,
-            draining: watch::channel(false).0,
+            drain_end: watch::channel(None).0,
             fleet,
             log,
             metrics,
@@ -101,12 +104,14 @@
     }
 
     /// Accepts no new connections, and returns once all requests have ended or the drain timeout is
-    /// over.
+    /// over. Requests whose endpoint is silent are answered before.
     pub async fn drain(self) {
         let started_at = Instant::now();
         info!(self.state.log, "draining"; "connections" => self.ingress.connection_count());
-        self.state.draining.send_replace(true);
-        self.ingress.drain(self.state.drain_timeout_ms).await;
+        let drain_ms = self.state.drain_timeout_ms.saturating_sub(EXIT_MARGIN_MS);
+        let end = started_at + Duration::from_millis(drain_ms);
+        self.state.drain_end.send_replace(Some(end));
+        self.ingress.drain(end).await;
         info!(self.state.log, "drained"; "duration_ms" => elapsed_ms(started_at));
     }
 }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -6,12 +6,16 @@
 use slog::{Logger, warn};
 use telemetry::{EndedRequest, GatewayGauges, GatewayMetrics};
 use tokio::sync::watch;
+use tokio::time::{Duration, Instant, sleep_until};
 
 use crate::fleet::Fleet;
 use crate::handler::RoutedRequest;
 use crate::outcome::Outcome;
 use crate::{Dialect, RequestCounts, RetryBudget, RetryLimits};
 
+/// Time before the end of a drain at which requests without a response are answered.
+const LAST_RESPONSES_MS: u64 = 300;
+
 /// State that all requests and tasks of a gateway share.
 pub(crate) struct GatewayState {
     pub(crate) active_catalog: Arc<ActiveCatalog>,
@@ -19,7 +23,8 @@
     pub(crate) budgets: Mutex<Vec<(String, RetryBudget)>>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) drain_timeout_ms: u64,
-    pub(crate) draining: watch::Sender<bool>,
+    /// End of the drain; `None` unless this instance drains.
+    pub(crate) drain_end: watch::Sender<Option<Instant>>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -117,7 +122,17 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        *self.draining.borrow()
+        self.drain_end.borrow().is_some()
+    }
+
+    /// Waits until requests have to end, as this instance drains and stops soon.
+    pub(crate) async fn stops_soon(&self) {
+        let mut drain_end = self.drain_end.subscribe();
+        let end = drain_end.wait_for(Option::is_some).await;
+        // The sender lives as long as this state.
+        if let Some(end) = end.ok().and_then(|end| *end) {
+            sleep_until(end - Duration::from_millis(LAST_RESPONSES_MS)).await;
+        }
     }
 
     /// Whether there is a catalog and the lease that permits serving by it is valid.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -32,9 +32,6 @@
 /// Interval at which a drain checks whether connections are left.
 const DRAIN_POLL_INTERVAL_MS: u64 = 20;
 
-/// Part of the drain timeout that is kept for the end of the process.
-const EXIT_MARGIN_MS: u64 = 400;
-
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
@@ -88,10 +85,8 @@
 
     /// Waits until the load balancer has noticed the drain, closes idle connections, and waits for
     /// the others to close.
-    pub(crate) async fn drain(&self, timeout_ms: u64) {
-        let started_at = Instant::now();
-        let end = started_at + Duration::from_millis(timeout_ms.saturating_sub(EXIT_MARGIN_MS));
-        let noticed_at = started_at + Duration::from_millis(LOAD_BALANCER_NOTICE_MS);
+    pub(crate) async fn drain(&self, end: Instant) {
+        let noticed_at = Instant::now() + Duration::from_millis(LOAD_BALANCER_NOTICE_MS);
         sleep_until(noticed_at.min(end)).await;
         self.closing.send_replace(true);
         while self.connection_count() > 0 && Instant::now() < end {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -95,6 +95,8 @@
     ContinuationEnded(AttemptEnd),
     Migration(MigrationStep),
     Stalled,
+    /// This instance stops.
+    StopsSoon,
     TimedOut,
 }
 
@@ -161,6 +163,7 @@
         tokio::select! {
             biased;
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
+            () = self.attempts.gateway.stops_soon() => RelayEvent::StopsSoon,
             () = sleep_until(self.attempts.request.deadline) => RelayEvent::TimedOut,
             end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
             frame = self.stream.body.frame(), if !self.is_broken_off => match frame {
@@ -186,6 +189,7 @@
             RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
             RelayEvent::Migration(step) => self.continue_migration(step).await,
             RelayEvent::Stalled => self.resume("no event came in time"),
+            RelayEvent::StopsSoon => Some(StreamEnd::Broken("this instance stops".to_owned())),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
         }
     }
