Settle what a pending continuation left undone in a relay

Found by the review, by reading; no caller saw it and no test failed. Beside a pending resumption, a stream that broke off dropped its first KV cache copy without using or freeing it; it continues from the copy now. A stream that switched elsewhere left a copy in flight unfreed; it is freed. A replacement that was silent until it was cancelled, and a source that broke off meanwhile, counted no failure any more; they do, once each, and 'attempt overdue' is logged once for each attempt.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -127,19 +127,22 @@
         Some(*sent_at)
     }
 
-    /// Counts a failure of the endpoint, once, as it has not answered in time.
-    pub(crate) fn mark_overdue(&self, now_ms: u64) {
-        if let Some((endpoint, _)) = self.progress.sent_to.get() {
-            self.progress.record_failure(endpoint, now_ms);
-        }
+    /// Counts a failure of the endpoint, as it has not answered in time; returns whether this is
+    /// the first time.
+    pub(crate) fn mark_overdue(&self, now_ms: u64) -> bool {
+        let sent_to = self.progress.sent_to.get();
+        sent_to.is_some_and(|(endpoint, _)| self.progress.record_failure(endpoint, now_ms))
     }
 }
 
 impl AttemptProgress {
-    fn record_failure(&self, endpoint: &Endpoint, now_ms: u64) {
-        if !self.is_overdue.swap(true, Ordering::Relaxed) {
+    /// Counts a failure of the endpoint unless one was counted; returns whether it was not.
+    fn record_failure(&self, endpoint: &Endpoint, now_ms: u64) -> bool {
+        let is_first = !self.is_overdue.swap(true, Ordering::Relaxed);
+        if is_first {
             endpoint.stats().health.record_failure(now_ms);
         }
+        is_first
     }
 }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -172,9 +172,10 @@
     fn start_attempt_beside_overdue(&mut self) {
         let now_ms = self.gateway.fleet.now_ms();
         for attempt in &self.in_flight {
-            attempt.mark_overdue(now_ms);
-            info!(self.gateway.log, "attempt overdue"; "request" => self.request.id(),
-                "endpoint" => attempt.endpoint_id());
+            if attempt.mark_overdue(now_ms) {
+                info!(self.gateway.log, "attempt overdue"; "request" => self.request.id(),
+                    "endpoint" => attempt.endpoint_id());
+            }
         }
         self.start_attempt(true);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -274,22 +274,22 @@
     fn recover(&mut self, how: &str) -> Option<StreamEnd> {
         self.reader.discard_partial();
         self.is_broken_off = true;
-        let first_copy = self.migration.take_first_copy();
-        if self.continuation.is_some() {
-            return None;
-        }
         let reason = format!("the endpoint broke off {how}");
-        if let Some(copy) = first_copy {
+        if let Some(copy) = self.migration.take_first_copy() {
+            self.cancel_resumption(&reason);
             self.continue_from_copy(*copy, reason);
             return None;
         }
+        let pending = self.continuation.as_ref();
+        if pending.is_some_and(|continuation| continuation.copy.is_some()) {
+            return None;
+        }
         let now_ms = self.attempts.gateway.fleet.now_ms();
-        self.stream
-            .slot
-            .endpoint
-            .stats()
-            .health
-            .record_failure(now_ms);
+        let endpoint = &self.stream.slot.endpoint;
+        endpoint.stats().health.record_failure(now_ms);
+        if pending.is_some() {
+            return None;
+        }
         self.resume(&reason)
     }
 
@@ -324,6 +324,12 @@
         let Some(resumption) = self.continuation.take_if(is_resumption) else {
             return;
         };
+        let overdue_at = resumption.attempt.sent_at();
+        let overdue_at = overdue_at.map(|sent_at| sent_at + Duration::from_millis(STALL_MS_MIN));
+        if overdue_at.is_some_and(|overdue_at| overdue_at <= Instant::now()) {
+            let now_ms = self.attempts.gateway.fleet.now_ms();
+            resumption.attempt.mark_overdue(now_ms);
+        }
         if let Some(endpoint_id) = resumption.attempt.endpoint_id() {
             info!(self.attempts.gateway.log, "stream not resumed";
                 "request" => self.attempts.request.id(), "endpoint" => endpoint_id,
@@ -511,7 +517,8 @@
         self.reader.skip_forwarded_events();
         self.endpoint_switches += 1;
         self.is_broken_off = false;
-        self.migration = Migration::watch(&stream.slot.endpoint);
+        let migration = Migration::watch(&stream.slot.endpoint);
+        std::mem::replace(&mut self.migration, migration).free_copy();
         self.stall_start_at = Instant::now();
         stream.slot.complete_prefill();
         self.stream = stream;
