Log the software version of endpoints and streams

Heartbeats name the version of an endpoint's software, which was not decoded, so no line showed which versions a stream came from. A heartbeat without it names no endpoint to use. The directory holds it, a change of it counts as a change, and the lines 'endpoint heartbeat received', 'stream switched endpoint' and 'request ended' of streams show it.

Instances before and after this commit cannot read each other's directory records, as those are encoded by position.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -16,6 +16,7 @@
     /// Hash of the id: a random order of the endpoints that is the same on all instances.
     pub(crate) rank: u64,
     pub(crate) service: String,
+    pub(crate) software_version: String,
     leaving: watch::Sender<bool>,
     stats: Mutex<EndpointStats>,
 }
@@ -48,6 +49,7 @@
             pool: ConnectionPool::new(registration.address),
             rank: rank(&registration.id),
             service: registration.service.clone(),
+            software_version: registration.software_version.clone(),
             leaving: watch::channel(is_leaving).0,
             stats: Mutex::new(EndpointStats::default()),
         })
--- a/crates/gateway/src/fleet/known_endpoint.rs
+++ b/crates/gateway/src/fleet/known_endpoint.rs
@@ -47,11 +47,12 @@
         }
     }
 
-    /// Whether a registration is of the same incarnation, address and service.
+    /// Whether a registration is of the same incarnation, address, service and software version.
     pub(super) fn is_same_incarnation(&self, registration: &registry::Registration) -> bool {
         self.started_at_ms == registration.started_at_ms
             && self.endpoint.pool.address() == registration.address
             && self.endpoint.service == registration.service
+            && self.endpoint.software_version == registration.software_version
     }
 
     /// Sort key of engines for requests that are mostly prefill. Slow engines come first, as prefill
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -507,6 +507,8 @@
         let source_id = &self.stream.slot.endpoint.id;
         info!(self.attempts.gateway.log, "stream switched endpoint"; "request" => request.id(),
             "from" => source_id, "to" => &stream.slot.endpoint.id,
+            "from_version" => &self.stream.slot.endpoint.software_version,
+            "to_version" => &stream.slot.endpoint.software_version,
             "is_copied" => is_copied, "last_event" => self.reader.last_event_id(),
             "reason" => reason);
         if !is_copied {
@@ -587,7 +589,8 @@
         info!(gateway.log, "request ended"; "request" => request.id(), "outcome" => ?outcome,
             "status" => 200, "reason" => reason, "waited_ms" => attempts.waited_ms,
             "route" => &request.route.name, "customer" => request.customer.as_deref(),
-            "endpoint" => &slot.endpoint.id, "events" => reader.event_count(),
+            "endpoint" => &slot.endpoint.id,
+            "software_version" => &slot.endpoint.software_version, "events" => reader.event_count(),
             "moves" => endpoint_switches, "first_ms" => first_event_ms, "gap_max_ms" => gap_ms_max,
             "document_version" => request.catalog.version(),
             "duration_ms" => request.elapsed_ms());
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -178,6 +178,7 @@
         let is_unchanged = known.address == received.address
             && known.service == received.service
             && known.slots == received.slots
+            && known.software_version == received.software_version
             && known.state == state
             && (known.cold_left_ms > 0) == (received.cold_left_ms > 0);
         self.registration = Registration {
--- a/crates/registry/src/registration.rs
+++ b/crates/registry/src/registration.rs
@@ -23,6 +23,8 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub state: EndpointState,
+    /// Version of its software; outputs of different versions cannot be joined.
+    pub software_version: String,
 }
 
 /// State of an incarnation, in the only order in which the states follow each other.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -140,12 +140,13 @@
     pub fn record_heartbeat(&self, registration: Registration) -> Result<RecordOutcome, Error> {
         self.check_connected()?;
         let (id, state) = (registration.id.clone(), registration.state);
+        let software_version = registration.software_version.clone();
         let event = EndpointEvent::Heartbeat(registration);
         let outcome = self.publisher.record_event(event.clone());
         self.forward(event);
         if outcome != RecordOutcome::Refreshed {
             info!(self.log, "endpoint heartbeat received"; "endpoint" => id, "state" => ?state,
-                "recorded" => ?outcome);
+                "software_version" => software_version, "recorded" => ?outcome);
         }
         Ok(outcome)
     }
--- a/crates/registry/tests/heartbeats_may_arrive_in_any_order.rs
+++ b/crates/registry/tests/heartbeats_may_arrive_in_any_order.rs
@@ -22,6 +22,7 @@
         service: "forge-llm".to_owned(),
         slots: 8,
         state: EndpointState::Ready,
+        software_version: "v1".to_owned(),
     }
 }
 
