Continue streams only at the software version that began them

Cause: a placement names a service, and any endpoint of it qualified, also to continue a stream. Class of fault: a continuation is placed like a new request, without the state that binds it.

Change: a placement names the software version that it requires, and the fleet's choice of candidates, through which every placement goes (reservations, the queue, migrations, resumptions), leaves out all others. Migrations require the version of their source, resumptions that of the endpoint whose events were forwarded; before the first event any version may serve. As few endpoints may qualify, such a placement is not limited to the subscribed subset. A generation without an endpoint of its version stays where it is.

Not covered: an endpoint that restarts under its id with another version is known by its next heartbeat.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -369,6 +369,7 @@
                 .collect(),
             priority: request.priority,
             service: request.service.clone(),
+            software_version: None,
             source_data_centre: None,
             wait_ms_max: wait_ms.min(request.remaining_ms()),
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -96,11 +96,25 @@
     pub(crate) excluded_ids: Vec<String>,
     pub(crate) priority: u32,
     pub(crate) service: String,
+    /// Only software version that may serve it, as it continues a stream; `None` for any.
+    pub(crate) software_version: Option<String>,
     /// Data centre of the source endpoint; `None` unless this is a migration.
     pub(crate) source_data_centre: Option<String>,
     pub(crate) wait_ms_max: u64,
 }
 
+impl PlacementRequest {
+    fn allows_version(&self, software_version: &str) -> bool {
+        let required = self.software_version.as_deref();
+        required.is_none_or(|required| required == software_version)
+    }
+
+    /// Whether it has too few candidates to be limited to the subscribed subset.
+    fn may_leave_subset(&self) -> bool {
+        self.software_version.is_some() || self.source_data_centre.is_some()
+    }
+}
+
 impl Fleet {
     pub(crate) fn new(topology: Topology) -> Arc<Self> {
         Arc::new(Self {
@@ -393,8 +407,9 @@
         let copy_tokens_per_s = engine.map_or(0, EngineSpec::copy_tokens_per_s);
         let is_usable = |known: &&KnownEndpoint| {
             known.endpoint.service == placement.service
+                && placement.allows_version(&known.endpoint.software_version)
                 && !known.endpoint.is_leaving()
-                && (known.is_in_subset || placement.source_data_centre.is_some())
+                && (known.is_in_subset || placement.may_leave_subset())
                 && !placement.excluded_ids.contains(&known.endpoint.id)
                 && self.is_copy_possible(placement, &known.endpoint)
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -306,6 +306,7 @@
             excluded_ids,
             priority: request.priority,
             service: request.service.clone(),
+            software_version: Some(self.stream.slot.endpoint.software_version.clone()),
             source_data_centre: None,
             wait_ms_max: RESUME_WAIT_MS.min(request.remaining_ms()),
         };
@@ -480,6 +481,7 @@
             excluded_ids,
             priority: request.priority,
             service: request.service.clone(),
+            software_version: Some(self.stream.slot.endpoint.software_version.clone()),
             source_data_centre: Some(self.stream.slot.endpoint.data_centre.clone()),
             wait_ms_max: 0,
         };
