Find the software version of a stream that a client resumes

Callers saw: a client that resumed a stream got the rest from an endpoint of another software version, which does not fit what it had.

Cause: the request that resumes a stream was placed like a new one. Only the instance that began the stream knew its endpoint, and clients resume at other instances.

Change: an instance reports the service and software version of each resumable stream to three registries when the request is sent, in batches of 20 ms, so that it is known before the first event, and again at the first event if another endpoint gave it. Registries keep it in memory for a minute or more. A request with a last event looks up the stream that it names at all connected registries, twice if need be, and is placed at that service and version only. Without an origin it is refused as not run, unless the service has had a single version for a minute; it is refused at once if no endpoint of the version is left, or if the route no longer leads to the service.

Ruled out: encoding the version in what clients return (event ids and headers pass unchanged); looking up only at the leader (lost with it); replicating origins in the log (a disk write for each stream).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -239,6 +239,9 @@
     ) -> AttemptOutcome {
         let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
         let (endpoint, _) = progress.sent_to.get_or_init(sent_to);
+        if resume_point.last_event_id.is_none() {
+            self.gateway.report_stream(&self.request, endpoint);
+        }
         match self
             .request_response(endpoint, resume_point, progress)
             .await
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -331,6 +331,11 @@
             && self.possible_runs + in_flight < route.attempts_max
     }
 
+    /// Whether the request was sent to more than one endpoint.
+    pub(crate) fn is_retried(&self) -> bool {
+        !self.excluded_ids.is_empty() || self.possible_runs > 1
+    }
+
     fn may_still_be_answered(&self) -> bool {
         !self.in_flight.is_empty() || self.may_run_again()
     }
@@ -369,7 +374,7 @@
                 .collect(),
             priority: request.priority,
             service: request.service.clone(),
-            software_version: None,
+            software_version: request.software_version.clone(),
             source_data_centre: None,
             wait_ms_max: wait_ms.min(request.remaining_ms()),
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -46,6 +46,8 @@
     pub last_event_id: Option<u64>,
     /// Id of the request, as text.
     pub request_id: Option<String>,
+    /// Id of the request that began the stream, if the client resumes one.
+    pub resumed_request_id: Option<String>,
     /// Time for which the client waits for the response.
     pub timeout_ms: Option<u64>,
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,6 +4,7 @@
 mod pending_reservation;
 mod recent_placements;
 mod slot;
+mod software_versions;
 mod subset;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +13,8 @@
 use catalog::{Catalog, EngineSpec};
 use placement::{Candidate, Demand, Load, choose_candidate};
 use registry::{
-    AggregatedLoads, CoveredReservations, EndpointLoad, EndpointState, SubscribedEndpoints,
+    AggregatedLoads, CoveredReservations, EndpointLoad, EndpointState, StreamOrigin,
+    SubscribedEndpoints,
 };
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
@@ -25,6 +27,7 @@
 pub(crate) use pending_reservation::PendingReservation;
 use recent_placements::{RATE_WINDOW_MS, RecentPlacements};
 pub(crate) use slot::Slot;
+use software_versions::SoftwareVersions;
 pub use subset::{subset_key, subset_key_max};
 
 /// Assumed interval between requests served from the queue, before the first one is served.
@@ -70,6 +73,7 @@
     reservations: CoveredReservations,
     retry_after_schedule: RetryAfterSchedule,
     serve_interval_ms: u64,
+    software_versions: SoftwareVersions,
     /// Sorted ids of the endpoints in the subscribed subset; empty if it holds all endpoints.
     subset: Vec<String>,
 }
@@ -140,7 +144,9 @@
 
     /// Sets the known endpoints, sorted by id; those that are missing now are marked as leaving.
     pub(crate) fn set_endpoints(self: &Arc<Self>, endpoints: &[registry::EndpointView]) {
+        let now_ms = self.now_ms();
         let mut state = self.lock();
+        state.software_versions.update(now_ms, endpoints);
         let previous = std::mem::take(&mut state.endpoints);
         let mut previous = previous.into_iter().peekable();
         for endpoint in endpoints {
@@ -177,6 +183,17 @@
         self.serve_queue();
     }
 
+    /// Origin of all recent streams of a service, if it has had only one software version.
+    pub(crate) fn only_origin(&self, service: &str) -> Option<StreamOrigin> {
+        let now_ms = self.now_ms();
+        self.lock().software_versions.only_origin(now_ms, service)
+    }
+
+    /// Whether an endpoint of the origin's service has its software version.
+    pub(crate) fn has_origin(&self, origin: &StreamOrigin) -> bool {
+        self.lock().software_versions.is_present(origin)
+    }
+
     /// Subscription of the next load exchange. The ids of the subset are sent once after a change.
     pub(crate) fn subscribed_endpoints(&self) -> SubscribedEndpoints {
         let mut state = self.lock();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::gateway_state::{ActiveCatalog, GatewayState};
 use crate::ingress::Ingress;
 use crate::settings::GatewaySettings;
+use crate::stream_origin::{StreamReporter, report_streams};
 
 /// Shortest interval between load exchanges; about the time between two generations that arrive at
 /// all instances of a small deployment.
@@ -79,6 +80,7 @@
         let fleet = Fleet::new(topology);
         let active_catalog = ActiveCatalog::new(&dialect, &fleet, &log);
         let subscription = Subscription::spawn(subscription, active_catalog.clone());
+        let (stream_reporter, begun_streams) = StreamReporter::new();
         let state = Arc::new(GatewayState {
             active_catalog,
             budgets: Mutex::new(Vec::new()),
@@ -90,11 +92,13 @@
             metrics,
             reservations_paused_until_ms: AtomicU64::new(0),
             retry_limits,
+            stream_reporter,
             subscription,
         });
         let ingress = Ingress::bind(&state, client_address, ready_address, ready_path).await?;
         tokio::spawn(watch_endpoints(Arc::clone(&state)));
         tokio::spawn(exchange_loads(Arc::clone(&state)));
+        tokio::spawn(report_streams(Arc::clone(&state), begun_streams));
         Ok(Self { ingress, state })
     }
 
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Fleet;
 use crate::handler::RoutedRequest;
 use crate::outcome::Outcome;
+use crate::stream_origin::StreamReporter;
 use crate::{Dialect, RequestCounts, RetryBudget, RetryLimits};
 
 /// Time before the end of a drain at which requests without a response are answered.
@@ -31,6 +32,7 @@
     /// Time until which no reservation requests are sent, on the clock of [`Fleet::now_ms`].
     pub(crate) reservations_paused_until_ms: AtomicU64,
     pub(crate) retry_limits: RetryLimits,
+    pub(crate) stream_reporter: StreamReporter,
     pub(crate) subscription: Subscription,
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -51,6 +51,8 @@
     pub(crate) priority: u32,
     pub(crate) route: Route,
     pub(crate) service: String,
+    /// Software version that began the stream, if the request resumes one.
+    pub(crate) software_version: Option<String>,
     pub(crate) started_at: Instant,
 }
 
@@ -239,6 +241,10 @@
             NO_CATALOG_RETRY_AFTER_MS,
         ));
     }
+    let (service, software_version) = match gateway.resumed_origin(head, &route, &service).await? {
+        Some(origin) => (origin.service, Some(origin.software_version)),
+        None => (service, None),
+    };
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
@@ -255,6 +261,7 @@
         priority,
         route,
         service,
+        software_version,
         started_at,
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod retry_after_schedule;
 mod retry_budget;
 mod settings;
+mod stream_origin;
 mod wait_queue;
 
 pub use dialect::{
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -219,8 +219,13 @@
                 .record(now_ms, interval_us);
             self.gap_ms_max = self.gap_ms_max.max(gap_ms);
         } else {
-            self.first_event_ms = Some(self.attempts.request.elapsed_ms());
+            let request = &self.attempts.request;
+            self.first_event_ms = Some(request.elapsed_ms());
             self.stream.slot.complete_prefill();
+            if self.attempts.is_retried() {
+                let endpoint = &self.stream.slot.endpoint;
+                self.attempts.gateway.report_stream(request, endpoint);
+            }
         }
         self.update_prediction();
         if self.body_sender.send(Ok(whole_events)).await.is_err() {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -16,6 +16,9 @@
 //! all. The same registry reserves capacity for generations: it knows all earlier reservations,
 //! while the aggregated load that a subscriber received last is older. If this registry does not
 //! answer, subscribers choose by that load.
+//!
+//! Registries also remember the service and software version that began each recent stream, so that
+//! a client can resume it through any instance.
 
 mod boot_clock;
 mod connection;
@@ -34,6 +37,7 @@
 mod rpc;
 mod server;
 mod settings;
+mod stream_origins;
 mod subscription;
 mod transport;
 
@@ -54,4 +58,5 @@
     SubscribedEndpoints,
 };
 pub use settings::{RegistrySettings, SubscriptionSettings};
+pub use stream_origins::{BegunStreams, StreamOrigin, StreamOrigins};
 pub use subscription::{DocumentSink, Subscription};
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -71,6 +71,7 @@
             log: log.clone(),
             publisher: Arc::clone(&publisher),
             read_index: Arc::clone(&read_index),
+            stream_origins: Arc::default(),
         };
         let server = server.bind(listen).await?;
         let (forwarded_events, queued_events) = mpsc::unbounded_channel();
--- a/crates/registry/src/rpc.rs
+++ b/crates/registry/src/rpc.rs
@@ -3,7 +3,7 @@
 use placement::{Candidate, Demand, Load};
 use serde::{Deserialize, Serialize};
 
-use crate::{Document, Registration};
+use crate::{BegunStreams, Document, Registration, StreamOrigin};
 
 /// Remote calls between the instances of a deployment. All are served by registries.
 #[tarpc::service]
@@ -23,6 +23,10 @@
     async fn reserve(request: Vec<u8>) -> Vec<u8>;
     /// Records events of endpoints that another registry received.
     async fn forward_events(events: Vec<EndpointEvent>);
+    /// Records streams that have begun.
+    async fn record_streams(begun: Vec<BegunStreams>);
+    /// Returns the origin of the stream that a request began, if it is known.
+    async fn find_stream_origin(request_id: String) -> Option<StreamOrigin>;
 }
 
 /// Event of an endpoint, as received by a registry and forwarded to the others.
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -19,7 +19,8 @@
 use crate::read_index::ReadIndexBatcher;
 use crate::rpc::{PollAnswer, PollRequest, RegistryRpc};
 use crate::{
-    Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator, ReservationAnswer,
+    BegunStreams, Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator,
+    ReservationAnswer, StreamOrigin, StreamOrigins,
 };
 
 /// Parts of a registry that remote calls use.
@@ -30,6 +31,7 @@
     pub(crate) log: Logger,
     pub(crate) publisher: Arc<Publisher>,
     pub(crate) read_index: Arc<ReadIndexBatcher>,
+    pub(crate) stream_origins: Arc<Mutex<StreamOrigins>>,
 }
 
 impl Server {
@@ -132,4 +134,24 @@
             self.publisher.record_event(event);
         }
     }
+
+    async fn record_streams(self, _context: Context, begun: Vec<BegunStreams>) {
+        let now_ms = self.publisher.now_ms();
+        let origins = self.stream_origins.lock();
+        let mut origins = origins.unwrap_or_else(PoisonError::into_inner);
+        for streams in begun {
+            origins.record(now_ms, streams);
+        }
+    }
+
+    async fn find_stream_origin(
+        self,
+        _context: Context,
+        request_id: String,
+    ) -> Option<StreamOrigin> {
+        let now_ms = self.publisher.now_ms();
+        let origins = self.stream_origins.lock();
+        let mut origins = origins.unwrap_or_else(PoisonError::into_inner);
+        origins.find(now_ms, &request_id)
+    }
 }
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -2,6 +2,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use placement::Demand;
 use slog::{Logger, debug, info, warn};
 use tarpc::client::RpcError;
@@ -11,9 +14,10 @@
 use crate::connection::{RpcConnection, call_context};
 use crate::rpc::{LoadReport, PollAnswer, PollRequest};
 use crate::{
-    AggregatedLoads, CoveredReservations, DirectoryView, Document, EndpointLoad, EndpointRecord,
-    EndpointView, Error, Lease, ReservationAnswer, ReservationOption, ReservationRequest,
-    ServiceLoad, SubscribedEndpoints, SubscriptionSettings, time_since_boot_ms,
+    AggregatedLoads, BegunStreams, CoveredReservations, DirectoryView, Document, EndpointLoad,
+    EndpointRecord, EndpointView, Error, Lease, ReservationAnswer, ReservationOption,
+    ReservationRequest, ServiceLoad, StreamOrigin, SubscribedEndpoints, SubscriptionSettings,
+    time_since_boot_ms,
 };
 
 /// Time for which a registry holds a poll without updates.
@@ -35,6 +39,15 @@
 /// Time limit for a reservation request: three round trips between regions.
 const RESERVATION_TIMEOUT_MS: u64 = 75;
 
+/// Registries that each stream is reported to, so that two may be lost.
+const STREAM_REPORT_COPIES: usize = 3;
+
+/// Time limit for reporting streams to one registry.
+const STREAM_REPORT_TIMEOUT_MS: u64 = 300;
+
+/// Time limit for finding the origin of a stream: four round trips between regions.
+const STREAM_ORIGIN_TIMEOUT_MS: u64 = 100;
+
 /// Consecutive failures after which a registry that is not a seed is removed.
 const CONSECUTIVE_FAILURES_MAX: u32 = 48;
 
@@ -53,6 +66,8 @@
 struct Subscriber {
     endpoints: watch::Sender<Arc<Vec<EndpointView>>>,
     log: Logger,
+    /// Random; spreads the instances' reports of streams over the registries.
+    registry_offset: usize,
     settings: SubscriptionSettings,
     sink: Arc<dyn DocumentSink>,
     state: Mutex<SubscriberState>,
@@ -99,6 +114,7 @@
         let subscriber = Arc::new(Subscriber {
             endpoints,
             log: settings.log.clone(),
+            registry_offset: usize::from(rand::random::<u16>()),
             settings,
             sink,
             state: Mutex::new(state),
@@ -224,6 +240,50 @@
     }
 }
 
+impl Subscription {
+    /// Reports streams that have begun to some of the registries.
+    pub async fn report_streams(&self, begun: &[BegunStreams]) {
+        let registries = self.subscriber.connected_registries();
+        let reports = registries
+            .iter()
+            .take(STREAM_REPORT_COPIES)
+            .filter_map(|connection| Some((connection, connection.connected_client()?)))
+            .map(async |(connection, client)| {
+                let context = call_context(STREAM_REPORT_TIMEOUT_MS);
+                if let Err(error) = client.record_streams(context, begun.to_vec()).await {
+                    debug!(self.subscriber.log, "streams not reported";
+                        "registry" => %connection.address(), "error" => %error);
+                }
+            });
+        join_all(reports).await;
+    }
+
+    /// Finds the service and software version that began the stream of a request; `None` if no
+    /// connected registry knows it.
+    pub async fn find_stream_origin(&self, request_id: &str) -> Option<StreamOrigin> {
+        let registries = self.subscriber.connected_registries();
+        let mut lookups: FuturesUnordered<_> = registries
+            .iter()
+            .filter_map(|connection| connection.connected_client())
+            .map(async |client| {
+                let context = call_context(STREAM_ORIGIN_TIMEOUT_MS);
+                client
+                    .find_stream_origin(context, request_id.to_owned())
+                    .await
+            })
+            .collect();
+        while let Some(answer) = lookups.next().await {
+            match answer {
+                Ok(None) => {}
+                Ok(origin) => return origin,
+                Err(error) => debug!(self.subscriber.log, "origin of a stream not found";
+                    "request" => request_id, "error" => %error),
+            }
+        }
+        None
+    }
+}
+
 impl Subscriber {
     fn lock(&self) -> MutexGuard<'_, SubscriberState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -241,6 +301,23 @@
         Some(Arc::clone(&registry.connection))
     }
 
+    /// Connected registries, in an order of this instance's own.
+    fn connected_registries(&self) -> Vec<Arc<RpcConnection>> {
+        let state = self.lock();
+        let connected = state
+            .registries
+            .iter()
+            .filter(|registry| registry.is_connected);
+        let mut connected: Vec<_> = connected
+            .map(|registry| Arc::clone(&registry.connection))
+            .collect();
+        if !connected.is_empty() {
+            let first = self.registry_offset % connected.len();
+            connected.rotate_left(first);
+        }
+        connected
+    }
+
     fn add_registries(self: &Arc<Self>, addresses: &[SocketAddr], are_members: bool) {
         let mut state = self.lock();
         for &address in addresses {
