--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,10 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use crate::attempt::{
-    AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
-    ResumePoint,
-};
+use crate::attempt::AttemptEnd;
 use crate::attempts::{Attempts, client_parts, keep_connection};
 use crate::clock::milliseconds;
 use crate::connection::Connection;
@@ -36,7 +33,7 @@
 use crate::response::{IncompleteBody, ResponseBody, channel_body};
 use crate::{EventReader, ResponseHead};
 use continuation::Continuation;
-use migration::{CompleteCopy, Migration, MigrationStep, UsedCopy};
+use migration::{Migration, MigrationStep};
 
 /// Chunks that are buffered for a slow client.
 const BUFFERED_CHUNKS_MAX: usize = 16;
@@ -48,9 +45,6 @@
 /// Shortest time without an event after which a stream is requested from another endpoint.
 const STALL_MS_MIN: u64 = 700;
 
-/// Time for which a resumed stream waits for capacity.
-const RESUME_WAIT_MS: u64 = 300;
-
 /// Divisor of the output so far that gives the least expected remaining output. Output lengths
 /// spread widely, so a generation that exceeds its prediction continues for long.
 const REMAINING_OUTPUT_DIVISOR: u64 = 3;
@@ -270,162 +264,6 @@
         self.last_event_at.max(self.stall_start_at) + Duration::from_millis(stall_ms)
     }
 
-    fn may_resume(&self) -> bool {
-        self.is_resumable()
-            && self.attempts.possible_runs < self.attempts.request.route.attempts_max
-    }
-
-    /// Continues elsewhere after the endpoint interrupted the stream; `how` ends the logged reason.
-    fn recover(&mut self, how: &str) -> Option<StreamEnd> {
-        self.reader.discard_partial();
-        self.is_broken_off = true;
-        let reason = format!("the endpoint broke off {how}");
-        if let Some(copy) = self.migration.take_first_copy() {
-            self.cancel_resumption(&reason);
-            self.continue_from_copy(*copy, reason);
-            return None;
-        }
-        let pending = self.continuation.as_ref();
-        if pending.is_some_and(|continuation| continuation.copy.is_some()) {
-            return None;
-        }
-        let now_ms = self.attempts.gateway.fleet.now_ms();
-        let endpoint = &self.stream.slot.endpoint;
-        endpoint.stats().health.record_failure(now_ms);
-        if pending.is_some() {
-            return None;
-        }
-        self.resume(&reason)
-    }
-
-    /// Requests the stream from another endpoint, starting after its last event.
-    fn resume(&mut self, reason: &str) -> Option<StreamEnd> {
-        if !self.may_resume() {
-            return self.end_if_broken_off(reason.to_owned());
-        }
-        let request = &self.attempts.request;
-        let mut excluded_ids = self.attempts.excluded_ids.clone();
-        excluded_ids.push(self.stream.slot.endpoint.id.clone());
-        let placement = PlacementRequest {
-            demand: request.demand(),
-            excluded_ids,
-            priority: request.priority,
-            service: request.service.clone(),
-            software_version: Some(self.stream.slot.endpoint.software_version.clone()),
-            source_data_centre: None,
-            wait_ms_max: RESUME_WAIT_MS.min(request.remaining_ms()),
-        };
-        let sender = AttemptSender::new(&self.attempts.gateway, request);
-        self.continuation = Some(Continuation {
-            attempt: sender.place_and_send(placement, self.resume_point(), true),
-            copy: None,
-            reason: reason.to_owned(),
-        });
-        None
-    }
-
-    /// Drops a pending resumption. If it was sent, it may have run.
-    fn cancel_resumption(&mut self, reason: &str) {
-        let is_resumption = |continuation: &mut Continuation| continuation.copy.is_none();
-        let Some(resumption) = self.continuation.take_if(is_resumption) else {
-            return;
-        };
-        let overdue_at = resumption.attempt.sent_at();
-        let overdue_at = overdue_at.map(|sent_at| sent_at + Duration::from_millis(STALL_MS_MIN));
-        if overdue_at.is_some_and(|overdue_at| overdue_at <= Instant::now()) {
-            let now_ms = self.attempts.gateway.fleet.now_ms();
-            resumption.attempt.mark_overdue(now_ms);
-        }
-        if let Some(endpoint_id) = resumption.attempt.endpoint_id() {
-            info!(self.attempts.gateway.log, "stream not resumed";
-                "request" => self.attempts.request.id(), "endpoint" => endpoint_id,
-                "reason" => reason);
-            self.attempts.possible_runs += 1;
-            self.attempts.excluded_ids.push(endpoint_id.to_owned());
-        }
-    }
-
-    /// Applies the end of the pending continuation.
-    async fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
-        let Continuation { copy, reason, .. } = self.continuation.take()?;
-        self.stall_start_at = Instant::now();
-        let (error, slot) = match end.outcome {
-            AttemptOutcome::Accepted(accepted, slot) => {
-                let AcceptedResponse {
-                    body,
-                    connection,
-                    head,
-                    parts,
-                } = *accepted;
-                if let AcceptedBody::Stream(first, rest) = body {
-                    let stream = RelayedStream {
-                        body: rest,
-                        connection,
-                        head,
-                        slot,
-                    };
-                    self.switch_endpoint(stream, copy.is_some(), &reason);
-                    return self.forward(first).await;
-                }
-                let answered = format!("the endpoint answered {}", parts.status);
-                (AttemptError::Failed(answered), slot)
-            }
-            AttemptOutcome::Failed(error, slot) => (error, slot),
-            AttemptOutcome::NotPlaced(error) => {
-                return self.end_if_broken_off(format!("{reason}, and {}", error.reason));
-            }
-        };
-        match copy {
-            Some(copy) => self.apply_copy_failure(&error, copy, &slot),
-            None => self.apply_resumption_failure(&error, &slot),
-        }
-    }
-
-    fn apply_resumption_failure(&mut self, error: &AttemptError, slot: &Slot) -> Option<StreamEnd> {
-        if matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut) {
-            self.attempts.possible_runs += 1;
-            self.attempts.excluded_ids.push(slot.endpoint.id.clone());
-        }
-        self.end_if_broken_off(format!("the stream did not go on: {error}"))
-    }
-
-    /// Keeps the generation at its source if the target certainly does not run it. It cannot
-    /// continue beside a run that the target may have started.
-    fn apply_copy_failure(
-        &mut self,
-        error: &AttemptError,
-        copy: UsedCopy,
-        slot: &Slot,
-    ) -> Option<StreamEnd> {
-        if self.is_broken_off {
-            return self.resume(&format!("the endpoint broke off, and at the copy: {error}"));
-        }
-        match error {
-            AttemptError::Rejected(_) | AttemptError::Unreachable(_) => {
-                info!(self.attempts.gateway.log, "KV cache copy not used";
-                    "request" => self.attempts.request.id(),
-                    "endpoint" => &slot.endpoint.id, "reason" => %error);
-                self.migration.discard_copy_and_retry(copy, slot);
-                None
-            }
-            AttemptError::Failed(_) | AttemptError::TimedOut => Some(StreamEnd::Broken(format!(
-                "the stream did not go on: {error}"
-            ))),
-        }
-    }
-
-    /// Ends a stream that its endpoint broke off; any other one stays there.
-    fn end_if_broken_off(&mut self, reason: String) -> Option<StreamEnd> {
-        if self.is_broken_off {
-            return Some(StreamEnd::Broken(reason));
-        }
-        self.stall_start_at = Instant::now();
-        info!(self.attempts.gateway.log, "stream not resumed";
-            "request" => self.attempts.request.id(), "endpoint" => &self.stream.slot.endpoint.id,
-            "last_event" => self.reader.last_event_id(), "reason" => reason);
-        None
-    }
-
     async fn continue_migration(&mut self, step: MigrationStep) -> Option<StreamEnd> {
         match step {
             MigrationStep::CopyComplete(copy) => {
@@ -438,22 +276,6 @@
         None
     }
 
-    /// Requests the generation at the target of its copy. It continues at the source until the
-    /// target answers, and ends there when the connection closes.
-    fn continue_from_copy(&mut self, copy: CompleteCopy, reason: String) {
-        let (slot, copy) = copy.into_parts();
-        let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
-        let resume_point = ResumePoint {
-            copy: Some(copy.cache_copy.clone()),
-            ..self.resume_point()
-        };
-        self.continuation = Some(Continuation {
-            attempt: sender.retry_at(slot, resume_point),
-            copy: Some(copy),
-            reason,
-        });
-    }
-
     async fn start_migration(&mut self) {
         let request = Arc::clone(&self.attempts.request);
         let gateway = Arc::clone(&self.attempts.gateway);
@@ -501,38 +323,6 @@
             .await;
     }
 
-    /// Position after the last event.
-    fn resume_point(&self) -> ResumePoint {
-        ResumePoint {
-            copy: None,
-            last_event_id: self.reader.last_event_id(),
-        }
-    }
-
-    fn switch_endpoint(&mut self, mut stream: RelayedStream, is_copied: bool, reason: &str) {
-        let request = &self.attempts.request;
-        let source_id = &self.stream.slot.endpoint.id;
-        info!(self.attempts.gateway.log, "stream switched endpoint"; "request" => request.id(),
-            "from" => source_id, "to" => &stream.slot.endpoint.id,
-            "from_version" => &self.stream.slot.endpoint.software_version,
-            "to_version" => &stream.slot.endpoint.software_version,
-            "is_copied" => is_copied, "last_event" => self.reader.last_event_id(),
-            "reason" => reason);
-        if !is_copied {
-            self.attempts.possible_runs += 1;
-            self.attempts.excluded_ids.push(source_id.clone());
-        }
-        self.reader.discard_partial();
-        self.reader.skip_forwarded_events();
-        self.endpoint_switches += 1;
-        self.is_broken_off = false;
-        let migration = Migration::watch(&stream.slot.endpoint);
-        std::mem::replace(&mut self.migration, migration).free_copy();
-        self.stall_start_at = Instant::now();
-        stream.slot.complete_prefill();
-        self.stream = stream;
-    }
-
     async fn finish(self, end: StreamEnd) {
         let Self {
             attempts,
