Close client connections by the time limits in force

Callers saw: a client that reused its connection within a raised idle limit found it closed, and so did one whose request began shortly before the end of the idle limit and ended after it. Connections outlived a lowered limit.

Cause: hyper fixes its timer when it accepts a connection, and counts the idle time and the time of a head together, from the last response on.

Change: the phase of each connection (idle, receiving a head, answering) is observed at its stream and its response bodies, and the connection is closed by the greatest limit in force since the phase began. So a raised limit applies at once; a lowered one applies from the next phase on, since a client that became idle under the longer limit may still send a request, which a close would cross. A head is timed from its first byte. An idle connection is closed through hyper's graceful shutdown, which lets the last bytes of a response be written.

Ruled out: closing by the limit in force at the moment, which takes a connection from a client that may still use it.

The raised limit and the time of a head are one commit because both need the phases and replace the same timer. If a limit is raised and lowered again before the task of a connection runs, the raised one isn't seen.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -38,7 +38,7 @@
 
 /// Catalog of the last valid document that the subscription installed.
 pub(crate) struct ActiveCatalog {
-    current: Mutex<Option<Arc<Catalog>>>,
+    current: watch::Sender<Option<Arc<Catalog>>>,
     dialect: Arc<dyn Dialect>,
     fleet: Arc<Fleet>,
     log: Logger,
@@ -156,7 +156,7 @@
 impl ActiveCatalog {
     pub(crate) fn new(dialect: &Arc<dyn Dialect>, fleet: &Arc<Fleet>, log: &Logger) -> Arc<Self> {
         Arc::new(Self {
-            current: Mutex::new(None),
+            current: watch::channel(None).0,
             dialect: Arc::clone(dialect),
             fleet: Arc::clone(fleet),
             log: log.clone(),
@@ -164,7 +164,7 @@
     }
 
     pub(crate) fn current(&self) -> Option<Arc<Catalog>> {
-        lock(&self.current).clone()
+        self.current.borrow().clone()
     }
 
     /// Limits of the catalog, or the default ones if there is none.
@@ -172,6 +172,11 @@
         self.current()
             .map_or_else(Limits::default, |catalog| catalog.limits())
     }
+
+    /// Receiver that is notified when another catalog becomes active.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Arc<Catalog>>> {
+        self.current.subscribe()
+    }
 }
 
 impl DocumentSink for ActiveCatalog {
@@ -179,7 +184,7 @@
         match self.dialect.parse_document(&document.bytes) {
             Ok(catalog) => {
                 let catalog = Arc::new(catalog);
-                *lock(&self.current) = Some(Arc::clone(&catalog));
+                self.current.send_replace(Some(Arc::clone(&catalog)));
                 self.fleet.set_catalog(&catalog);
                 true
             }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -11,12 +11,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::client_phase::{ObservedStream, PhaseObserver};
 use crate::gateway::Error;
 use crate::gateway_state::GatewayState;
 use crate::handler::handle;
@@ -152,35 +153,40 @@
     mut closing: watch::Receiver<bool>,
     _count_guard: ConnectionCountGuard,
 ) {
-    let limits = gateway.active_catalog.limits();
     let log = gateway.log.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let gateway = Arc::clone(&gateway);
-        async move {
-            let mut response = handle(&gateway, request).await;
-            if gateway.is_draining() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            Ok::<_, Infallible>(response)
-        }
+    let head_bytes_max = gateway.active_catalog.limits().head_bytes_max;
+    let observer = PhaseObserver::new(&gateway.active_catalog);
+    let stream = ObservedStream::new(stream, observer.clone());
+    let service = service_fn(|request| {
+        let guard = observer.start_answer();
+        let response = respond(&gateway, request);
+        async move { Ok::<_, Infallible>(guard.attach_to(response.await)) }
     });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
-            .timer(TokioTimer::new())
-            // hyper counts the idle time before a request as part of reading its head, so the
-            // longer of both limits applies to both.
-            .header_read_timeout(Duration::from_millis(
-                limits.idle_timeout_ms.max(limits.head_timeout_ms)
-            ))
-            .max_buf_size(limits.head_bytes_max.max(HEAD_BYTES_MIN))
+            // The observer measures the time instead.
+            .header_read_timeout(None)
+            .max_buf_size(head_bytes_max.max(HEAD_BYTES_MIN))
             .serve_connection(TokioIo::new(stream), service)
     );
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_until_closing(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut is_closing = false;
+    let result = loop {
+        tokio::select! {
+            // Received bytes are read before the connection may be closed.
+            biased;
+            result = connection.as_mut() => break result,
+            () = wait_until_closing(&mut closing), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            phase = observer.expired() => {
+                if phase.is_reading_head() {
+                    debug!(log, "client connection closed, request head incomplete");
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+                break connection.await;
+            }
         }
     };
     if let Err(error) = result {
@@ -188,6 +194,19 @@
     }
 }
 
+/// Answers a client's request, and announces the close of the connection during a drain.
+async fn respond(
+    gateway: &Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let mut response = handle(gateway, request).await;
+    if gateway.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 async fn serve_readiness(
     gateway: Arc<GatewayState>,
     listener: TcpListener,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod attempt;
 mod attempts;
+mod client_phase;
 mod clock;
 mod connection;
 mod dialect;
