Enforce the head size limit in force

Callers saw: after max_header_bytes was raised, a larger head on a connection that was open already got 431. A lowered limit did not reach open connections either.

Cause: hyper fixes the size of its buffer when it accepts a connection.

Change: the buffer holds 64 KiB, or the limit at accept if that is larger, and the handler compares each head with the limit of the active catalog. Such a refusal is logged and counted like the others.

Ruled out: hyper's own limit for heads, which is fixed at accept as well. A limit that is raised beyond 64 KiB still reaches only new connections. hyper's buffers for bodies and responses may grow to the same size.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -203,6 +203,7 @@
             NO_CATALOG_RETRY_AFTER_MS,
         ));
     };
+    check_head_length(&parts, catalog.limits().head_bytes_max)?;
     let Parts {
         mut headers,
         method,
@@ -266,6 +267,30 @@
     })
 }
 
+fn check_head_length(parts: &Parts, bytes_max: usize) -> Result<(), RequestError> {
+    if head_length(parts) <= bytes_max {
+        return Ok(());
+    }
+    Err(RequestError::new(
+        Outcome::Malformed,
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        format!("the head is longer than {bytes_max} bytes"),
+    ))
+}
+
+/// Bytes of a request head as sent, without optional whitespace and the host of an absolute URI.
+fn head_length(parts: &Parts) -> usize {
+    const REQUEST_LINE_REST: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_REST: usize = ": \r\n".len();
+    const HEAD_END: usize = "\r\n".len();
+    let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let request_line = parts.method.as_str().len() + path.len() + REQUEST_LINE_REST;
+    let headers = parts.headers.iter();
+    let header_lengths =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_REST);
+    request_line + header_lengths.sum::<usize>() + HEAD_END
+}
+
 fn request_error(error: LookupError) -> RequestError {
     match error {
         LookupError::UnknownKey => RequestError::new(
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -23,8 +23,9 @@
 use crate::handler::handle;
 use crate::response::{ResponseBody, empty_response};
 
-/// Smallest buffer that hyper accepts for a request head.
-const HEAD_BYTES_MIN: usize = 8_192;
+/// Least bytes of a request head that a connection can buffer. Documents may raise the limit up to
+/// this size while the connection is open; the handler enforces the limit in force.
+const HEAD_BUFFER_BYTES_MIN: usize = 65_536;
 
 /// Time until the load balancer notices a drain: two readiness checks, one second apart, and a
 /// margin.
@@ -166,7 +167,7 @@
         http1::Builder::new()
             // The observer measures the time instead.
             .header_read_timeout(None)
-            .max_buf_size(head_bytes_max.max(HEAD_BYTES_MIN))
+            .max_buf_size(head_bytes_max.max(HEAD_BUFFER_BYTES_MIN))
             .serve_connection(TokioIo::new(stream), service)
     );
     let mut is_closing = false;
