Answer heads that a drain finds received in part

Callers saw: a request whose head was on its way when a drain closed idle connections got no response, if its connection had served a request before.

Cause: hyper counts a reused connection as idle until a head is complete, and its graceful shutdown closes idle connections at once.

Change: a drain closes a connection only after its head is received; the response announces the close. The head still has to end within its limit, and the drain within its timeout.

Ruled out: reading on after hyper's shutdown, which it does not offer. A part of a head that is sent before the previous response has ended (pipelining) is not observed: by reading, not by a run, it still gets no response at a drain.

--- a/crates/gateway/src/client_phase.rs
+++ b/crates/gateway/src/client_phase.rs
@@ -118,6 +118,13 @@
         }
     }
 
+    /// Waits until no head is received in part.
+    pub(crate) async fn head_received(&self) {
+        let mut phases = self.phase.subscribe();
+        // The observer holds the sender, so the wait can't fail.
+        let _ = phases.wait_for(|phase| !phase.is_reading_head()).await;
+    }
+
     fn start(&self, activity: Activity) {
         let limits = self.active_catalog.limits();
         self.phase.send_replace(ClientPhase::new(activity, &limits));
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -148,6 +148,13 @@
     let _ = closing.wait_for(|is_closing| *is_closing).await;
 }
 
+/// Waits until connections are closed, and then until no request head is received in part: hyper
+/// would close a reused connection without a response to it.
+async fn wait_until_closable(closing: &mut watch::Receiver<bool>, observer: &PhaseObserver) {
+    wait_until_closing(closing).await;
+    observer.head_received().await;
+}
+
 async fn serve_client(
     gateway: Arc<GatewayState>,
     stream: TcpStream,
@@ -176,7 +183,7 @@
             // Received bytes are read before the connection may be closed.
             biased;
             result = connection.as_mut() => break result,
-            () = wait_until_closing(&mut closing), if !is_closing => {
+            () = wait_until_closable(&mut closing, &observer), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
