Show that the entry leaves a silent engine before another one answers

A generation without a token is cancelled when its stream is silent or its permit is revoked, and only then a retry and a permit are requested. If either is denied, or the other endpoint fails, the call fails although its engine may still answer. A stream with delivered tokens is closed before it is resumed, and fails after six resumes without a token.

--- a/crates/entry/tests/call/main.rs
+++ b/crates/entry/tests/call/main.rs
@@ -5,9 +5,11 @@
 use std::ops::Range;
 
 use entry::core::{
-    CallFailure, FailureCause, FailurePoint, GenerationAction, GenerationEvent, GenerationStatus,
-    Outcome, ResponseMode,
+    CallFailure, FailureCause, FailurePoint, FinishReason, GenerationAction, GenerationEvent,
+    GenerationStatus, Outcome, ResponseMode,
 };
+use entry::dependencies::{Refusal, RefusalReason};
+use names::GenerationId;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use simulation::{ActionCounts, DEADLINE_US, STALL_TIMEOUTS, Simulation, Step, simulate};
 
@@ -235,3 +237,201 @@
     );
     assert!(matches!(actions.last(), Some(GenerationAction::Fail(_))));
 }
+
+const FIRST: GenerationId = GenerationId(1);
+
+const SECOND: GenerationId = GenerationId(2);
+
+const REFUSAL: GenerationEvent = GenerationEvent::PermitRefused(Refusal {
+    reason: RefusalReason::NoOwner,
+    retry_after_ms: 5,
+});
+
+const GRANT_OF_SECOND: GenerationEvent = GenerationEvent::PermitGranted {
+    generation: SECOND,
+    stall_timeouts: STALL_TIMEOUTS,
+};
+
+/// Ticks when the stream counts as stalled, and returns the actions.
+fn actions_after_silence(simulation: &mut Simulation) -> Vec<GenerationAction> {
+    simulation.now_us = simulation.call.next_tick_us();
+    actions_after(simulation, GenerationEvent::Tick)
+}
+
+/// Whether an action ends the generation, its connection or its permit.
+fn ends_generation(action: &GenerationAction) -> bool {
+    matches!(
+        action,
+        GenerationAction::Cancel { .. }
+            | GenerationAction::CloseConnection
+            | GenerationAction::Fail(_)
+            | GenerationAction::Refuse(_)
+            | GenerationAction::ReleasePermit { .. }
+    )
+}
+
+fn is_kept(actions: &[GenerationAction]) -> bool {
+    !actions.iter().any(ends_generation)
+}
+
+/// Checks that the first generation sends its token `index` and its end to the client.
+fn assert_first_completes(simulation: &mut Simulation, index: u32) {
+    let generation = FIRST;
+    let token = GenerationEvent::Token { generation, index };
+    let actions = actions_after(simulation, token);
+    assert_eq!(
+        actions.last(),
+        Some(&GenerationAction::Deliver { generation, index })
+    );
+    let tokens = index + 1;
+    let reason = FinishReason::Stop;
+    let end = GenerationEvent::GenerationEnded {
+        generation,
+        reason,
+        tokens,
+    };
+    let actions = actions_after(simulation, end);
+    assert_eq!(
+        actions.last(),
+        Some(&GenerationAction::Complete { reason, tokens })
+    );
+}
+
+/// Guards against a late answer that is lost because the retry budget is spent.
+#[test]
+fn silent_generation_completes_although_no_retry_is_allowed() {
+    for mode in [ResponseMode::Buffered, ResponseMode::Stream] {
+        let mut simulation = start_stream(mode, 0..0);
+        let actions = actions_after_silence(&mut simulation);
+        assert!(is_kept(&actions), "{actions:?}");
+        let denied = GenerationEvent::BudgetDenied { retry_after_ms: 7 };
+        assert!(is_kept(&actions_after(&mut simulation, denied)));
+        assert_first_completes(&mut simulation, 0);
+    }
+}
+
+/// Guards against a late answer that is lost because no other endpoint has capacity.
+#[test]
+fn silent_generation_completes_although_its_replacement_is_refused() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    actions_after_silence(&mut simulation);
+    let actions = actions_after(&mut simulation, GenerationEvent::BudgetGranted);
+    assert_eq!(actions, [GenerationAction::AcquirePermit]);
+    let actions = actions_after(&mut simulation, REFUSAL);
+    assert!(is_kept(&actions), "{actions:?}");
+    assert_first_completes(&mut simulation, 0);
+}
+
+/// Guards against a late answer that is lost because the other endpoint cannot be reached.
+#[test]
+fn silent_generation_completes_although_its_replacement_fails() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    actions_after_silence(&mut simulation);
+    actions_after(&mut simulation, GenerationEvent::BudgetGranted);
+    actions_after(&mut simulation, GRANT_OF_SECOND);
+    let failed = GenerationEvent::ConnectionFailed {
+        generation: SECOND,
+        point: FailurePoint::Connect,
+    };
+    let actions = actions_after(&mut simulation, failed);
+    assert_eq!(actions.last(), Some(&GenerationAction::RequestRetry));
+    assert!(!actions.contains(&GenerationAction::Cancel { generation: FIRST }));
+    let denied = GenerationEvent::BudgetDenied { retry_after_ms: 7 };
+    assert!(is_kept(&actions_after(&mut simulation, denied)));
+    assert_first_completes(&mut simulation, 0);
+}
+
+/// Guards against a generation that is cancelled before its replacement has answered.
+#[test]
+fn silent_generation_is_kept_until_its_replacement_opens() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    let mut actions = actions_after_silence(&mut simulation);
+    actions.extend(actions_after(
+        &mut simulation,
+        GenerationEvent::BudgetGranted,
+    ));
+    actions.extend(actions_after(&mut simulation, GRANT_OF_SECOND));
+    assert!(is_kept(&actions), "{actions:?}");
+    let generation = SECOND;
+    let opened = GenerationEvent::StreamOpened { generation };
+    assert!(!is_kept(&actions_after(&mut simulation, opened)));
+    let index = 0;
+    let actions = actions_after(
+        &mut simulation,
+        GenerationEvent::Token { generation, index },
+    );
+    assert_eq!(actions, [GenerationAction::Deliver { generation, index }]);
+}
+
+/// Guards against an answer that is dropped in favour of a replacement which has not opened.
+#[test]
+fn silent_generation_completes_if_it_continues_before_its_replacement_opens() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    actions_after_silence(&mut simulation);
+    actions_after(&mut simulation, GenerationEvent::BudgetGranted);
+    actions_after(&mut simulation, GRANT_OF_SECOND);
+    assert_first_completes(&mut simulation, 0);
+}
+
+/// Guards against a call that fails long before its deadline because no replacement is granted.
+#[test]
+fn silent_generation_without_a_replacement_fails_at_the_deadline() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    while !simulation.call.is_finished() {
+        let mut actions = actions_after_silence(&mut simulation);
+        if actions.last() == Some(&GenerationAction::RequestRetry) {
+            let denied = GenerationEvent::BudgetDenied { retry_after_ms: 7 };
+            actions = actions_after(&mut simulation, denied);
+        }
+        if simulation.call.is_finished() {
+            assert!(matches!(
+                actions.last(),
+                Some(GenerationAction::Fail(CallFailure {
+                    cause: FailureCause::Deadline,
+                    ..
+                }))
+            ));
+        }
+    }
+    assert_eq!(simulation.now_us, DEADLINE_US);
+}
+
+/// Guards against a generation that is lost because no other endpoint has capacity for it.
+#[test]
+fn revoked_generation_completes_although_no_other_permit_is_granted() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    let actions = actions_after(&mut simulation, GenerationEvent::PermitRevoked);
+    assert!(is_kept(&actions), "{actions:?}");
+    assert!(is_kept(&actions_after(&mut simulation, REFUSAL)));
+    assert_first_completes(&mut simulation, 0);
+}
+
+/// Guards against a generation that is cancelled although it begins while a permit is awaited.
+#[test]
+fn revoked_generation_completes_if_it_continues_before_another_permit_is_granted() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    actions_after(&mut simulation, GenerationEvent::PermitRevoked);
+    assert_first_completes(&mut simulation, 0);
+}
+
+/// Guards against a stream that is cut long before its deadline because its engine is silent.
+#[test]
+fn silent_stream_with_delivered_tokens_is_kept_until_the_deadline() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..3);
+    loop {
+        let actions = actions_after_silence(&mut simulation);
+        if simulation.now_us == DEADLINE_US {
+            assert!(simulation.call.is_finished());
+            return;
+        }
+        assert!(is_kept(&actions), "{actions:?}");
+    }
+}
+
+/// Guards against a stream whose pause is cut although the engine continues it.
+#[test]
+fn silent_stream_completes_if_it_continues_before_its_resume_opens() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..3);
+    actions_after_silence(&mut simulation);
+    assert_first_completes(&mut simulation, 3);
+}
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -4,12 +4,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use entry::dependencies::PermitEnd;
 use support::{
     EntryBuilder, FakeEndpoint, ReceivedRequest, ServerConnection, TestClient, end_event,
     generation_id, status_event, token_event,
 };
+use tokio::time::sleep;
 
 /// Token index that a resume request starts from; none for other requests.
 fn resume_index(request: &ReceivedRequest) -> Option<u32> {
@@ -362,3 +364,74 @@
     );
     call.abort();
 }
+
+/// Guards against a late answer that is lost because every further attempt is rejected.
+#[tokio::test]
+async fn a_silent_generation_is_answered_late_if_no_other_attempt_succeeds() {
+    let start_count = Arc::new(AtomicUsize::new(0));
+    let engine = FakeEndpoint::bind(move |request, mut connection| {
+        let start_count = Arc::clone(&start_count);
+        Box::pin(async move {
+            if request.method() == "DELETE" {
+                return respond_to_cancel(connection).await;
+            }
+            if start_count.fetch_add(1, Ordering::SeqCst) > 0 {
+                let not_run = "gentiancleat-outcome: not-run\r\n";
+                return connection
+                    .respond("503 Service Unavailable", not_run, "")
+                    .await;
+            }
+            connection.start_event_stream().await;
+            sleep(Duration::from_secs(4)).await;
+            stream_tokens_from(&mut connection, &generation_id(&request), 0, 5).await;
+        })
+    })
+    .await;
+    let (entry, backend) = EntryBuilder::new(&[engine.address]).bind().await;
+    let response = TestClient::request_completion(entry.address(), true).await;
+    assert_eq!(response.text(), "0 1 2 3 4 ");
+    assert!(response.is_complete);
+    assert!(engine.requests_by_method("DELETE").is_empty());
+    let ends = backend.finished_permits.lock().unwrap().clone();
+    let (last, rejected) = ends.split_last().unwrap();
+    assert_eq!(*last, ("e0".to_owned(), PermitEnd::Completed, 5));
+    assert!(!rejected.is_empty());
+    assert!(
+        rejected
+            .iter()
+            .all(|(_, end, _)| *end == PermitEnd::Refused)
+    );
+    assert_eq!(
+        rejected.len() + 1,
+        backend.permit_requests.lock().unwrap().len()
+    );
+}
+
+/// Guards against a stream that is cut because the engine answers neither it nor a resume in time.
+#[tokio::test]
+async fn a_silent_stream_continues_although_its_resume_is_silent() {
+    let engine = FakeEndpoint::bind(|request, mut connection| {
+        Box::pin(async move {
+            if resume_index(&request).is_some() {
+                return connection.wait_until_closed().await;
+            }
+            let generation = generation_id(&request);
+            connection.start_event_stream().await;
+            connection
+                .send_chunk(&token_event(&generation, 0, "0 "))
+                .await;
+            sleep(Duration::from_secs(4)).await;
+            stream_tokens_from(&mut connection, &generation, 1, 5).await;
+        })
+    })
+    .await;
+    let (entry, backend) = EntryBuilder::new(&[engine.address])
+        .limits(|limits| limits.request_timeout_ms = 10_000)
+        .bind()
+        .await;
+    let response = TestClient::request_completion(entry.address(), true).await;
+    assert_eq!(response.text(), "0 1 2 3 4 ");
+    assert!(response.is_complete);
+    let ends = backend.finished_permits.lock().unwrap().clone();
+    assert_eq!(ends, [("e0".to_owned(), PermitEnd::Completed, 5)]);
+}
