--- a/crates/entry/src/core/action.rs
+++ b/crates/entry/src/core/action.rs
@@ -33,8 +33,18 @@
     DiscardTokens,
     /// Send the client a final error.
     Fail(CallFailure),
+    /// Keep the running generation with its connection and permit, while another one is sought.
+    Keep {
+        /// Generation to keep.
+        generation: GenerationId,
+    },
     /// Send the client a final refusal; nothing ran.
     Refuse(Refusal),
+    /// Run a kept generation again, in place of the permit and connection in use.
+    Reinstate {
+        /// Generation that was kept.
+        generation: GenerationId,
+    },
     /// Release the permit.
     ReleasePermit {
         /// How the use of the permit ended.
@@ -56,6 +66,15 @@
         /// Id of the new generation.
         generation: GenerationId,
     },
+    /// Close the connection of a kept generation and release its permit.
+    StopKept {
+        /// How the use of the permit ended.
+        end: PermitEnd,
+        /// Generation that was kept.
+        generation: GenerationId,
+        /// Generated tokens.
+        tokens: u32,
+    },
 }
 
 /// Why a generation or service call failed.
--- a/crates/entry/src/core/event.rs
+++ b/crates/entry/src/core/event.rs
@@ -92,6 +92,31 @@
     },
 }
 
+impl GenerationEvent {
+    /// Generation whose engine or connection the event is from.
+    pub(crate) fn generation(&self) -> Option<GenerationId> {
+        match self {
+            Self::BudgetDenied { .. }
+            | Self::BudgetGranted
+            | Self::ClientDisconnected
+            | Self::PermitGranted { .. }
+            | Self::PermitRefused(_)
+            | Self::PermitRevoked
+            | Self::Tick => None,
+            Self::ConnectionFailed { generation, .. }
+            | Self::GenerationEnded { generation, .. }
+            | Self::GenerationNotFound { generation }
+            | Self::IdInUse { generation }
+            | Self::MalformedResponse { generation }
+            | Self::NotRun { generation }
+            | Self::Rejected { generation, .. }
+            | Self::Status { generation, .. }
+            | Self::StreamOpened { generation }
+            | Self::Token { generation, .. } => Some(*generation),
+        }
+    }
+}
+
 /// Why a generation ended.
 #[derive(Debug, Clone, Copy, Eq, PartialEq)]
 pub enum FinishReason {
--- a/crates/entry/src/core/generation_call/connection.rs
+++ b/crates/entry/src/core/generation_call/connection.rs
@@ -52,7 +52,7 @@
                 );
             }
             GenerationEvent::NotRun { .. } => self.handle_not_run(now_us, actions),
-            GenerationEvent::StreamOpened { .. } => self.handle_stream_opened(now_us),
+            GenerationEvent::StreamOpened { .. } => self.handle_stream_opened(now_us, actions),
             GenerationEvent::IdInUse { .. } => self.handle_id_in_use(now_us, actions),
             GenerationEvent::Rejected { status, .. } => {
                 self.handle_rejected(now_us, status, actions);
@@ -93,6 +93,7 @@
             );
             return;
         }
+        self.stop_kept(actions);
         self.state = State::Finished;
         actions.push(GenerationAction::CloseConnection);
         actions.push(GenerationAction::ReleasePermit {
@@ -184,13 +185,17 @@
         }
         stop_sequence(sequence, Outcome::Unknown, PermitEnd::Failed, actions);
         self.worst_outcome = self.worst_outcome.max(Outcome::Unknown);
-        self.fail(FailureCause::Rejected, RETRY_AFTER_DEFAULT_MS, actions);
+        self.state = State::AwaitingBudget;
+        if !self.reinstate_last(now_us, actions) {
+            self.fail(FailureCause::Rejected, RETRY_AFTER_DEFAULT_MS, actions);
+        }
     }
 
-    fn handle_stream_opened(&mut self, now_us: u64) {
+    fn handle_stream_opened(&mut self, now_us: u64, actions: &mut Vec<GenerationAction>) {
         if let State::Running(sequence) = &mut self.state {
             sequence.has_opened = true;
             sequence.set_connection(now_us, ConnectionState::Open);
+            self.stop_kept(actions);
         }
     }
 
@@ -221,6 +226,9 @@
         if self.mode == ResponseMode::Stream {
             self.delivered_tokens += 1;
         }
+        if !self.kept.is_empty() {
+            self.stop_kept(actions);
+        }
         actions.push(GenerationAction::Deliver { generation, index });
     }
 
@@ -257,13 +265,20 @@
             self.fail(cause, RETRY_AFTER_DEFAULT_MS, actions);
             return;
         }
-        actions.push(GenerationAction::DiscardTokens);
+        // Buffered tokens may be those of a kept generation.
+        if self
+            .kept
+            .iter()
+            .all(|sequence| sequence.received_tokens == 0)
+        {
+            actions.push(GenerationAction::DiscardTokens);
+        }
         actions.push(GenerationAction::RequestRetry);
         self.state = State::AwaitingBudget;
     }
 
     /// Schedules a resume if tokens were received and the limits allow it; otherwise restarts or
-    /// fails the call.
+    /// fails the call. A stalled generation whose tokens were not delivered is kept meanwhile.
     pub(super) fn resume_or_restart(
         &mut self,
         now_us: u64,
@@ -282,6 +297,8 @@
         if can_resume {
             actions.push(GenerationAction::CloseConnection);
             sequence.set_connection(now_us, ConnectionState::Closed { until_us });
+        } else if cause == FailureCause::Stalled && self.delivered_tokens == 0 {
+            self.replace_stalled(now_us, actions);
         } else {
             self.restart_or_fail(outcome, cause, PermitEnd::Failed, actions);
         }
--- a/crates/entry/src/core/generation_call/mod.rs
+++ b/crates/entry/src/core/generation_call/mod.rs
@@ -1,7 +1,8 @@
 //! State machine of one generation call.
 //!
 //! Until the client has received a token, a failed generation is cancelled and restarted with a new
-//! permit, within the retry budgets. Once a streaming client has received a token, only the same
+//! permit, within the retry budgets. A silent one has not failed: it is kept until another one has
+//! opened its stream, or until the deadline if there is none. Once a streaming client has received a token, only the same
 //! generation may continue: its stream is resumed at the next index, a limited number of times. A
 //! buffered response is sent only when it is complete, so a generation that cannot be resumed is
 //! restarted.
@@ -10,6 +11,7 @@
 //! already done. A call whose next delay would end after the deadline ends at once instead.
 
 mod connection;
+mod replacement;
 
 use names::GenerationId;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -55,6 +57,8 @@
     deadline_us: u64,
     /// Tokens that were streamed to the client; 0 for a buffered response.
     delivered_tokens: u32,
+    /// Stalled generations that are kept while another one is sought or opened.
+    kept: Vec<Sequence>,
     /// Cause of the last failed attempt.
     last_cause: FailureCause,
     mode: ResponseMode,
@@ -86,12 +90,18 @@
         event: GenerationEvent,
         actions: &mut Vec<GenerationAction>,
     ) {
+        if !self.kept.is_empty()
+            && let Some(position) = self.kept_position(&event)
+            && !self.handle_kept_event(now_us, position, event, actions)
+        {
+            return;
+        }
         match event {
             GenerationEvent::Token { generation, index } => {
                 self.handle_token(now_us, generation, index, actions);
             }
             GenerationEvent::BudgetDenied { retry_after_ms } => {
-                self.handle_budget_denied(retry_after_ms, actions);
+                self.handle_budget_denied(now_us, retry_after_ms, actions);
             }
             GenerationEvent::BudgetGranted => self.handle_budget_granted(now_us, actions),
             GenerationEvent::ClientDisconnected => self.handle_disconnect(actions),
@@ -99,7 +109,9 @@
                 generation,
                 stall_timeouts,
             } => self.handle_permit_granted(now_us, generation, stall_timeouts, actions),
-            GenerationEvent::PermitRefused(refusal) => self.handle_permit_refused(refusal, actions),
+            GenerationEvent::PermitRefused(refusal) => {
+                self.handle_permit_refused(now_us, refusal, actions);
+            }
             GenerationEvent::PermitRevoked => self.handle_permit_revoked(actions),
             GenerationEvent::Tick => self.handle_tick(now_us, actions),
             GenerationEvent::GenerationEnded {
@@ -156,6 +168,7 @@
         Self {
             deadline_us,
             delivered_tokens: 0,
+            kept: Vec::new(),
             last_cause: FailureCause::ConnectionFailed,
             mode,
             restart_backoff,
@@ -171,6 +184,7 @@
         retry_after_ms: u64,
         actions: &mut Vec<GenerationAction>,
     ) {
+        self.stop_kept(actions);
         self.state = State::Finished;
         actions.push(GenerationAction::Fail(CallFailure {
             cause,
@@ -180,8 +194,13 @@
         }));
     }
 
-    fn handle_budget_denied(&mut self, retry_after_ms: u64, actions: &mut Vec<GenerationAction>) {
-        if !matches!(self.state, State::AwaitingBudget) {
+    fn handle_budget_denied(
+        &mut self,
+        now_us: u64,
+        retry_after_ms: u64,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        if !matches!(self.state, State::AwaitingBudget) || self.reinstate_last(now_us, actions) {
             return;
         }
         if self.worst_outcome == Outcome::NotRun {
@@ -205,7 +224,12 @@
         let until_us = now_us + delay_us;
         if until_us < self.deadline_us {
             self.state = State::BackingOff { until_us };
-        } else if self.worst_outcome == Outcome::NotRun {
+            return;
+        }
+        if self.reinstate_last(now_us, actions) {
+            return;
+        }
+        if self.worst_outcome == Outcome::NotRun {
             self.refuse(
                 RefusalReason::WaitedTooLong,
                 RETRY_AFTER_DEFAULT_MS,
@@ -220,6 +244,7 @@
         if let State::Running(sequence) = &self.state {
             stop_sequence(sequence, Outcome::Ran, PermitEnd::Cancelled, actions);
         }
+        self.stop_kept(actions);
         self.state = State::Finished;
     }
 
@@ -238,8 +263,13 @@
         actions.push(GenerationAction::Start { generation });
     }
 
-    fn handle_permit_refused(&mut self, refusal: Refusal, actions: &mut Vec<GenerationAction>) {
-        if !matches!(self.state, State::AwaitingPermit) {
+    fn handle_permit_refused(
+        &mut self,
+        now_us: u64,
+        refusal: Refusal,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        if !matches!(self.state, State::AwaitingPermit) || self.reinstate_last(now_us, actions) {
             return;
         }
         if self.worst_outcome == Outcome::NotRun {
@@ -308,10 +338,11 @@
             State::Running(sequence) => {
                 let outcome = Self::attempt_outcome(sequence, FailurePoint::Written);
                 self.worst_outcome = self.worst_outcome.max(outcome);
-                stop_sequence(sequence, outcome, PermitEnd::Cancelled, actions);
+                stop_sequence(sequence, outcome, sequence.unfinished_end(), actions);
             }
             State::AwaitingBudget | State::BackingOff { .. } | State::AwaitingPermit => {}
         }
+        self.stop_kept(actions);
         if self.worst_outcome == Outcome::NotRun {
             self.refuse(
                 RefusalReason::WaitedTooLong,
--- /dev/null
+++ b/crates/entry/src/core/generation_call/replacement.rs
@@ -0,0 +1,175 @@
+//! Generations that are kept while a replacement is sought.
+//!
+//! A stalled generation may still answer. It keeps its connection and its permit until another
+//! generation has opened its stream, and is the running one again if it answers first or if there
+//! is no replacement.
+
+use std::mem;
+
+use super::{GenerationCall, State, stop_sequence};
+use crate::core::sequence::{ConnectionState, Sequence};
+use crate::core::{
+    FailureCause, FailurePoint, FinishReason, GenerationAction, GenerationEvent, Outcome,
+};
+use crate::dependencies::PermitEnd;
+
+/// Most generations that are kept beside the running one.
+const KEPT_MAX: usize = 3;
+
+impl GenerationCall {
+    /// Keeps the running generation, which has stalled, and requests a retry beside it.
+    pub(super) fn replace_stalled(&mut self, now_us: u64, actions: &mut Vec<GenerationAction>) {
+        let State::Running(sequence) = &mut self.state else {
+            return;
+        };
+        sequence.has_stalled = true;
+        if self.kept.len() >= KEPT_MAX {
+            sequence.restart_stall_timeouts(now_us);
+            return;
+        }
+        self.last_cause = FailureCause::Stalled;
+        actions.push(GenerationAction::Keep {
+            generation: sequence.generation,
+        });
+        actions.push(GenerationAction::RequestRetry);
+        if let State::Running(sequence) = mem::replace(&mut self.state, State::AwaitingBudget) {
+            self.kept.push(sequence);
+        }
+    }
+
+    /// Handles an event of a kept generation; returns whether it runs again.
+    pub(super) fn handle_kept_event(
+        &mut self,
+        now_us: u64,
+        position: usize,
+        event: GenerationEvent,
+        actions: &mut Vec<GenerationAction>,
+    ) -> bool {
+        let sequence = &mut self.kept[position];
+        let is_open = sequence.connection == ConnectionState::Open;
+        let has_answered = match event {
+            GenerationEvent::Status { status, .. } => {
+                sequence.record_status(now_us, status);
+                return false;
+            }
+            GenerationEvent::StreamOpened { .. } => !is_open,
+            GenerationEvent::Token { .. } | GenerationEvent::GenerationEnded { .. } if !is_open => {
+                return false;
+            }
+            GenerationEvent::Token { index, .. } => index == sequence.received_tokens,
+            GenerationEvent::GenerationEnded { reason, tokens, .. } => {
+                reason != FinishReason::Cancelled && tokens == sequence.received_tokens
+            }
+            _ => false,
+        };
+        if has_answered {
+            self.reinstate(now_us, position, actions);
+        } else {
+            self.drop_failed(position, event, actions);
+        }
+        has_answered
+    }
+
+    /// Position of the kept generation that an event is about.
+    pub(super) fn kept_position(&self, event: &GenerationEvent) -> Option<usize> {
+        let generation = event.generation()?;
+        self.kept
+            .iter()
+            .position(|sequence| sequence.generation == generation)
+    }
+
+    /// Runs the generation that was kept last, as it has no replacement; false if none is kept.
+    pub(super) fn reinstate_last(
+        &mut self,
+        now_us: u64,
+        actions: &mut Vec<GenerationAction>,
+    ) -> bool {
+        let last = self.kept.len().checked_sub(1);
+        if let Some(position) = last {
+            self.reinstate(now_us, position, actions);
+        }
+        last.is_some()
+    }
+
+    /// Stops the kept generations, because the running one has answered or the call ends.
+    pub(super) fn stop_kept(&mut self, actions: &mut Vec<GenerationAction>) {
+        for sequence in mem::take(&mut self.kept) {
+            let outcome = Self::attempt_outcome(&sequence, FailurePoint::Written);
+            self.worst_outcome = self.worst_outcome.max(outcome);
+            if outcome != Outcome::NotRun {
+                actions.push(GenerationAction::Cancel {
+                    generation: sequence.generation,
+                });
+            }
+            push_stop(&sequence, PermitEnd::Failed, actions);
+        }
+    }
+
+    /// Stops a kept generation that has failed; another one is already being sought or running.
+    fn drop_failed(
+        &mut self,
+        position: usize,
+        event: GenerationEvent,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let sequence = self.kept.remove(position);
+        let (point, cause) = match event {
+            GenerationEvent::ConnectionFailed { point, .. } => {
+                (point, FailureCause::ConnectionFailed)
+            }
+            GenerationEvent::GenerationNotFound { .. } => {
+                (FailurePoint::Written, FailureCause::GenerationLost)
+            }
+            GenerationEvent::NotRun { .. } => (FailurePoint::Unwritten, FailureCause::Rejected),
+            GenerationEvent::IdInUse { .. } | GenerationEvent::Rejected { .. } => {
+                (FailurePoint::Written, FailureCause::Rejected)
+            }
+            _ => (FailurePoint::Body, FailureCause::Malformed),
+        };
+        let outcome = Self::attempt_outcome(&sequence, point);
+        self.last_cause = cause;
+        self.worst_outcome = self.worst_outcome.max(outcome);
+        // An id in use may belong to another request's generation, which must not be cancelled.
+        let is_foreign = matches!(event, GenerationEvent::IdInUse { .. }) && !sequence.has_opened;
+        if outcome != Outcome::NotRun && !is_foreign {
+            actions.push(GenerationAction::Cancel {
+                generation: sequence.generation,
+            });
+        }
+        let is_refused = matches!(event, GenerationEvent::NotRun { .. }) && !sequence.has_opened;
+        let end = if is_refused {
+            PermitEnd::Refused
+        } else {
+            PermitEnd::Failed
+        };
+        push_stop(&sequence, end, actions);
+    }
+
+    /// Runs a kept generation again; stops the one that runs in its place.
+    fn reinstate(&mut self, now_us: u64, position: usize, actions: &mut Vec<GenerationAction>) {
+        let mut sequence = self.kept.remove(position);
+        sequence.restart_stall_timeouts(now_us);
+        let generation = sequence.generation;
+        if let State::Running(replacement) = mem::replace(&mut self.state, State::Running(sequence))
+        {
+            let outcome = Self::attempt_outcome(&replacement, FailurePoint::Written);
+            self.worst_outcome = self.worst_outcome.max(outcome);
+            stop_sequence(&replacement, outcome, replacement.unfinished_end(), actions);
+            if replacement.received_tokens > 0 {
+                actions.push(GenerationAction::DiscardTokens);
+            }
+        }
+        actions.push(GenerationAction::Reinstate { generation });
+    }
+}
+
+fn push_stop(sequence: &Sequence, end: PermitEnd, actions: &mut Vec<GenerationAction>) {
+    if sequence.received_tokens > 0 {
+        actions.push(GenerationAction::DiscardTokens);
+    }
+    actions.push(GenerationAction::StopKept {
+        end,
+        generation: sequence.generation,
+        tokens: sequence.received_tokens,
+    });
+}
--- a/crates/entry/src/core/sequence.rs
+++ b/crates/entry/src/core/sequence.rs
@@ -1,6 +1,7 @@
 use names::GenerationId;
 
 use super::{GenerationStatus, StallTimeouts};
+use crate::dependencies::PermitEnd;
 
 /// Time added to the silence timeout until the engine's stream opens.
 const OPEN_EXTRA_US: u64 = 1_000_000;
@@ -12,6 +13,8 @@
     pub(super) generation: GenerationId,
     /// Whether the engine has opened a stream for the generation at least once.
     pub(super) has_opened: bool,
+    /// Whether it has stalled since its last token.
+    pub(super) has_stalled: bool,
     pub(super) received_tokens: u32,
     last_event_us: u64,
     last_progress_us: u64,
@@ -40,6 +43,7 @@
             connection: ConnectionState::Opening,
             generation,
             has_opened: false,
+            has_stalled: false,
             last_event_us: now_us,
             last_progress_us: now_us,
             received_tokens: 0,
@@ -68,8 +72,8 @@
     }
 
     pub(super) fn record_token(&mut self, now_us: u64) {
-        self.last_event_us = now_us;
-        self.last_progress_us = now_us;
+        self.restart_stall_timeouts(now_us);
+        self.has_stalled = false;
         self.received_tokens += 1;
         self.status = GenerationStatus::Running;
     }
@@ -77,10 +81,23 @@
     /// Sets the state of the connection and restarts its stall timeouts.
     pub(super) fn set_connection(&mut self, now_us: u64, connection: ConnectionState) {
         self.connection = connection;
+        self.restart_stall_timeouts(now_us);
+    }
+
+    pub(super) fn restart_stall_timeouts(&mut self, now_us: u64) {
         self.last_event_us = now_us;
         self.last_progress_us = now_us;
     }
 
+    /// End of its permit if the call stops it unfinished.
+    pub(super) fn unfinished_end(&self) -> PermitEnd {
+        if self.has_stalled {
+            PermitEnd::Failed
+        } else {
+            PermitEnd::Cancelled
+        }
+    }
+
     fn stall_us(&self) -> u64 {
         let silence_end_us = self.last_event_us + self.stall_timeouts.silence_us;
         match self.status {
--- a/crates/entry/src/http/generation/inputs.rs
+++ b/crates/entry/src/http/generation/inputs.rs
@@ -1,10 +1,10 @@
-use std::mem;
 use std::sync::Arc;
+use std::{iter, mem};
 
 use bytes::Bytes;
 use names::GenerationId;
 
-use super::{BUDGET_RETRY_AFTER_MS, DriverInput, GenerationDriver, PendingOperation};
+use super::{Attempt, BUDGET_RETRY_AFTER_MS, DriverInput, GenerationDriver, PendingOperation};
 use crate::core::{
     FailurePoint, FinishReason, GenerationAction, GenerationEvent, GenerationStatus,
 };
@@ -20,9 +20,14 @@
             _ => false,
         };
         let is_complete = matches!(self.actions.last(), Some(GenerationAction::Complete { .. }));
-        self.actions.contains(&GenerationAction::CloseConnection)
-            && !is_cancellation
-            && !is_complete
+        let is_closed = self.actions.iter().any(|action| match action {
+            GenerationAction::CloseConnection => true,
+            GenerationAction::StopKept { generation, .. } => {
+                Some(*generation) == event.generation()
+            }
+            _ => false,
+        });
+        is_closed && !is_cancellation && !is_complete
     }
 
     pub(super) async fn handle_input(&mut self, input: DriverInput) {
@@ -31,19 +36,22 @@
                 self.handle_event(GenerationEvent::ClientDisconnected);
             }
             DriverInput::StreamOpened(Ok(stream)) => self.handle_stream_opened(stream),
-            DriverInput::StreamOpened(Err(event)) => {
-                self.pending_operation = PendingOperation::None;
-                self.handle_event(event);
-            }
+            DriverInput::StreamOpened(Err(event)) => self.handle_open_failure(event),
             DriverInput::Permit(Ok(permit)) => self.handle_permit(permit),
             DriverInput::Permit(Err(refusal)) => {
-                self.pending_operation = PendingOperation::None;
+                self.attempt = Attempt::default();
                 self.handle_event(GenerationEvent::PermitRefused(refusal));
             }
-            DriverInput::Chunk(Ok(chunk)) => self.handle_chunk(&chunk).await,
-            DriverInput::Chunk(Err(point)) => self.handle_stream_failure(point),
+            DriverInput::Chunk {
+                chunk: Ok(chunk),
+                generation,
+            } => self.handle_chunk(generation, &chunk).await,
+            DriverInput::Chunk {
+                chunk: Err(point),
+                generation,
+            } => self.handle_stream_failure(generation, point),
             DriverInput::PermitRevoked => {
-                self.revocation = None;
+                self.attempt.revocation = None;
                 self.handle_event(GenerationEvent::PermitRevoked);
             }
             DriverInput::Tick => self.handle_event(GenerationEvent::Tick),
@@ -91,10 +99,17 @@
             EngineEvent::Token { text, .. },
         ) = (self.actions.last(), event)
         {
-            self.task.response.push_token(*generation, *index, text);
-            self.task.metrics.record_token(now_us);
-            self.received_tokens = index + 1;
+            let (generation, index) = (*generation, *index);
             self.actions.pop();
+            // Stops other attempts before the token is taken from this one.
+            if !self.actions.is_empty() {
+                for action in mem::take(&mut self.actions) {
+                    self.perform_local_action(action);
+                }
+            }
+            self.task.response.push_token(generation, index, text);
+            self.task.metrics.record_token(now_us);
+            self.attempt.received_tokens = index + 1;
         }
         if self.is_stream_faulty(&call_event) {
             self.task.metrics.observer().record_dropped_connection();
@@ -102,30 +117,43 @@
         self.actions.is_empty()
     }
 
-    fn handle_stream_failure(&mut self, point: FailurePoint) {
-        if let PendingOperation::ReadStream(stream) =
-            mem::replace(&mut self.pending_operation, PendingOperation::None)
-        {
+    fn handle_open_failure(&mut self, event: GenerationEvent) {
+        let attempt = event
+            .generation()
+            .and_then(|generation| self.attempt_mut(generation));
+        if let Some(attempt) = attempt {
+            attempt.pending_operation = PendingOperation::None;
+        }
+        self.handle_event(event);
+    }
+
+    fn handle_stream_failure(&mut self, generation: GenerationId, point: FailurePoint) {
+        if let Some(attempt) = self.attempt_mut(generation) {
+            attempt.pending_operation = PendingOperation::None;
             self.task.metrics.observer().record_dropped_connection();
-            let generation = stream.generation;
             self.handle_event(GenerationEvent::ConnectionFailed { generation, point });
         }
     }
 
     fn handle_stream_opened(&mut self, stream: Box<EngineStream>) {
         let now_us = self.task.shared.clock.now_us();
-        if let Some(permit) = &self.permit {
-            self.task.metrics.start_stream(permit.endpoint(), now_us);
-        }
         let generation = stream.generation;
-        self.pending_operation = PendingOperation::ReadStream(stream);
-        self.handle_event(GenerationEvent::StreamOpened { generation });
+        let attempt = iter::once(&mut self.attempt)
+            .chain(&mut self.kept_attempts)
+            .find(|attempt| attempt.generation == Some(generation));
+        if let Some(attempt) = attempt {
+            if let Some(permit) = &attempt.permit {
+                self.task.metrics.start_stream(permit.endpoint(), now_us);
+            }
+            attempt.pending_operation = PendingOperation::ReadStream(stream);
+            self.handle_event(GenerationEvent::StreamOpened { generation });
+        }
     }
 
     fn handle_permit(&mut self, permit: Box<dyn Permit>) {
         let shared = Arc::clone(&self.task.shared);
         let now_us = shared.clock.now_us();
-        self.pending_operation = PendingOperation::None;
+        self.attempt = Attempt::default();
         self.task
             .metrics
             .observer()
@@ -143,38 +171,48 @@
             return;
         }
         let stall_timeouts = shared.stall_timeouts(permit.endpoint());
-        self.revocation = permit
-            .revocation()
-            .map(|token| Box::pin(token.cancelled_owned()));
-        self.permit = Some(permit);
-        self.received_tokens = 0;
+        let generation = shared.next_generation_id();
+        let revocation = permit.revocation();
+        self.attempt = Attempt {
+            generation: Some(generation),
+            permit: Some(permit),
+            revocation: revocation.map(|token| Box::pin(token.cancelled_owned())),
+            ..Attempt::default()
+        };
         self.handle_event(GenerationEvent::PermitGranted {
-            generation: shared.next_generation_id(),
+            generation,
             stall_timeouts,
         });
     }
 
     /// Handles the events of a chunk and sends the client the tokens in it.
-    async fn handle_chunk(&mut self, chunk: &Bytes) {
-        let PendingOperation::ReadStream(mut stream) =
-            mem::replace(&mut self.pending_operation, PendingOperation::None)
-        else {
+    async fn handle_chunk(&mut self, generation: GenerationId, chunk: &Bytes) {
+        let Some(attempt) = self.attempt_mut(generation) else {
+            return;
+        };
+        let operation = mem::take(&mut attempt.pending_operation);
+        let PendingOperation::ReadStream(mut stream) = operation else {
             return;
         };
         let now_us = self.task.shared.clock.now_us();
         self.task.metrics.record_chunk(now_us);
-        let region = self.permit.as_ref().and_then(|permit| permit.region());
-        self.task
-            .metrics
-            .observer()
-            .record_received_bytes(region, chunk.len() as u64);
-        let generation = stream.generation;
+        let permit = self
+            .attempts()
+            .find(|attempt| attempt.generation == Some(generation))
+            .and_then(|attempt| attempt.permit.as_ref());
+        self.task.metrics.observer().record_received_bytes(
+            permit.and_then(|permit| permit.region()),
+            chunk.len() as u64,
+        );
         stream.read(chunk, |event| {
             self.handle_engine_event(now_us, generation, &event)
         });
-        self.pending_operation = PendingOperation::ReadStream(stream);
-        if let Some(permit) = &mut self.permit {
-            permit.report_progress(self.received_tokens);
+        if let Some(attempt) = self.attempt_mut(generation) {
+            attempt.pending_operation = PendingOperation::ReadStream(stream);
+            let received_tokens = attempt.received_tokens;
+            if let Some(permit) = &mut attempt.permit {
+                permit.report_progress(received_tokens);
+            }
         }
         if !self.task.response.flush().await {
             self.handle_event(GenerationEvent::ClientDisconnected);
--- a/crates/entry/src/http/generation/mod.rs
+++ b/crates/entry/src/http/generation/mod.rs
@@ -1,20 +1,20 @@
 //! Performs the actions of one [`GenerationCall`] and feeds it the events that follow.
 
+mod attempt;
 mod inputs;
 
 use std::future::pending;
-use std::mem;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::{iter, mem};
 
+use attempt::{Attempt, PendingOperation};
 use bytes::Bytes;
-use futures::future::BoxFuture;
 use names::{EndpointName, GenerationId};
 use slog::{debug, info};
 use tokio::select;
 use tokio::time::{Sleep, sleep_until};
-use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use crate::core::{
     CallFailure, FailurePoint, GenerationAction, GenerationCall, GenerationEvent, ResponseMode,
@@ -46,29 +46,23 @@
 struct GenerationDriver {
     /// Actions of `call` that are not performed yet.
     actions: Vec<GenerationAction>,
+    /// The running attempt, or the one for which a permit is awaited.
+    attempt: Attempt,
     call: GenerationCall,
-    pending_operation: PendingOperation,
-    permit: Option<Box<dyn Permit>>,
+    /// Silent attempts that may still answer.
+    kept_attempts: Vec<Attempt>,
     permit_requested_us: u64,
-    /// Tokens received with the current permit.
-    received_tokens: u32,
     retry_state: RetryState,
-    revocation: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
     task: GenerationTask,
     timer: Pin<Box<Sleep>>,
 }
 
-/// I/O that the driver waits for.
-enum PendingOperation {
-    AcquirePermit(BoxFuture<'static, Result<Box<dyn Permit>, Refusal>>),
-    None,
-    OpenStream(BoxFuture<'static, Result<Box<EngineStream>, GenerationEvent>>),
-    ReadStream(Box<EngineStream>),
-}
-
 /// Input that ends a wait of the driver.
 enum DriverInput {
-    Chunk(Result<Bytes, FailurePoint>),
+    Chunk {
+        chunk: Result<Bytes, FailurePoint>,
+        generation: GenerationId,
+    },
     ClientDisconnected,
     Permit(Result<Box<dyn Permit>, Refusal>),
     PermitRevoked,
@@ -76,17 +70,6 @@
     Tick,
 }
 
-impl PendingOperation {
-    async fn next_input(&mut self) -> DriverInput {
-        match self {
-            Self::AcquirePermit(permit) => DriverInput::Permit(permit.await),
-            Self::None => pending().await,
-            Self::OpenStream(stream) => DriverInput::StreamOpened(stream.await),
-            Self::ReadStream(stream) => DriverInput::Chunk(stream.next_chunk().await),
-        }
-    }
-}
-
 impl GenerationTask {
     /// Runs the generation until its response is complete or has failed.
     pub(crate) fn run(self, running_request: RunningRequest) -> impl Future<Output = ()> {
@@ -104,9 +87,12 @@
         let mut request = self.task.permit_request.clone();
         request.timeout_ms = self.timeout_ms();
         self.permit_requested_us = shared.clock.now_us();
-        self.pending_operation = PendingOperation::AcquirePermit(Box::pin(async move {
-            shared.dependencies.permits.acquire(&request).await
-        }));
+        self.attempt = Attempt {
+            pending_operation: PendingOperation::AcquirePermit(Box::pin(async move {
+                shared.dependencies.permits.acquire(&request).await
+            })),
+            ..Attempt::default()
+        };
     }
 
     fn request_retry(&mut self) {
@@ -122,7 +108,10 @@
     }
 
     fn cancel(&self, generation: GenerationId) {
-        let Some(permit) = &self.permit else {
+        let attempt = self
+            .attempts()
+            .find(|attempt| attempt.generation == Some(generation));
+        let Some(permit) = attempt.and_then(|attempt| attempt.permit.as_ref()) else {
             return;
         };
         let shared = &self.task.shared;
@@ -132,9 +121,20 @@
             .spawn(cancel_generation(permit.address(), generation, log));
     }
 
+    /// The running attempt and the kept ones.
+    fn attempts(&self) -> impl Iterator<Item = &Attempt> {
+        iter::once(&self.attempt).chain(&self.kept_attempts)
+    }
+
+    fn attempt_mut(&mut self, generation: GenerationId) -> Option<&mut Attempt> {
+        iter::once(&mut self.attempt)
+            .chain(&mut self.kept_attempts)
+            .find(|attempt| attempt.generation == Some(generation))
+    }
+
     fn engine_request(&self, generation: GenerationId) -> Option<EngineRequest> {
         let limits = &self.task.shared.settings.limits;
-        let permit = self.permit.as_ref()?;
+        let permit = self.attempt.permit.as_ref()?;
         Some(EngineRequest {
             address: permit.address(),
             connect_timeout: Duration::from_millis(limits.connect_timeout_ms),
@@ -165,13 +165,11 @@
         let next_tick = task.shared.clock.instant(call.next_tick_us());
         Self {
             actions,
+            attempt: Attempt::default(),
             call,
-            pending_operation: PendingOperation::None,
-            permit: None,
+            kept_attempts: Vec::new(),
             permit_requested_us: 0,
-            received_tokens: 0,
             retry_state: RetryState::FirstAttempt,
-            revocation: None,
             task,
             timer: Box::pin(sleep_until(next_tick)),
         }
@@ -188,26 +186,43 @@
     }
 
     async fn perform_action(&mut self, action: GenerationAction) {
+        match action {
+            GenerationAction::Complete { reason, tokens } => {
+                self.task.response.complete(reason, tokens).await;
+            }
+            GenerationAction::Fail(failure) => self.fail(failure).await,
+            action => self.perform_local_action(action),
+        }
+    }
+
+    /// Performs an action that does not write to the client.
+    fn perform_local_action(&mut self, action: GenerationAction) {
         match action {
             GenerationAction::AcquirePermit => self.acquire_permit(),
             GenerationAction::RequestRetry => self.request_retry(),
             GenerationAction::Cancel { generation } => self.cancel(generation),
-            GenerationAction::Complete { reason, tokens } => {
-                self.task.response.complete(reason, tokens).await;
+            GenerationAction::Complete { .. } | GenerationAction::Fail(_) => {
+                unreachable!("final responses are written by the caller")
             }
             GenerationAction::Deliver { .. } => {
                 unreachable!("tokens are delivered when their engine event is handled")
             }
             GenerationAction::DiscardTokens => self.task.response.discard(),
             GenerationAction::CloseConnection => {
-                self.pending_operation = PendingOperation::None;
+                self.attempt.pending_operation = PendingOperation::None;
                 self.task.metrics.flush();
             }
-            GenerationAction::Fail(failure) => self.fail(failure).await,
+            GenerationAction::Keep { generation } => self.keep(generation),
+            GenerationAction::Reinstate { generation } => self.reinstate(generation),
             GenerationAction::Refuse(refusal) => self.refuse(refusal),
             GenerationAction::ReleasePermit { end, tokens } => self.release_permit(end, tokens),
             GenerationAction::Resume { from, generation } => self.resume(generation, from),
             GenerationAction::Start { generation } => self.start(generation),
+            GenerationAction::StopKept {
+                end,
+                generation,
+                tokens,
+            } => self.stop_kept(generation, end, tokens),
         }
     }
 
@@ -221,16 +236,65 @@
     }
 
     fn release_permit(&mut self, end: PermitEnd, tokens: u32) {
-        self.revocation = None;
-        let Some(permit) = self.permit.take() else {
-            return;
-        };
+        self.attempt.revocation = None;
+        if let Some(permit) = self.attempt.permit.take() {
+            self.finish_permit(permit, end, tokens);
+        }
+    }
+
+    fn finish_permit(&mut self, permit: Box<dyn Permit>, end: PermitEnd, tokens: u32) {
         if matches!(end, PermitEnd::Failed | PermitEnd::Refused) {
             self.add_failed_endpoint(permit.endpoint());
         }
         permit.finish(end, tokens);
     }
 
+    /// Keeps the running attempt; its endpoint is avoided by further ones.
+    fn keep(&mut self, generation: GenerationId) {
+        let attempt = mem::take(&mut self.attempt);
+        if let Some(permit) = &attempt.permit {
+            self.log_decision("silent generation kept", generation, permit.endpoint());
+            self.add_failed_endpoint(permit.endpoint());
+        }
+        self.kept_attempts.push(attempt);
+    }
+
+    fn reinstate(&mut self, generation: GenerationId) {
+        if let Some(attempt) = self.take_kept(generation) {
+            if let Some(permit) = &attempt.permit {
+                self.log_decision(
+                    "silent generation reinstated",
+                    generation,
+                    permit.endpoint(),
+                );
+            }
+            self.attempt = attempt;
+        }
+    }
+
+    fn stop_kept(&mut self, generation: GenerationId, end: PermitEnd, tokens: u32) {
+        let attempt = self.take_kept(generation);
+        if let Some(permit) = attempt.and_then(|attempt| attempt.permit) {
+            self.log_decision("silent generation stopped", generation, permit.endpoint());
+            self.finish_permit(permit, end, tokens);
+        }
+    }
+
+    fn take_kept(&mut self, generation: GenerationId) -> Option<Attempt> {
+        let position = self
+            .kept_attempts
+            .iter()
+            .position(|attempt| attempt.generation == Some(generation))?;
+        Some(self.kept_attempts.remove(position))
+    }
+
+    fn log_decision(&self, event: &str, generation: GenerationId, endpoint: &EndpointName) {
+        let request = &self.task.permit_request;
+        info!(self.task.shared.settings.log, "{}", event;
+            "customer" => %request.customer, "kind" => %request.kind,
+            "generation" => %generation, "endpoint" => %endpoint);
+    }
+
     fn add_failed_endpoint(&mut self, endpoint: &EndpointName) {
         let failed = &mut self.task.permit_request.failed_endpoints;
         if let Err(position) = failed.binary_search(endpoint) {
@@ -241,7 +305,8 @@
     fn resume(&mut self, generation: GenerationId, from: u32) {
         if let Some(request) = self.engine_request(generation) {
             self.task.metrics.observer().record_resume();
-            self.pending_operation = PendingOperation::OpenStream(Box::pin(request.resume(from)));
+            self.attempt.pending_operation =
+                PendingOperation::OpenStream(Box::pin(request.resume(from)));
         }
     }
 
@@ -255,20 +320,22 @@
     }
 
     fn start(&mut self, generation: GenerationId) {
+        let permit = self.attempt.permit.as_ref();
         let body = StartBody {
             max_tokens: self.task.permit_request.max_tokens,
             model: &self.task.model,
-            priority: self.permit.as_ref().map_or(0, |permit| permit.priority()),
+            priority: permit.map_or(0, |permit| permit.priority()),
             prompt: &self.task.prompt,
         };
         let body = serde_json::to_vec(&body).expect("a start body is serialised to memory");
-        let region = self.permit.as_ref().and_then(|permit| permit.region());
+        let region = permit.and_then(|permit| permit.region());
         self.task
             .metrics
             .observer()
             .record_sent_bytes(region, body.len() as u64);
         if let Some(request) = self.engine_request(generation) {
-            self.pending_operation = PendingOperation::OpenStream(Box::pin(request.start(body)));
+            self.attempt.pending_operation =
+                PendingOperation::OpenStream(Box::pin(request.start(body)));
         }
     }
 
@@ -278,7 +345,7 @@
             self.timer.as_mut().reset(next_tick);
         }
         let revocation = async {
-            match &mut self.revocation {
+            match &mut self.attempt.revocation {
                 Some(revocation) => revocation.as_mut().await,
                 None => pending().await,
             }
@@ -288,7 +355,8 @@
             () = self.task.response.client_disconnected() => DriverInput::ClientDisconnected,
             () = revocation => DriverInput::PermitRevoked,
             () = self.timer.as_mut() => DriverInput::Tick,
-            input = self.pending_operation.next_input() => input,
+            input = self.attempt.pending_operation.next_input() => input,
+            input = Attempt::next_input_of_any(&mut self.kept_attempts) => input,
         }
     }
 
--- a/crates/entry/tests/call/main.rs
+++ b/crates/entry/tests/call/main.rs
@@ -57,6 +57,8 @@
         total.refused += counts.refused;
         total.completed_after_restart += counts.completed_after_restart;
         total.completed_after_resume += counts.completed_after_resume;
+        total.completed_after_reinstatement += counts.completed_after_reinstatement;
+        total.reinstatements += counts.reinstatements;
         total.restarts += counts.restarts;
         total.resumes += counts.resumes;
     }
@@ -68,6 +70,7 @@
         total.refused,
         total.completed_after_restart,
         total.completed_after_resume,
+        total.completed_after_reinstatement,
     ] {
         assert!(count > 500, "one kind of end occurs too rarely: {total:?}");
     }
--- a/crates/entry/tests/call/simulation.rs
+++ b/crates/entry/tests/call/simulation.rs
@@ -48,10 +48,20 @@
     pub failed_with_tokens: u32,
     pub failed_without_tokens: u32,
     pub refused: u32,
+    pub completed_after_reinstatement: u32,
+    pub reinstatements: u32,
     pub restarts: u32,
     pub resumes: u32,
 }
 
+/// Generation that the call keeps while it seeks another one.
+#[derive(Debug, Clone, Copy)]
+pub struct KeptGeneration {
+    pub generation: GenerationId,
+    pub pending: PendingReply,
+    pub received_tokens: u32,
+}
+
 /// Simulation of one generation call that checks its invariants at each action.
 pub struct Simulation {
     pub actions: Vec<GenerationAction>,
@@ -60,17 +70,22 @@
     pub delivery: Delivery,
     pub final_responses: u32,
     pub held_permits: i32,
-    /// Whether a byte of any attempt may have reached an engine.
+    pub kept: Vec<KeptGeneration>,
+    /// Whether an engine has received a byte of any attempt.
     pub may_have_run: bool,
     pub mode: ResponseMode,
     pub now_us: u64,
     /// Reply that the call waits for.
     pub pending: PendingReply,
     pub received_tokens: u32,
+    /// Generation that runs again in place of a later one.
+    pub reinstated: Option<GenerationId>,
     /// Number of started generations; the id of the latest one.
     pub started_generations: u128,
-    /// Generation that an engine may still run.
-    pub uncancelled: Option<GenerationId>,
+    /// Silent generations of which an engine may have received a byte.
+    pub unanswered: Vec<GenerationId>,
+    /// Generations that engines may still run.
+    pub uncancelled: Vec<GenerationId>,
 }
 
 /// Reply that a generation call waits for.
@@ -94,20 +109,33 @@
             delivery: Delivery::default(),
             final_responses: 0,
             held_permits: 0,
+            kept: Vec::new(),
             may_have_run: false,
             mode,
             now_us: 0,
             pending: PendingReply::None,
             received_tokens: 0,
+            reinstated: None,
             started_generations: 0,
-            uncancelled: None,
+            unanswered: Vec::new(),
+            uncancelled: Vec::new(),
         };
         simulation.perform_actions();
         simulation
     }
 
     pub fn current_generation(&self) -> GenerationId {
-        GenerationId(self.started_generations)
+        self.reinstated
+            .unwrap_or(GenerationId(self.started_generations))
+    }
+
+    pub fn is_kept(&self, generation: GenerationId) -> bool {
+        self.kept.iter().any(|kept| kept.generation == generation)
+    }
+
+    /// Whether a byte of any attempt may have reached an engine.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run || !self.unanswered.is_empty()
     }
 
     pub fn handle(&mut self, event: GenerationEvent) {
@@ -131,14 +159,21 @@
     pub fn perform_action(&mut self, action: GenerationAction) {
         match action {
             GenerationAction::AcquirePermit => {
-                assert_eq!(self.held_permits, 0, "a second permit is requested");
-                assert_eq!(self.uncancelled, None, "a generation was not cancelled");
+                assert_eq!(
+                    usize::try_from(self.held_permits),
+                    Ok(self.kept.len()),
+                    "a second permit is requested"
+                );
+                assert!(
+                    self.uncancelled.iter().all(|&id| self.is_kept(id)),
+                    "a generation was not cancelled"
+                );
                 self.pending = PendingReply::Permit;
             }
             GenerationAction::RequestRetry => self.pending = PendingReply::Budget,
             GenerationAction::Cancel { generation } => {
-                assert_eq!(generation, self.current_generation());
-                self.uncancelled = None;
+                assert!(generation == self.current_generation() || self.is_kept(generation));
+                self.mark_ended(generation);
             }
             GenerationAction::Complete { tokens, .. } => {
                 assert_eq!(
@@ -146,8 +181,10 @@
                     self.delivery.delivered_tokens(),
                     "the response is incomplete"
                 );
-                self.uncancelled = None;
+                self.mark_ended(self.current_generation());
                 self.counts.completed += 1;
+                self.counts.completed_after_reinstatement +=
+                    u32::from(self.counts.reinstatements > 0);
                 self.counts.completed_after_restart += u32::from(self.counts.restarts > 0);
                 self.counts.completed_after_resume += u32::from(self.counts.resumes > 0);
                 self.check_final_response();
@@ -165,13 +202,39 @@
             },
             GenerationAction::CloseConnection => self.pending = PendingReply::None,
             GenerationAction::Fail(failure) => self.check_failure(failure),
+            GenerationAction::Keep { generation } => {
+                assert_eq!(generation, self.current_generation());
+                self.kept.push(KeptGeneration {
+                    generation,
+                    pending: self.pending,
+                    received_tokens: self.received_tokens,
+                });
+                self.reinstated = None;
+                self.pending = PendingReply::None;
+            }
             GenerationAction::Refuse(_) => {
-                assert!(!self.may_have_run, "a refused request may have run");
+                assert!(!self.may_have_run(), "a refused request may have run");
                 assert_eq!(self.delivery.delivered_tokens(), 0);
                 self.counts.refused += 1;
                 self.check_final_response();
             }
+            GenerationAction::Reinstate { generation } => {
+                let kept = self.take_kept(generation);
+                assert_eq!(
+                    usize::try_from(self.held_permits),
+                    Ok(self.kept.len() + 1),
+                    "a permit is held beside that of the reinstated generation"
+                );
+                self.pending = kept.pending;
+                self.received_tokens = kept.received_tokens;
+                self.reinstated = Some(generation);
+                self.counts.reinstatements += 1;
+            }
             GenerationAction::ReleasePermit { .. } => self.held_permits -= 1,
+            GenerationAction::StopKept { generation, .. } => {
+                self.take_kept(generation);
+                self.held_permits -= 1;
+            }
             GenerationAction::Resume { from, generation } => {
                 assert_eq!(
                     generation,
@@ -183,9 +246,11 @@
                 self.pending = PendingReply::Connection;
             }
             GenerationAction::Start { generation } => {
+                // Only a kept generation may have buffered tokens, which are discarded with it.
+                let kept_tokens: u32 = self.kept.iter().map(|kept| kept.received_tokens).sum();
                 assert_eq!(
                     self.delivery.delivered_tokens(),
-                    0,
+                    kept_tokens,
                     "a response would mix tokens of two generations"
                 );
                 assert_eq!(generation, self.current_generation());
@@ -204,7 +269,7 @@
         self.counts.failed_with_tokens += u32::from(delivered > 0);
         self.counts.failed_without_tokens += u32::from(delivered == 0);
         assert!(failure.retry_after_ms > 0);
-        assert_eq!(failure.outcome == Outcome::NotRun, !self.may_have_run);
+        assert_eq!(failure.outcome == Outcome::NotRun, !self.may_have_run());
         self.check_final_response();
     }
 
@@ -219,9 +284,14 @@
             "a permit is held after the final response"
         );
         assert_eq!(
-            self.uncancelled, None,
+            self.uncancelled,
+            [],
             "a generation is not cancelled after the final response"
         );
+        assert!(
+            self.kept.is_empty(),
+            "a generation is kept after the final response"
+        );
         self.pending = PendingReply::None;
     }
 
@@ -239,11 +309,14 @@
             (_, 8) => {
                 self.handle(GenerationEvent::ClientDisconnected);
                 assert!(self.call.is_finished());
-                assert_eq!((self.held_permits, self.uncancelled), (0, None));
+                assert_eq!(self.held_permits, 0);
+                assert_eq!(self.uncancelled, []);
+                assert!(self.kept.is_empty());
                 self.final_responses = 1;
                 self.pending = PendingReply::None;
             }
             (_, 9..16) => self.send_stale_event(step),
+            (_, 16..96) if !self.kept.is_empty() => self.send_kept_event(step),
             (PendingReply::Permit, _) => self.reply_to_permit_request(step),
             (PendingReply::Budget, _) => self.reply_to_retry_request(step),
             (PendingReply::Connection, _) => self.reply_to_connection(step),
@@ -273,17 +346,20 @@
             let point = FailurePoint::ALL[1 + usize::from(step.detail % 5)];
             if point >= FailurePoint::PartlyWritten {
                 self.mark_sent();
+            } else if !is_resume {
+                self.mark_not_run(generation);
             }
             return self.handle(GenerationEvent::ConnectionFailed { generation, point });
         }
         if step.detail < 200 {
             if !is_resume {
-                self.uncancelled = None;
+                self.mark_not_run(generation);
             }
             return self.handle(GenerationEvent::NotRun { generation });
         }
         if step.detail < 210 && !is_resume {
             // The id may belong to another request's generation, which must not be cancelled.
+            self.mark_not_run(generation);
             self.may_have_run = true;
             return self.handle(GenerationEvent::IdInUse { generation });
         }
@@ -310,6 +386,7 @@
         self.held_permits += 1;
         self.started_generations += 1;
         self.received_tokens = 0;
+        self.reinstated = None;
         self.handle(GenerationEvent::PermitGranted {
             generation: self.current_generation(),
             stall_timeouts: STALL_TIMEOUTS,
@@ -325,10 +402,17 @@
             _ => self.started_generations.wrapping_sub(1),
         });
         let index = u32::from(step.detail) % 4;
-        let stale_generation = if self.pending == PendingReply::Stream {
+        let is_live = self.is_kept(generation) || generation == self.current_generation();
+        let generation = if is_live {
+            GenerationId(u128::MAX)
+        } else {
+            generation
+        };
+        let current = self.current_generation();
+        let stale_generation = if self.pending == PendingReply::Stream || self.is_kept(current) {
             generation
         } else {
-            self.current_generation()
+            current
         };
         self.handle(match step.choice {
             9 => GenerationEvent::GenerationEnded {
@@ -411,18 +495,110 @@
         self.handle(event);
     }
 
+    /// Sends an event of a kept generation, which may answer or fail at any time.
+    pub fn send_kept_event(&mut self, step: Step) {
+        let position = usize::from(step.choice) % self.kept.len();
+        let kept = &mut self.kept[position];
+        let generation = kept.generation;
+        let next_index = kept.received_tokens;
+        let is_open = kept.pending == PendingReply::Stream;
+        if !is_open && step.detail < 100 {
+            kept.pending = PendingReply::Stream;
+            self.mark_answered(generation);
+            return self.handle(GenerationEvent::StreamOpened { generation });
+        }
+        if !is_open && next_index == 0 && step.detail < 180 {
+            self.mark_not_run(generation);
+            let event = match step.detail {
+                100..130 => GenerationEvent::NotRun { generation },
+                130..150 => {
+                    self.may_have_run = true;
+                    GenerationEvent::IdInUse { generation }
+                }
+                _ => GenerationEvent::ConnectionFailed {
+                    generation,
+                    point: FailurePoint::Connect,
+                },
+            };
+            return self.handle(event);
+        }
+        if is_open && step.detail < 100 {
+            kept.received_tokens += 1;
+            let index = next_index;
+            return self.handle(GenerationEvent::Token { generation, index });
+        }
+        self.mark_answered(generation);
+        let reason = FinishReason::Stop;
+        let (index, tokens) = (next_index + 1, next_index);
+        self.handle(match step.detail {
+            100..120 if is_open => GenerationEvent::GenerationEnded {
+                generation,
+                reason,
+                tokens,
+            },
+            120..130 if is_open => GenerationEvent::Token { generation, index },
+            0..180 => GenerationEvent::Status {
+                generation,
+                status: GenerationStatus::Running,
+            },
+            180..200 => GenerationEvent::GenerationNotFound { generation },
+            200..220 => GenerationEvent::MalformedResponse { generation },
+            220..240 => GenerationEvent::Rejected {
+                generation,
+                status: 400,
+            },
+            _ => GenerationEvent::ConnectionFailed {
+                generation,
+                point: FailurePoint::Body,
+            },
+        });
+    }
+
     /// Sends a tick. An attempt without a reply before the stall timeout may have run.
     pub fn tick(&mut self) {
-        if self.pending == PendingReply::Connection && self.now_us >= self.call.next_tick_us() {
-            self.mark_sent();
+        let generation = self.current_generation();
+        if self.pending == PendingReply::Connection
+            && self.now_us >= self.call.next_tick_us()
+            && !self.uncancelled.contains(&generation)
+        {
+            self.unanswered.push(generation);
+            self.uncancelled.push(generation);
         }
         self.handle(GenerationEvent::Tick);
     }
 
-    /// Records that a byte of the current generation may have reached its engine.
+    /// Records that an engine has received a byte of the current generation.
     pub fn mark_sent(&mut self) {
+        self.mark_answered(self.current_generation());
+    }
+
+    /// Records that an engine has received a byte of a generation, which it may run.
+    pub fn mark_answered(&mut self, generation: GenerationId) {
         self.may_have_run = true;
-        self.uncancelled = Some(self.current_generation());
+        self.unanswered.retain(|&id| id != generation);
+        if !self.uncancelled.contains(&generation) {
+            self.uncancelled.push(generation);
+        }
+    }
+
+    /// Records that a generation has ended or is cancelled; without an answer it may have run.
+    pub fn mark_ended(&mut self, generation: GenerationId) {
+        self.uncancelled.retain(|&id| id != generation);
+    }
+
+    /// Records that no engine ran a generation.
+    pub fn mark_not_run(&mut self, generation: GenerationId) {
+        self.mark_ended(generation);
+        self.unanswered.retain(|&id| id != generation);
+    }
+
+    fn take_kept(&mut self, generation: GenerationId) -> KeptGeneration {
+        let position = self
+            .kept
+            .iter()
+            .position(|kept| kept.generation == generation)
+            .expect("the generation is kept");
+        self.kept.remove(position)
     }
 }
 
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -407,6 +407,82 @@
     );
 }
 
+/// Guards against a silent engine that keeps the generation after another one has opened it.
+#[tokio::test]
+async fn a_silent_generation_is_cancelled_once_another_engine_has_opened_it() {
+    let mut engine = FakeEndpoint::bind(|request, mut connection| {
+        Box::pin(async move {
+            if request.method() == "DELETE" {
+                return respond_to_cancel(connection).await;
+            }
+            connection.start_event_stream().await;
+            connection.wait_until_closed().await;
+        })
+    })
+    .await;
+    let healthy_engine =
+        FakeEndpoint::bind(|request, connection| Box::pin(stream_five_tokens(request, connection)))
+            .await;
+    let (entry, backend) = EntryBuilder::new(&[engine.address, healthy_engine.address])
+        .bind()
+        .await;
+    let response = TestClient::request_completion(entry.address(), true).await;
+    assert_eq!(response.text(), "0 1 2 3 4 ");
+    engine.wait_for_requests("DELETE", 1).await;
+    assert_eq!(backend.restarts.load(Ordering::SeqCst), 1);
+    let ends = backend.finished_permits.lock().unwrap().clone();
+    assert_eq!(
+        ends,
+        [
+            ("e0".to_owned(), PermitEnd::Failed, 0),
+            ("e1".to_owned(), PermitEnd::Completed, 5)
+        ]
+    );
+}
+
+/// Guards against a late answer that is dropped for a replacement which has not answered.
+#[tokio::test]
+async fn a_generation_that_continues_while_its_replacement_is_silent_completes() {
+    for is_stream in [false, true] {
+        let engine = FakeEndpoint::bind(|request, mut connection| {
+            Box::pin(async move {
+                connection.start_event_stream().await;
+                sleep(Duration::from_secs(3)).await;
+                stream_tokens_from(&mut connection, &generation_id(&request), 0, 5).await;
+            })
+        })
+        .await;
+        let mut silent_engine = FakeEndpoint::bind(|request, mut connection| {
+            Box::pin(async move {
+                if request.method() == "DELETE" {
+                    return respond_to_cancel(connection).await;
+                }
+                connection.wait_until_closed().await;
+            })
+        })
+        .await;
+        let (entry, backend) = EntryBuilder::new(&[engine.address, silent_engine.address])
+            .bind()
+            .await;
+        let response = TestClient::request_completion(entry.address(), is_stream).await;
+        if is_stream {
+            assert_eq!(response.text(), "0 1 2 3 4 ");
+        } else {
+            assert_eq!(response.json()["choices"][0]["text"], "0 1 2 3 4 ");
+        }
+        silent_engine.wait_for_requests("DELETE", 1).await;
+        assert!(engine.requests_by_method("DELETE").is_empty());
+        let ends = backend.finished_permits.lock().unwrap().clone();
+        assert_eq!(
+            ends,
+            [
+                ("e1".to_owned(), PermitEnd::Cancelled, 0),
+                ("e0".to_owned(), PermitEnd::Completed, 5)
+            ]
+        );
+    }
+}
+
 /// Guards against a stream that is cut because the engine answers neither it nor a resume in time.
 #[tokio::test]
 async fn a_silent_stream_continues_although_its_resume_is_silent() {
