Keep a silent stream open until a resume has opened

Cause: GenerationCall closed the stream when the stall timeout passed, and opened the resume afterwards. Silent resumes counted as failed ones.

Change: a resume is opened beside the silent stream (Reopening). The first of the two that sends goes on; the other one is closed (AbandonResume, or the opened resume takes over). If the silent stream fails, the resume takes its place (CloseSilentStream); if the resume fails (ResumeFailed), it is tried again after a further stall. Without delivered tokens another generation is sought after six resumes; with delivered tokens the call waits until its deadline, and each resume after the sixth has twice the time to open. Each decision is logged. Unchanged: the limit on resumes after failures, that resumes take nothing from the budgets, and that 404 to a resume ends the generation, because the engine says that it does not know it.

Ruled out: a fixed time for each resume gives up every resume of an engine that needs longer to open one.

--- a/crates/entry/src/core/action.rs
+++ b/crates/entry/src/core/action.rs
@@ -6,6 +6,8 @@
 /// Action that the HTTP modules perform for a [`GenerationCall`](super::GenerationCall).
 #[derive(Debug, Clone, Copy, Eq, PartialEq)]
 pub enum GenerationAction {
+    /// Give up the resume that is being opened, and go on with the silent stream.
+    AbandonResume,
     /// Request a permit; answered by `PermitGranted` or `PermitRefused`.
     AcquirePermit,
     /// Cancel the generation on its engine.
@@ -13,8 +15,10 @@
         /// Generation to cancel.
         generation: GenerationId,
     },
-    /// Close the connection to the engine and ignore what it still holds.
+    /// Close the connections to the engine and ignore what they still hold.
     CloseConnection,
+    /// Close the silent stream, which has failed while a resume is being opened.
+    CloseSilentStream,
     /// Complete the response to the client.
     Complete {
         /// Why the generation ended.
@@ -54,7 +58,7 @@
     },
     /// Withdraw a retry from the retry budgets; answered by `BudgetGranted` or `BudgetDenied`.
     RequestRetry,
-    /// Open the stream of the running generation again.
+    /// Open the stream of the running generation again, beside the present one if that is open.
     Resume {
         /// Index of the first token to send.
         from: u32,
--- a/crates/entry/src/core/event.rs
+++ b/crates/entry/src/core/event.rs
@@ -69,6 +69,11 @@
         /// HTTP status.
         status: u16,
     },
+    /// A resume failed while the silent stream of the generation is still open.
+    ResumeFailed {
+        /// Generation that was to be resumed.
+        generation: GenerationId,
+    },
     /// The engine reported the status of the generation.
     Status {
         /// Generation that the status is about.
@@ -110,6 +115,7 @@
             | Self::MalformedResponse { generation }
             | Self::NotRun { generation }
             | Self::Rejected { generation, .. }
+            | Self::ResumeFailed { generation }
             | Self::Status { generation, .. }
             | Self::StreamOpened { generation }
             | Self::Token { generation, .. } => Some(*generation),
--- a/crates/entry/src/core/generation_call/connection.rs
+++ b/crates/entry/src/core/generation_call/connection.rs
@@ -57,6 +57,7 @@
             GenerationEvent::Rejected { status, .. } => {
                 self.handle_rejected(now_us, status, actions);
             }
+            GenerationEvent::ResumeFailed { .. } => self.abandon_resume(now_us, actions),
             GenerationEvent::Status { status, .. } => {
                 if let State::Running(sequence) = &mut self.state {
                     sequence.record_status(now_us, status);
@@ -77,7 +78,7 @@
         let Some(sequence) = self.running_sequence(generation) else {
             return;
         };
-        if sequence.connection != ConnectionState::Open {
+        if !sequence.is_open() {
             return;
         }
         if tokens != sequence.received_tokens {
@@ -212,7 +213,7 @@
         if sequence.generation != generation {
             return;
         }
-        if sequence.connection != ConnectionState::Open {
+        if !sequence.is_open() {
             return;
         }
         if index != sequence.received_tokens {
@@ -220,6 +221,10 @@
             return;
         }
         sequence.record_token(now_us);
+        if sequence.connection != ConnectionState::Open {
+            sequence.connection = ConnectionState::Open;
+            actions.push(GenerationAction::AbandonResume);
+        }
         if self.resume_backoff.attempts() > 0 {
             self.resume_backoff.reset();
         }
@@ -278,7 +283,7 @@
     }
 
     /// Schedules a resume if tokens were received and the limits allow it; otherwise restarts or
-    /// fails the call. A stalled generation whose tokens were not delivered is kept meanwhile.
+    /// fails the call. A stalled generation is kept.
     pub(super) fn resume_or_restart(
         &mut self,
         now_us: u64,
@@ -289,6 +294,12 @@
         let State::Running(sequence) = &mut self.state else {
             return;
         };
+        if matches!(sequence.connection, ConnectionState::Reopening { .. }) {
+            // The silent stream has failed; the resume that is being opened takes its place.
+            sequence.set_connection(now_us, ConnectionState::Opening);
+            actions.push(GenerationAction::CloseSilentStream);
+            return;
+        }
         let outcome = Self::attempt_outcome(sequence, point);
         let until_us = now_us + self.resume_backoff.delay_us();
         let can_resume = sequence.received_tokens > 0
@@ -297,8 +308,8 @@
         if can_resume {
             actions.push(GenerationAction::CloseConnection);
             sequence.set_connection(now_us, ConnectionState::Closed { until_us });
-        } else if cause == FailureCause::Stalled && self.delivered_tokens == 0 {
-            self.replace_stalled(now_us, actions);
+        } else if cause == FailureCause::Stalled {
+            self.replace_or_wait(now_us, actions);
         } else {
             self.restart_or_fail(outcome, cause, PermitEnd::Failed, actions);
         }
--- a/crates/entry/src/core/generation_call/mod.rs
+++ b/crates/entry/src/core/generation_call/mod.rs
@@ -1,11 +1,13 @@
 //! State machine of one generation call.
 //!
 //! Until the client has received a token, a failed generation is cancelled and restarted with a new
-//! permit, within the retry budgets. A silent one has not failed: it is kept until another one has
-//! opened its stream, or until the deadline if there is none. Once a streaming client has received a token, only the same
-//! generation may continue: its stream is resumed at the next index, a limited number of times. A
-//! buffered response is sent only when it is complete, so a generation that cannot be resumed is
-//! restarted.
+//! permit, within the retry budgets. Once a streaming client has received a token, only the same
+//! generation may continue: if its stream fails, it is resumed at the next index, a limited number
+//! of times. A buffered response is sent only when it is complete, so a generation that cannot be
+//! resumed is restarted.
+//!
+//! A silent generation has not failed. Its stream stays open until a resume or another generation
+//! has opened one, or until the deadline.
 //!
 //! A resume withdraws nothing from the budgets, because it requests work that the engine has
 //! already done. A call whose next delay would end after the deadline ends at once instead.
@@ -126,6 +128,7 @@
             | GenerationEvent::NotRun { generation, .. }
             | GenerationEvent::StreamOpened { generation }
             | GenerationEvent::Rejected { generation, .. }
+            | GenerationEvent::ResumeFailed { generation }
             | GenerationEvent::Status { generation, .. } => {
                 if self.has_connection(generation) {
                     self.handle_connection_event(now_us, event, actions);
@@ -302,6 +305,8 @@
                         from: sequence.received_tokens,
                         generation: sequence.generation,
                     });
+                } else if sequence.is_open() && sequence.received_tokens > 0 {
+                    self.resume_beside_silent(now_us, actions);
                 } else {
                     self.resume_or_restart(
                         now_us,
--- a/crates/entry/src/core/generation_call/replacement.rs
+++ b/crates/entry/src/core/generation_call/replacement.rs
@@ -2,11 +2,11 @@
 //!
 //! A stalled generation may still answer. It keeps its connection and its permit until another
 //! generation has opened its stream, and is the running one again if it answers first or if there
-//! is no replacement.
+//! is no replacement. Likewise a silent stream stays open until a resume has opened.
 
 use std::mem;
 
-use super::{GenerationCall, State, stop_sequence};
+use super::{GenerationCall, RESUMES_WITHOUT_TOKEN_MAX, State, stop_sequence};
 use crate::core::sequence::{ConnectionState, Sequence};
 use crate::core::{
     FailureCause, FailurePoint, FinishReason, GenerationAction, GenerationEvent, Outcome,
@@ -16,9 +16,63 @@
 /// Most generations that are kept beside the running one.
 const KEPT_MAX: usize = 3;
 
+/// Most doublings of the time in which a resume beside a silent stream should open.
+const OPEN_DOUBLINGS_MAX: u32 = 8;
+
 impl GenerationCall {
+    /// Gives up a resume; the silent stream goes on.
+    pub(super) fn abandon_resume(&mut self, now_us: u64, actions: &mut Vec<GenerationAction>) {
+        if let State::Running(sequence) = &mut self.state
+            && matches!(sequence.connection, ConnectionState::Reopening { .. })
+        {
+            sequence.set_connection(now_us, ConnectionState::Open);
+            actions.push(GenerationAction::AbandonResume);
+        }
+    }
+
+    /// Opens another stream of the running generation beside the silent one.
+    ///
+    /// Buffered tokens are generated elsewhere after a number of resumes. Streamed ones are not, so
+    /// that each further resume has more time to open.
+    pub(super) fn resume_beside_silent(
+        &mut self,
+        now_us: u64,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let State::Running(sequence) = &mut self.state else {
+            return;
+        };
+        let surplus = sequence
+            .silent_resumes
+            .saturating_sub(RESUMES_WITHOUT_TOKEN_MAX);
+        if self.delivered_tokens == 0 && sequence.silent_resumes >= RESUMES_WITHOUT_TOKEN_MAX {
+            self.abandon_resume(now_us, actions);
+            self.replace_stalled(now_us, actions);
+            return;
+        }
+        sequence.has_stalled = true;
+        sequence.silent_resumes += 1;
+        let timeout_us = sequence.open_timeout_us() << surplus.min(OPEN_DOUBLINGS_MAX);
+        let until_us = now_us + timeout_us;
+        sequence.set_connection(now_us, ConnectionState::Reopening { until_us });
+        actions.push(GenerationAction::Resume {
+            from: sequence.received_tokens,
+            generation: sequence.generation,
+        });
+    }
+
+    /// Seeks a replacement of the stalled generation, or waits on if tokens were delivered.
+    pub(super) fn replace_or_wait(&mut self, now_us: u64, actions: &mut Vec<GenerationAction>) {
+        if self.delivered_tokens == 0 {
+            self.replace_stalled(now_us, actions);
+        } else if let State::Running(sequence) = &mut self.state {
+            sequence.has_stalled = true;
+            sequence.restart_stall_timeouts(now_us);
+        }
+    }
+
     /// Keeps the running generation, which has stalled, and requests a retry beside it.
-    pub(super) fn replace_stalled(&mut self, now_us: u64, actions: &mut Vec<GenerationAction>) {
+    fn replace_stalled(&mut self, now_us: u64, actions: &mut Vec<GenerationAction>) {
         let State::Running(sequence) = &mut self.state else {
             return;
         };
--- a/crates/entry/src/core/sequence.rs
+++ b/crates/entry/src/core/sequence.rs
@@ -16,6 +16,8 @@
     /// Whether it has stalled since its last token.
     pub(super) has_stalled: bool,
     pub(super) received_tokens: u32,
+    /// Resumes beside a silent stream since the last token.
+    pub(super) silent_resumes: u32,
     last_event_us: u64,
     last_progress_us: u64,
     stall_timeouts: StallTimeouts,
@@ -31,6 +33,8 @@
     Open,
     /// Waiting for the engine's stream to begin.
     Opening,
+    /// Streaming, but silent; waiting until `until_us` for another stream to begin.
+    Reopening { until_us: u64 },
 }
 
 impl Sequence {
@@ -47,6 +51,7 @@
             last_event_us: now_us,
             last_progress_us: now_us,
             received_tokens: 0,
+            silent_resumes: 0,
             stall_timeouts,
             status: GenerationStatus::Waiting,
         }
@@ -55,14 +60,27 @@
     /// Returns when the connection stalls without a further event, or is to be opened again.
     pub(super) fn next_tick_us(&self) -> u64 {
         match self.connection {
-            ConnectionState::Closed { until_us } => until_us,
-            ConnectionState::Open => self.stall_us(),
-            ConnectionState::Opening => {
-                self.last_event_us + self.stall_timeouts.silence_us + OPEN_EXTRA_US
+            ConnectionState::Closed { until_us } | ConnectionState::Reopening { until_us } => {
+                until_us
             }
+            ConnectionState::Open => self.stall_us(),
+            ConnectionState::Opening => self.last_event_us + self.open_timeout_us(),
         }
     }
 
+    /// Whether the engine's stream is open, be it silent.
+    pub(super) fn is_open(&self) -> bool {
+        matches!(
+            self.connection,
+            ConnectionState::Open | ConnectionState::Reopening { .. }
+        )
+    }
+
+    /// Time within which a stream should begin.
+    pub(super) fn open_timeout_us(&self) -> u64 {
+        self.stall_timeouts.silence_us + OPEN_EXTRA_US
+    }
+
     pub(super) fn record_status(&mut self, now_us: u64, status: GenerationStatus) {
         self.last_event_us = now_us;
         if self.status != status {
@@ -74,6 +92,7 @@
     pub(super) fn record_token(&mut self, now_us: u64) {
         self.restart_stall_timeouts(now_us);
         self.has_stalled = false;
+        self.silent_resumes = 0;
         self.received_tokens += 1;
         self.status = GenerationStatus::Running;
     }
--- a/crates/entry/src/http/generation/inputs.rs
+++ b/crates/entry/src/http/generation/inputs.rs
@@ -21,7 +21,7 @@
         };
         let is_complete = matches!(self.actions.last(), Some(GenerationAction::Complete { .. }));
         let is_closed = self.actions.iter().any(|action| match action {
-            GenerationAction::CloseConnection => true,
+            GenerationAction::CloseConnection | GenerationAction::CloseSilentStream => true,
             GenerationAction::StopKept { generation, .. } => {
                 Some(*generation) == event.generation()
             }
@@ -123,13 +123,19 @@
             .and_then(|generation| self.attempt_mut(generation));
         if let Some(attempt) = attempt {
             attempt.pending_operation = PendingOperation::None;
+            if attempt.silent_stream.is_some()
+                && let Some(generation) = attempt.generation
+                && !matches!(event, GenerationEvent::GenerationNotFound { .. })
+            {
+                return self.handle_event(GenerationEvent::ResumeFailed { generation });
+            }
         }
         self.handle_event(event);
     }
 
     fn handle_stream_failure(&mut self, generation: GenerationId, point: FailurePoint) {
         if let Some(attempt) = self.attempt_mut(generation) {
-            attempt.pending_operation = PendingOperation::None;
+            attempt.take_stream();
             self.task.metrics.observer().record_dropped_connection();
             self.handle_event(GenerationEvent::ConnectionFailed { generation, point });
         }
@@ -146,6 +152,7 @@
                 self.task.metrics.start_stream(permit.endpoint(), now_us);
             }
             attempt.pending_operation = PendingOperation::ReadStream(stream);
+            attempt.silent_stream = None;
             self.handle_event(GenerationEvent::StreamOpened { generation });
         }
     }
@@ -190,8 +197,7 @@
         let Some(attempt) = self.attempt_mut(generation) else {
             return;
         };
-        let operation = mem::take(&mut attempt.pending_operation);
-        let PendingOperation::ReadStream(mut stream) = operation else {
+        let Some(mut stream) = attempt.take_stream() else {
             return;
         };
         let now_us = self.task.shared.clock.now_us();
@@ -208,7 +214,7 @@
             self.handle_engine_event(now_us, generation, &event)
         });
         if let Some(attempt) = self.attempt_mut(generation) {
-            attempt.pending_operation = PendingOperation::ReadStream(stream);
+            attempt.put_back_stream(stream);
             let received_tokens = attempt.received_tokens;
             if let Some(permit) = &mut attempt.permit {
                 permit.report_progress(received_tokens);
--- a/crates/entry/src/http/generation/mod.rs
+++ b/crates/entry/src/http/generation/mod.rs
@@ -3,7 +3,6 @@
 mod attempt;
 mod inputs;
 
-use std::future::pending;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -208,11 +207,19 @@
                 unreachable!("tokens are delivered when their engine event is handled")
             }
             GenerationAction::DiscardTokens => self.task.response.discard(),
+            GenerationAction::AbandonResume => {
+                self.log_decision("resume of silent stream abandoned", &self.attempt);
+                self.attempt.abandon_resume();
+            }
             GenerationAction::CloseConnection => {
-                self.attempt.pending_operation = PendingOperation::None;
+                self.attempt.close_connections();
                 self.task.metrics.flush();
             }
-            GenerationAction::Keep { generation } => self.keep(generation),
+            GenerationAction::CloseSilentStream => {
+                self.log_decision("silent stream failed while being resumed", &self.attempt);
+                self.attempt.silent_stream = None;
+            }
+            GenerationAction::Keep { .. } => self.keep(),
             GenerationAction::Reinstate { generation } => self.reinstate(generation),
             GenerationAction::Refuse(refusal) => self.refuse(refusal),
             GenerationAction::ReleasePermit { end, tokens } => self.release_permit(end, tokens),
@@ -250,10 +257,10 @@
     }
 
     /// Keeps the running attempt; its endpoint is avoided by further ones.
-    fn keep(&mut self, generation: GenerationId) {
+    fn keep(&mut self) {
         let attempt = mem::take(&mut self.attempt);
+        self.log_decision("silent generation kept", &attempt);
         if let Some(permit) = &attempt.permit {
-            self.log_decision("silent generation kept", generation, permit.endpoint());
             self.add_failed_endpoint(permit.endpoint());
         }
         self.kept_attempts.push(attempt);
@@ -261,21 +268,17 @@
 
     fn reinstate(&mut self, generation: GenerationId) {
         if let Some(attempt) = self.take_kept(generation) {
-            if let Some(permit) = &attempt.permit {
-                self.log_decision(
-                    "silent generation reinstated",
-                    generation,
-                    permit.endpoint(),
-                );
-            }
+            self.log_decision("silent generation reinstated", &attempt);
             self.attempt = attempt;
         }
     }
 
     fn stop_kept(&mut self, generation: GenerationId, end: PermitEnd, tokens: u32) {
-        let attempt = self.take_kept(generation);
-        if let Some(permit) = attempt.and_then(|attempt| attempt.permit) {
-            self.log_decision("silent generation stopped", generation, permit.endpoint());
+        let Some(mut attempt) = self.take_kept(generation) else {
+            return;
+        };
+        self.log_decision("silent generation stopped", &attempt);
+        if let Some(permit) = attempt.permit.take() {
             self.finish_permit(permit, end, tokens);
         }
     }
@@ -288,11 +291,16 @@
         Some(self.kept_attempts.remove(position))
     }
 
-    fn log_decision(&self, event: &str, generation: GenerationId, endpoint: &EndpointName) {
+    /// Logs what is done about a silent attempt.
+    fn log_decision(&self, event: &str, attempt: &Attempt) {
+        let (Some(generation), Some(permit)) = (attempt.generation, &attempt.permit) else {
+            return;
+        };
         let request = &self.task.permit_request;
         info!(self.task.shared.settings.log, "{}", event;
             "customer" => %request.customer, "kind" => %request.kind,
-            "generation" => %generation, "endpoint" => %endpoint);
+            "generation" => %generation, "endpoint" => %permit.endpoint(),
+            "received_tokens" => attempt.received_tokens);
     }
 
     fn add_failed_endpoint(&mut self, endpoint: &EndpointName) {
@@ -305,8 +313,10 @@
     fn resume(&mut self, generation: GenerationId, from: u32) {
         if let Some(request) = self.engine_request(generation) {
             self.task.metrics.observer().record_resume();
-            self.attempt.pending_operation =
-                PendingOperation::OpenStream(Box::pin(request.resume(from)));
+            if self.attempt.has_stream() {
+                self.log_decision("silent stream kept and resumed", &self.attempt);
+            }
+            self.attempt.open_stream(Box::pin(request.resume(from)));
         }
     }
 
@@ -334,8 +344,7 @@
             .observer()
             .record_sent_bytes(region, body.len() as u64);
         if let Some(request) = self.engine_request(generation) {
-            self.attempt.pending_operation =
-                PendingOperation::OpenStream(Box::pin(request.start(body)));
+            self.attempt.open_stream(Box::pin(request.start(body)));
         }
     }
 
@@ -344,18 +353,11 @@
         if next_tick < self.timer.deadline() || self.timer.is_elapsed() {
             self.timer.as_mut().reset(next_tick);
         }
-        let revocation = async {
-            match &mut self.attempt.revocation {
-                Some(revocation) => revocation.as_mut().await,
-                None => pending().await,
-            }
-        };
         select! {
             biased;
             () = self.task.response.client_disconnected() => DriverInput::ClientDisconnected,
-            () = revocation => DriverInput::PermitRevoked,
             () = self.timer.as_mut() => DriverInput::Tick,
-            input = self.attempt.pending_operation.next_input() => input,
+            input = self.attempt.next_input() => input,
             input = Attempt::next_input_of_any(&mut self.kept_attempts) => input,
         }
     }
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -511,3 +511,55 @@
     let ends = backend.finished_permits.lock().unwrap().clone();
     assert_eq!(ends, [("e0".to_owned(), PermitEnd::Completed, 5)]);
 }
+
+/// Guards against a stream that is cut because its engine rejects a resume while it is silent.
+#[tokio::test]
+async fn a_silent_stream_continues_although_its_resume_is_rejected() {
+    let engine = FakeEndpoint::bind(|request, mut connection| {
+        Box::pin(async move {
+            if resume_index(&request).is_some() {
+                return connection.respond("500 Oh", "", "").await;
+            }
+            let generation = generation_id(&request);
+            connection.start_event_stream().await;
+            connection
+                .send_chunk(&token_event(&generation, 0, "0 "))
+                .await;
+            sleep(Duration::from_secs(4)).await;
+            stream_tokens_from(&mut connection, &generation, 1, 5).await;
+        })
+    })
+    .await;
+    let (entry, backend) = EntryBuilder::new(&[engine.address]).bind().await;
+    let response = TestClient::request_completion(entry.address(), true).await;
+    assert_eq!(response.text(), "0 1 2 3 4 ");
+    assert!(response.is_complete);
+    assert_eq!(backend.resumes.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a resume that is given up when the silent stream closes before it has opened.
+#[tokio::test]
+async fn a_silent_stream_that_closes_is_continued_by_its_resume() {
+    let engine = FakeEndpoint::bind(|request, mut connection| {
+        Box::pin(async move {
+            let generation = generation_id(&request);
+            if let Some(from) = resume_index(&request) {
+                sleep(Duration::from_secs(1)).await;
+                connection.start_event_stream().await;
+                return stream_tokens_from(&mut connection, &generation, from, 5).await;
+            }
+            connection.start_event_stream().await;
+            connection
+                .send_chunk(&token_event(&generation, 0, "0 "))
+                .await;
+            sleep(Duration::from_secs(3)).await;
+        })
+    })
+    .await;
+    let (entry, backend) = EntryBuilder::new(&[engine.address]).bind().await;
+    let response = TestClient::request_completion(entry.address(), true).await;
+    assert_eq!(response.text(), "0 1 2 3 4 ");
+    assert!(response.is_complete);
+    assert_eq!(backend.resumes.load(Ordering::SeqCst), 1);
+    assert_eq!(backend.dropped_connections.load(Ordering::SeqCst), 1);
+}
