Keep a generation whose permit is revoked until another one has opened

Clients saw: a generation that waited in its engine's queue was cancelled when the shard owner revoked its permit, and the call failed when no other permit was granted, although its engine would have run it.

Cause: GenerationCall cancelled the generation and released the permit before it requested another one.

Change: the generation is kept as a silent one is, and a permit is requested without a retry. Once another stream has opened, it is cancelled and its permit released as cancelled. A token from it ends the search; its stream's opening does not, since engines open the streams of queued generations.

Two tests of the core and one of the HTTP side are new.

Tests: the test of revocation before and after the first token required that the last action requests a permit; it now requires both actions, and its name no longer says that the permit is released. The simulation counts a revoked attempt without a reply as one that may have run, in place of one that ran.

Ruled out: keeping the cancellation and queueing the request at its former position again; a refusal elsewhere would still lose a generation.

--- a/crates/entry/src/core/action.rs
+++ b/crates/entry/src/core/action.rs
@@ -41,6 +41,8 @@
     Keep {
         /// Generation to keep.
         generation: GenerationId,
+        /// Whether it has stalled; if not, its permit was revoked.
+        has_stalled: bool,
     },
     /// Send the client a final refusal; nothing ran.
     Refuse(Refusal),
--- a/crates/entry/src/core/generation_call/connection.rs
+++ b/crates/entry/src/core/generation_call/connection.rs
@@ -153,20 +153,6 @@
         self.state = State::AwaitingBudget;
     }
 
-    pub(super) fn handle_permit_revoked(&mut self, actions: &mut Vec<GenerationAction>) {
-        let State::Running(sequence) = &self.state else {
-            return;
-        };
-        if sequence.received_tokens > 0 {
-            return;
-        }
-        let outcome = Self::attempt_outcome(sequence, FailurePoint::Written);
-        stop_sequence(sequence, outcome, PermitEnd::Cancelled, actions);
-        self.worst_outcome = self.worst_outcome.max(outcome);
-        actions.push(GenerationAction::AcquirePermit);
-        self.state = State::AwaitingPermit;
-    }
-
     fn handle_rejected(&mut self, now_us: u64, status: u16, actions: &mut Vec<GenerationAction>) {
         let State::Running(sequence) = &self.state else {
             return;
--- a/crates/entry/src/core/generation_call/mod.rs
+++ b/crates/entry/src/core/generation_call/mod.rs
@@ -6,8 +6,8 @@
 //! of times. A buffered response is sent only when it is complete, so a generation that cannot be
 //! resumed is restarted.
 //!
-//! A silent generation has not failed. Its stream stays open until a resume or another generation
-//! has opened one, or until the deadline.
+//! A generation that is silent or whose permit is revoked has not failed. Its stream stays open
+//! until a resume or another generation has opened one, or until the deadline.
 //!
 //! A resume withdraws nothing from the budgets, because it requests work that the engine has
 //! already done. A call whose next delay would end after the deadline ends at once instead.
@@ -59,7 +59,7 @@
     deadline_us: u64,
     /// Tokens that were streamed to the client; 0 for a buffered response.
     delivered_tokens: u32,
-    /// Stalled generations that are kept while another one is sought or opened.
+    /// Generations that are kept while another one is sought or opened.
     kept: Vec<Sequence>,
     /// Cause of the last failed attempt.
     last_cause: FailureCause,
--- a/crates/entry/src/core/generation_call/replacement.rs
+++ b/crates/entry/src/core/generation_call/replacement.rs
@@ -1,6 +1,6 @@
 //! Generations that are kept while a replacement is sought.
 //!
-//! A stalled generation may still answer. It keeps its connection and its permit until another
+//! A stalled generation may still answer, and so may one whose permit was revoked. It keeps its connection and its permit until another
 //! generation has opened its stream, and is the running one again if it answers first or if there
 //! is no replacement. Likewise a silent stream stays open until a resume has opened.
 
@@ -77,18 +77,36 @@
             return;
         };
         sequence.has_stalled = true;
-        if self.kept.len() >= KEPT_MAX {
-            sequence.restart_stall_timeouts(now_us);
-            return;
+        sequence.restart_stall_timeouts(now_us);
+        if self.keep_running(State::AwaitingBudget, actions) {
+            self.last_cause = FailureCause::Stalled;
+            actions.push(GenerationAction::RequestRetry);
         }
-        self.last_cause = FailureCause::Stalled;
-        actions.push(GenerationAction::Keep {
-            generation: sequence.generation,
-        });
-        actions.push(GenerationAction::RequestRetry);
-        if let State::Running(sequence) = mem::replace(&mut self.state, State::AwaitingBudget) {
+    }
+
+    /// Requests another permit for a generation without a token, and keeps it meanwhile.
+    pub(super) fn handle_permit_revoked(&mut self, actions: &mut Vec<GenerationAction>) {
+        let has_token =
+            matches!(&self.state, State::Running(sequence) if sequence.received_tokens > 0);
+        if !has_token && self.keep_running(State::AwaitingPermit, actions) {
+            actions.push(GenerationAction::AcquirePermit);
+        }
+    }
+
+    /// Keeps the running generation and enters `state`; false if no generation runs or too many are
+    /// kept.
+    fn keep_running(&mut self, state: State, actions: &mut Vec<GenerationAction>) -> bool {
+        if !matches!(self.state, State::Running(_)) || self.kept.len() >= KEPT_MAX {
+            return false;
+        }
+        if let State::Running(sequence) = mem::replace(&mut self.state, state) {
+            actions.push(GenerationAction::Keep {
+                generation: sequence.generation,
+                has_stalled: sequence.has_stalled,
+            });
             self.kept.push(sequence);
         }
+        true
     }
 
     /// Handles an event of a kept generation; returns whether it runs again.
@@ -106,6 +124,12 @@
                 sequence.record_status(now_us, status);
                 return false;
             }
+            // An engine opens the streams of generations that wait in its queue.
+            GenerationEvent::StreamOpened { .. } if !sequence.has_stalled => {
+                sequence.has_opened = true;
+                sequence.set_connection(now_us, ConnectionState::Open);
+                return false;
+            }
             GenerationEvent::StreamOpened { .. } => !is_open,
             GenerationEvent::Token { .. } | GenerationEvent::GenerationEnded { .. } if !is_open => {
                 return false;
@@ -155,7 +179,7 @@
                     generation: sequence.generation,
                 });
             }
-            push_stop(&sequence, PermitEnd::Failed, actions);
+            push_stop(&sequence, sequence.unfinished_end(), actions);
         }
     }
 
--- a/crates/entry/src/dependencies/permits.rs
+++ b/crates/entry/src/dependencies/permits.rs
@@ -41,8 +41,8 @@
     /// Reports the tokens generated so far. Called often: the implementation batches the reports.
     fn report_progress(&mut self, tokens: u32);
 
-    /// Token that is cancelled when the shard owner revokes the permit. A revocation is ignored
-    /// once a token was received.
+    /// Token that is cancelled when the shard owner revokes the permit. The permit is then released
+    /// once another one is in use. A revocation is ignored once a token was received.
     fn revocation(&self) -> Option<CancellationToken> {
         None
     }
--- a/crates/entry/src/http/generation/mod.rs
+++ b/crates/entry/src/http/generation/mod.rs
@@ -48,7 +48,7 @@
     /// The running attempt, or the one for which a permit is awaited.
     attempt: Attempt,
     call: GenerationCall,
-    /// Silent attempts that may still answer.
+    /// Attempts that may still answer while another one is sought or opened.
     kept_attempts: Vec<Attempt>,
     permit_requested_us: u64,
     retry_state: RetryState,
@@ -219,7 +219,7 @@
                 self.log_decision("silent stream failed while being resumed", &self.attempt);
                 self.attempt.silent_stream = None;
             }
-            GenerationAction::Keep { .. } => self.keep(),
+            GenerationAction::Keep { has_stalled, .. } => self.keep(has_stalled),
             GenerationAction::Reinstate { generation } => self.reinstate(generation),
             GenerationAction::Refuse(refusal) => self.refuse(refusal),
             GenerationAction::ReleasePermit { end, tokens } => self.release_permit(end, tokens),
@@ -256,11 +256,18 @@
         permit.finish(end, tokens);
     }
 
-    /// Keeps the running attempt; its endpoint is avoided by further ones.
-    fn keep(&mut self) {
+    /// Keeps the running attempt; further ones avoid its endpoint if it has stalled.
+    fn keep(&mut self, has_stalled: bool) {
         let attempt = mem::take(&mut self.attempt);
-        self.log_decision("silent generation kept", &attempt);
-        if let Some(permit) = &attempt.permit {
+        let event = if has_stalled {
+            "silent generation kept"
+        } else {
+            "generation with revoked permit kept"
+        };
+        self.log_decision(event, &attempt);
+        if let Some(permit) = &attempt.permit
+            && has_stalled
+        {
             self.add_failed_endpoint(permit.endpoint());
         }
         self.kept_attempts.push(attempt);
@@ -268,7 +275,7 @@
 
     fn reinstate(&mut self, generation: GenerationId) {
         if let Some(attempt) = self.take_kept(generation) {
-            self.log_decision("silent generation reinstated", &attempt);
+            self.log_decision("kept generation reinstated", &attempt);
             self.attempt = attempt;
         }
     }
@@ -277,7 +284,7 @@
         let Some(mut attempt) = self.take_kept(generation) else {
             return;
         };
-        self.log_decision("silent generation stopped", &attempt);
+        self.log_decision("kept generation stopped", &attempt);
         if let Some(permit) = attempt.permit.take() {
             self.finish_permit(permit, end, tokens);
         }
@@ -291,7 +298,7 @@
         Some(self.kept_attempts.remove(position))
     }
 
-    /// Logs what is done about a silent attempt.
+    /// Logs what is done about an attempt that is silent or kept.
     fn log_decision(&self, event: &str, attempt: &Attempt) {
         let (Some(generation), Some(permit)) = (attempt.generation, &attempt.permit) else {
             return;
--- a/crates/entry/tests/call/main.rs
+++ b/crates/entry/tests/call/main.rs
@@ -8,7 +8,7 @@
     CallFailure, FailureCause, FailurePoint, FinishReason, GenerationAction, GenerationEvent,
     GenerationStatus, Outcome, ResponseMode,
 };
-use entry::dependencies::{Refusal, RefusalReason};
+use entry::dependencies::{PermitEnd, Refusal, RefusalReason};
 use names::GenerationId;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use simulation::{ActionCounts, DEADLINE_US, STALL_TIMEOUTS, Simulation, Step, simulate};
@@ -155,10 +155,14 @@
 }
 
 #[test]
-fn revoked_permit_is_released_only_before_the_first_token() {
+fn revoked_permit_is_replaced_only_before_the_first_token() {
     let mut simulation = start_stream(ResponseMode::Stream, 0..0);
     let actions = actions_after(&mut simulation, GenerationEvent::PermitRevoked);
-    assert_eq!(actions.last(), Some(&GenerationAction::AcquirePermit));
+    let keep = GenerationAction::Keep {
+        generation: FIRST,
+        has_stalled: false,
+    };
+    assert_eq!(actions, [keep, GenerationAction::AcquirePermit]);
     let mut simulation = start_stream(ResponseMode::Stream, 0..1);
     assert_eq!(
         actions_after(&mut simulation, GenerationEvent::PermitRevoked),
@@ -421,6 +425,42 @@
     assert_first_completes(&mut simulation, 0);
 }
 
+/// Guards against a revoked permit that is kept, or reported as failed, once another one is in use.
+#[test]
+fn revoked_permit_is_released_when_another_generation_opens() {
+    let mut simulation = start_stream(ResponseMode::Stream, 0..0);
+    actions_after(&mut simulation, GenerationEvent::PermitRevoked);
+    actions_after(&mut simulation, GRANT_OF_SECOND);
+    let generation = SECOND;
+    let opened = GenerationEvent::StreamOpened { generation };
+    let cancel = GenerationAction::Cancel { generation: FIRST };
+    let stop = GenerationAction::StopKept {
+        end: PermitEnd::Cancelled,
+        generation: FIRST,
+        tokens: 0,
+    };
+    assert_eq!(actions_after(&mut simulation, opened), [cancel, stop]);
+}
+
+/// Guards against a revocation without effect because the engine opens the stream of a generation
+/// that waits in its queue.
+#[test]
+fn revoked_generation_without_a_token_is_replaced_although_its_stream_opens() {
+    let mut simulation = Simulation::new(ResponseMode::Stream, 3);
+    let generation = FIRST;
+    let granted = GenerationEvent::PermitGranted {
+        generation,
+        stall_timeouts: STALL_TIMEOUTS,
+    };
+    actions_after(&mut simulation, granted);
+    actions_after(&mut simulation, GenerationEvent::PermitRevoked);
+    let opened = GenerationEvent::StreamOpened { generation };
+    assert_eq!(actions_after(&mut simulation, opened), []);
+    let actions = actions_after(&mut simulation, GRANT_OF_SECOND);
+    let generation = SECOND;
+    assert_eq!(actions, [GenerationAction::Start { generation }]);
+}
+
 /// Guards against a stream that is cut long before its deadline because its engine is silent.
 #[test]
 fn silent_stream_with_delivered_tokens_is_kept_until_the_deadline() {
--- a/crates/entry/tests/call/simulation.rs
+++ b/crates/entry/tests/call/simulation.rs
@@ -206,7 +206,7 @@
                 self.is_reopening = false;
             }
             GenerationAction::Fail(failure) => self.check_failure(failure),
-            GenerationAction::Keep { generation } => self.keep(generation),
+            GenerationAction::Keep { generation, .. } => self.keep(generation),
             GenerationAction::Refuse(_) => {
                 assert!(!self.may_have_run(), "a refused request may have run");
                 assert_eq!(self.delivery.delivered_tokens(), 0);
@@ -392,6 +392,10 @@
             self.may_have_run = true;
             return self.handle(GenerationEvent::IdInUse { generation });
         }
+        if step.detail >= 240 {
+            self.mark_unanswered(generation);
+            return self.handle(GenerationEvent::PermitRevoked);
+        }
         self.mark_sent();
         self.handle(match step.detail {
             200..220 => GenerationEvent::Rejected {
@@ -399,8 +403,7 @@
                 status: if step.detail < 215 { 400 } else { 502 },
             },
             220..230 => GenerationEvent::GenerationNotFound { generation },
-            230..240 => GenerationEvent::MalformedResponse { generation },
-            _ => GenerationEvent::PermitRevoked,
+            _ => GenerationEvent::MalformedResponse { generation },
         });
     }
 
@@ -601,13 +604,8 @@
     /// Sends a tick. An attempt without a reply before the stall timeout may have run. Silence alone
     /// ends no generation before the deadline.
     pub fn tick(&mut self) {
-        let generation = self.current_generation();
-        if self.pending == PendingReply::Connection
-            && self.now_us >= self.call.next_tick_us()
-            && !self.uncancelled.contains(&generation)
-        {
-            self.unanswered.push(generation);
-            self.uncancelled.push(generation);
+        if self.pending == PendingReply::Connection && self.now_us >= self.call.next_tick_us() {
+            self.mark_unanswered(self.current_generation());
         }
         let uncancelled = self.uncancelled.clone();
         let held_permits = self.held_permits;
@@ -624,6 +622,14 @@
         }
     }
 
+    /// Records that an engine may have received a byte of a generation, which has no reply yet.
+    pub fn mark_unanswered(&mut self, generation: GenerationId) {
+        if !self.uncancelled.contains(&generation) {
+            self.unanswered.push(generation);
+            self.uncancelled.push(generation);
+        }
+    }
+
     /// Records that an engine has received a byte of the current generation.
     pub fn mark_sent(&mut self) {
         self.mark_answered(self.current_generation());
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -563,3 +563,46 @@
     assert_eq!(backend.resumes.load(Ordering::SeqCst), 1);
     assert_eq!(backend.dropped_connections.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against a generation that is lost because its permit is revoked and no other engine runs it.
+#[tokio::test]
+async fn a_generation_with_a_revoked_permit_completes_if_no_other_attempt_succeeds() {
+    let start_count = Arc::new(AtomicUsize::new(0));
+    let mut engine = FakeEndpoint::bind(move |request, mut connection| {
+        let start_count = Arc::clone(&start_count);
+        Box::pin(async move {
+            if request.method() == "DELETE" {
+                return respond_to_cancel(connection).await;
+            }
+            if start_count.fetch_add(1, Ordering::SeqCst) > 0 {
+                let not_run = "gentiancleat-outcome: not-run\r\n";
+                return connection
+                    .respond("503 Service Unavailable", not_run, "")
+                    .await;
+            }
+            connection.start_event_stream().await;
+            sleep(Duration::from_secs(2)).await;
+            stream_tokens_from(&mut connection, &generation_id(&request), 0, 5).await;
+        })
+    })
+    .await;
+    let (entry, backend) = EntryBuilder::new(&[engine.address]).bind().await;
+    let revocation = tokio_util::sync::CancellationToken::new();
+    *backend.revocation.lock().unwrap() = Some(revocation.clone());
+    let address = entry.address();
+    let call = tokio::spawn(async move { TestClient::request_completion(address, true).await });
+    engine.wait_for_requests("POST", 1).await;
+    *backend.revocation.lock().unwrap() = None;
+    revocation.cancel();
+    engine.wait_for_requests("POST", 2).await;
+    assert_eq!(call.await.unwrap().text(), "0 1 2 3 4 ");
+    assert!(engine.requests_by_method("DELETE").is_empty());
+    let ends = backend.finished_permits.lock().unwrap().clone();
+    let completed = ("e0".to_owned(), PermitEnd::Completed, 5);
+    assert_eq!(ends.last(), Some(&completed));
+    assert_eq!(
+        ends.len(),
+        backend.permit_requests.lock().unwrap().len(),
+        "a permit was not released once"
+    );
+}
