--- a/crates/entry/tests/call/main.rs
+++ b/crates/entry/tests/call/main.rs
@@ -461,6 +461,26 @@
     assert_eq!(actions, [GenerationAction::Start { generation }]);
 }
 
+/// Guards against the cancellation of another request's generation, whose id a kept one was given.
+#[test]
+fn kept_generation_whose_id_is_in_use_is_not_cancelled() {
+    let mut simulation = Simulation::new(ResponseMode::Stream, 3);
+    let generation = FIRST;
+    let granted = GenerationEvent::PermitGranted {
+        generation,
+        stall_timeouts: STALL_TIMEOUTS,
+    };
+    actions_after(&mut simulation, granted);
+    actions_after_silence(&mut simulation);
+    let in_use = GenerationEvent::IdInUse { generation };
+    let stop = GenerationAction::StopKept {
+        end: PermitEnd::Failed,
+        generation,
+        tokens: 0,
+    };
+    assert_eq!(actions_after(&mut simulation, in_use), [stop]);
+}
+
 /// Guards against a stream that is cut long before its deadline because its engine is silent.
 #[test]
 fn silent_stream_with_delivered_tokens_is_kept_until_the_deadline() {
