Hold back the source of a migration while its target is due

Cause: while the target is awaited, the source's events were forwarded, and the target sends the same events again, which are skipped. After the switch the client waits until the target has passed them, at the target's pace, and an engine that takes generations over is slower than one that they leave.

Change: the source is not read for three quarters of the gap target after the last event, so a usual handover pauses once, for its own length. If the target is silent for longer, the source is read and forwarded.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,6 +45,10 @@
 /// Shortest time without an event after which a stream is requested from another endpoint.
 const STALL_MS_MIN: u64 = 700;
 
+/// Percentage of the event gap target for which the source of a migration is not read while its
+/// target is awaited; the rest is for the way of the source's events to the client.
+const HELD_GAP_PERCENT: u64 = 75;
+
 /// Divisor of the output so far that gives the least expected remaining output. Output lengths
 /// spread widely, so a generation that exceeds its prediction continues for long.
 const REMAINING_OUTPUT_DIVISOR: u64 = 3;
@@ -68,6 +72,8 @@
     endpoint_switches: u32,
     first_event_ms: Option<u64>,
     gap_ms_max: u64,
+    /// Last event before the target of a migration was asked to continue.
+    held_from: Instant,
     /// Whether the endpoint broke off the stream, so that only a continuation can complete it.
     is_broken_off: bool,
     last_event_at: Instant,
@@ -88,6 +94,8 @@
     ClientLeft,
     ContinuationEnded(AttemptEnd),
     Migration(MigrationStep),
+    /// The source is read again.
+    SourceReleased,
     Stalled,
     /// This instance stops.
     StopsSoon,
@@ -129,6 +137,7 @@
             endpoint_switches: 0,
             first_event_ms: None,
             gap_ms_max: 0,
+            held_from: Instant::now(),
             is_broken_off: false,
             last_event_at: Instant::now(),
             migration: Migration::watch(&stream.slot.endpoint),
@@ -154,13 +163,16 @@
 
     async fn next_event(&mut self) -> RelayEvent {
         let stall_at = self.stall_at();
+        let held_until = self.held_until();
+        let is_held = held_until > Instant::now();
         tokio::select! {
             biased;
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
             () = self.attempts.gateway.stops_soon() => RelayEvent::StopsSoon,
             () = sleep_until(self.attempts.request.deadline) => RelayEvent::TimedOut,
             end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
-            frame = self.stream.body.frame(), if !self.is_broken_off => match frame {
+            () = sleep_until(held_until), if is_held => RelayEvent::SourceReleased,
+            frame = self.stream.body.frame(), if !self.is_broken_off && !is_held => match frame {
                 Some(Ok(frame)) => RelayEvent::BodyFrame(frame.into_data().ok()),
                 Some(Err(_)) => RelayEvent::BodyFrame(None),
                 None => RelayEvent::BodyEnded,
@@ -182,6 +194,7 @@
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
             RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
             RelayEvent::Migration(step) => self.continue_migration(step).await,
+            RelayEvent::SourceReleased => None,
             RelayEvent::Stalled => self.resume("no event came in time"),
             RelayEvent::StopsSoon => Some(StreamEnd::Broken("this instance stops".to_owned())),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
@@ -254,6 +267,20 @@
         self.attempts.request.route.retry_class.is_idempotent()
     }
 
+    /// Time until which the source is not read while a target continues from a copy.
+    ///
+    /// The target sends again what the source sends meanwhile, often more slowly. The client sees the
+    /// shortest pause if it gets those events from the target alone, unless that is silent.
+    fn held_until(&self) -> Instant {
+        let is_copied = |continuation: &Continuation| continuation.copy.is_some();
+        if !self.continuation.as_ref().is_some_and(is_copied) {
+            return self.last_event_at;
+        }
+        let gap_target_ms = self.attempts.request.route.event_gap_target_ms;
+        let held = Duration::from_millis(gap_target_ms * HELD_GAP_PERCENT / 100);
+        self.held_from + held
+    }
+
     fn stall_at(&self) -> Instant {
         let request = &self.attempts.request;
         if self.is_broken_off || self.continuation.is_some() || !self.may_resume() {
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -196,6 +196,7 @@
     /// target answers, and ends there when the connection closes.
     pub(super) fn continue_from_copy(&mut self, copy: CompleteCopy, reason: String) {
         let (slot, copy) = copy.into_parts();
+        self.held_from = self.last_event_at;
         let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
         let resume_point = ResumePoint {
             copy: Some(copy.cache_copy.clone()),
