Send no new requests to an endpoint that announces its leave

An endpoint that leaves says so in the head of each of its responses. The gateway now applies this like a notice of the directory: placements skip the endpoint and its generations migrate. It holds for the incarnation, also if a late heartbeat reports it as ready or registers it anew. An attempt whose endpoint began to leave since its capacity was occupied, such as at the target of a KV cache copy, is rejected before it is sent.

The choice of candidates moves to a file of its own. The reasons of a rejection become one field of the response head, which has another flag now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,7 +26,7 @@
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::RequestError;
-use crate::{AttemptHead, CacheCopy, EventReader, ResponseHead};
+use crate::{AttemptHead, CacheCopy, EventReader, Rejection, ResponseHead};
 
 /// Time for which a retry waits for capacity, and after which a client may retry it.
 pub(crate) const RETRY_WAIT_MS: u64 = 200;
@@ -173,12 +173,13 @@
     pub(crate) fn retry_at(&self, slot: Slot, resume_point: ResumePoint) -> PendingAttempt {
         let sender = self.clone();
         let place = async move {
-            match sender.take_from_budget() {
+            let allowed = check_endpoint(&slot.endpoint).and_then(|()| {
+                let taken = sender.take_from_budget();
+                taken.map_err(|error| AttemptError::Rejected(error.reason))
+            });
+            match allowed {
                 Ok(()) => Ok(slot),
-                Err(error) => Err(AttemptOutcome::Failed(
-                    AttemptError::Rejected(error.reason),
-                    slot,
-                )),
+                Err(error) => Err(AttemptOutcome::Failed(error, slot)),
             }
         };
         self.start(place, resume_point)
@@ -237,6 +238,9 @@
         resume_point: &ResumePoint,
         progress: &AttemptProgress,
     ) -> AttemptOutcome {
+        if let Err(error) = check_endpoint(&slot.endpoint) {
+            return AttemptOutcome::Failed(error, slot);
+        }
         let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
         let (endpoint, _) = progress.sent_to.get_or_init(sent_to);
         if resume_point.last_event_id.is_none() {
@@ -261,9 +265,9 @@
         let is_copied = resume_point.copy.is_some();
         let may_reuse = is_copied || self.request.route.retry_class.is_idempotent();
         let answered = async {
-            let sent = endpoint.pool.send(request, may_reuse).await;
-            let response = sent.map_err(AttemptError::from)?;
-            self.accept(endpoint, response).await
+            let sent = self.gateway.send(endpoint, request, may_reuse).await;
+            let (response, head) = sent.map_err(AttemptError::from)?;
+            self.accept(endpoint, response, head).await
         };
         let answered = timeout_at(self.request.deadline, answered).await;
         let answered = answered.unwrap_or(Err(AttemptError::TimedOut));
@@ -285,6 +289,7 @@
         &self,
         endpoint: &Endpoint,
         response: EndpointResponse,
+        head: ResponseHead,
     ) -> Result<AcceptedResponse, AttemptError> {
         let EndpointResponse {
             body,
@@ -292,20 +297,19 @@
             parts,
         } = response;
         let status = parts.status;
-        let head = self
-            .gateway
-            .dialect
-            .parse_response_head(status, &parts.headers);
-        if head.is_misdirected {
-            endpoint.set_leaving();
-            return Err(AttemptError::Rejected(
-                "another endpoint has the address".to_owned(),
-            ));
-        }
-        if head.is_not_run {
-            return Err(AttemptError::Rejected(format!(
-                "the endpoint answered {status}"
-            )));
+        match head.rejection {
+            Some(Rejection::Misdirected) => {
+                endpoint.set_leaving();
+                return Err(AttemptError::Rejected(
+                    "another endpoint has the address".to_owned(),
+                ));
+            }
+            Some(Rejection::NotRun) => {
+                return Err(AttemptError::Rejected(format!(
+                    "the endpoint answered {status}"
+                )));
+            }
+            None => {}
         }
         if head.request_id.as_deref() != self.request.head.request_id.as_deref() {
             return Err(AttemptError::Failed(
@@ -364,6 +368,14 @@
     }
 }
 
+/// Rejects an attempt whose endpoint has begun to leave since capacity was occupied there.
+fn check_endpoint(endpoint: &Endpoint) -> Result<(), AttemptError> {
+    if endpoint.is_leaving() {
+        return Err(AttemptError::Rejected("the endpoint leaves".to_owned()));
+    }
+    Ok(())
+}
+
 /// Reads a stream up to its first whole event, or to its end.
 async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, AttemptError> {
     let mut reader = EventReader::default();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -120,17 +120,26 @@
     }
 }
 
+/// Reason why an endpoint did not run a request.
+#[derive(Debug, Clone, Copy, Eq, PartialEq)]
+pub enum Rejection {
+    /// The address now belongs to another endpoint.
+    Misdirected,
+    /// The endpoint says that the request did not run.
+    NotRun,
+}
+
 /// Values that the head of an endpoint's response holds for the gateway.
 #[derive(Debug, Clone, Default)]
 pub struct ResponseHead {
     /// Whether the endpoint closes the connection after the response.
     pub closes_connection: bool,
-    /// Whether the address now belongs to another endpoint.
-    pub is_misdirected: bool,
-    /// Whether the request did not run and never will.
-    pub is_not_run: bool,
+    /// Whether the endpoint leaves and wants no new requests.
+    pub is_endpoint_leaving: bool,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive_ms: Option<u64>,
+    /// Reason why the request did not run and never will; `None` if it may have run.
+    pub rejection: Option<Rejection>,
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
 }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -5,13 +5,15 @@
 use tokio::sync::watch;
 
 use crate::connection::ConnectionPool;
-use crate::{EndpointHealth, EventIntervals};
+use crate::{EndpointHealth, EndpointNotice, EventIntervals};
 
 /// One incarnation of an endpoint, with its connections and its statistics at this instance.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) data_centre: String,
     pub(crate) id: String,
+    /// Shared by all registrations of the incarnation.
+    pub(crate) notice: Arc<Mutex<EndpointNotice>>,
     pub(crate) pool: Arc<ConnectionPool>,
     /// Hash of the id: a random order of the endpoints that is the same on all instances.
     pub(crate) rank: u64,
@@ -41,11 +43,15 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(registration: &Registration) -> Arc<Self> {
+    pub(crate) fn new(
+        registration: &Registration,
+        notice: Arc<Mutex<EndpointNotice>>,
+    ) -> Arc<Self> {
         let is_leaving = registration.state != EndpointState::Ready;
         Arc::new(Self {
             data_centre: registration.data_centre.clone(),
             id: registration.id.clone(),
+            notice,
             pool: ConnectionPool::new(registration.address),
             rank: rank(&registration.id),
             service: registration.service.clone(),
@@ -61,7 +67,18 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        *self.leaving.borrow()
+        *self.leaving.borrow() || self.notice().is_leaving()
+    }
+
+    /// Applies that the endpoint said in a response that it leaves; returns whether this is new.
+    pub(crate) fn record_leaving(&self) -> bool {
+        let is_new = self.notice().record_leaving();
+        self.set_leaving();
+        is_new
+    }
+
+    fn notice(&self) -> MutexGuard<'_, EndpointNotice> {
+        self.notice.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn set_leaving(&self) {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,8 @@
 //! Endpoints that this instance knows, and the queue of requests that wait for free capacity.
 
+mod candidates;
 mod known_endpoint;
+mod past_incarnations;
 mod pending_reservation;
 mod recent_placements;
 mod slot;
@@ -22,8 +24,9 @@
 use crate::clock::elapsed_ms;
 use crate::endpoint::Endpoint;
 use crate::outcome::RequestError;
-use crate::{Distance, RetryAfterSchedule, Topology, WaitQueue};
-use known_endpoint::{KnownEndpoint, choose_subset, prefill_sort_key_max, update_slowness};
+use crate::{RetryAfterSchedule, Topology, WaitQueue};
+use known_endpoint::{KnownEndpoint, choose_subset, update_slowness};
+use past_incarnations::PastIncarnations;
 pub(crate) use pending_reservation::PendingReservation;
 use recent_placements::{RATE_WINDOW_MS, RecentPlacements};
 pub(crate) use slot::Slot;
@@ -41,12 +44,6 @@
 /// requests nearly as well as the best of all, and the request stays short in a large fleet.
 const RESERVATION_OPTIONS_MAX: usize = 16;
 
-/// Penalty of a migration target in another data centre; a copy takes twice as long there.
-const REMOTE_MIGRATION_PENALTY_MS: u64 = 170;
-
-/// Divisor of the copy speed to another data centre.
-const REMOTE_COPY_SPEED_DIVISOR: u64 = 2;
-
 /// Known endpoints, their loads and the queue of this instance.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -67,6 +64,7 @@
     /// Whether the aggregating registry has been sent the ids of the subset.
     is_subset_sent: bool,
     last_served_ms: u64,
+    past_incarnations: PastIncarnations,
     queue: WaitQueue<QueuedRequest>,
     recent_generations: RecentPlacements,
     recent_plain_requests: RecentPlacements,
@@ -85,14 +83,6 @@
     slot_sender: oneshot::Sender<Slot>,
 }
 
-/// Network costs of sending a request to an endpoint.
-#[derive(Debug)]
-struct NetworkCost {
-    copy_speed_divisor: u64,
-    /// Round trip of a new request, or the penalty of a migration target.
-    delay_ms: u64,
-}
-
 /// Request for capacity on an endpoint of a service.
 #[derive(Debug, Clone)]
 pub(crate) struct PlacementRequest {
@@ -145,7 +135,8 @@
     /// Sets the known endpoints, sorted by id; those that are missing now are marked as leaving.
     pub(crate) fn set_endpoints(self: &Arc<Self>, endpoints: &[registry::EndpointView]) {
         let now_ms = self.now_ms();
-        let mut state = self.lock();
+        let mut guard = self.lock();
+        let state = &mut *guard;
         state.software_versions.update(now_ms, endpoints);
         let previous = std::mem::take(&mut state.endpoints);
         let mut previous = previous.into_iter().peekable();
@@ -153,16 +144,23 @@
             let registration = &endpoint.registration;
             while let Some(gone) = previous.next_if(|known| known.endpoint.id < registration.id) {
                 gone.endpoint.set_leaving();
+                state.past_incarnations.add(now_ms, &gone);
             }
             let same_id = previous.next_if(|known| known.endpoint.id == registration.id);
-            let mut known = match same_id {
-                Some(known) if known.is_same_incarnation(registration) => known,
+            let same_incarnation = match same_id {
+                Some(known) if known.is_same_incarnation(registration) => Some(known),
                 Some(older) => {
                     older.endpoint.set_leaving();
-                    KnownEndpoint::new(registration)
+                    state.past_incarnations.add(now_ms, &older);
+                    None
                 }
-                None => KnownEndpoint::new(registration),
+                None => None,
             };
+            let mut known = same_incarnation.unwrap_or_else(|| {
+                let past = &state.past_incarnations;
+                let notice = past.notice(&registration.id, registration.started_at_ms);
+                KnownEndpoint::new(registration, notice)
+            });
             known.is_cold = registration.cold_left_ms > 0;
             known.is_silent = endpoint.is_silent;
             known.slots = registration.slots;
@@ -173,13 +171,14 @@
         }
         for gone in previous {
             gone.endpoint.set_leaving();
+            state.past_incarnations.add(now_ms, &gone);
         }
         let subset = choose_subset(&mut state.endpoints, self.subset_seed);
         if subset != state.subset {
             state.subset = subset;
             state.is_subset_sent = false;
         }
-        drop(state);
+        drop(guard);
         self.serve_queue();
     }
 
@@ -413,73 +412,6 @@
         Some(self.occupy(state, &options[at].0, &placement.demand))
     }
 
-    /// Endpoints that may serve a request.
-    fn candidates(
-        &self,
-        state: &FleetState,
-        placement: &PlacementRequest,
-    ) -> Vec<(Arc<Endpoint>, Candidate)> {
-        let now_ms = self.now_ms();
-        let engine = state.engine(&placement.service);
-        let copy_tokens_per_s = engine.map_or(0, EngineSpec::copy_tokens_per_s);
-        let is_usable = |known: &&KnownEndpoint| {
-            known.endpoint.service == placement.service
-                && placement.allows_version(&known.endpoint.software_version)
-                && !known.endpoint.is_leaving()
-                && (known.is_in_subset || placement.may_leave_subset())
-                && !placement.excluded_ids.contains(&known.endpoint.id)
-                && self.is_copy_possible(placement, &known.endpoint)
-        };
-        let usable: Vec<&KnownEndpoint> = state.endpoints.iter().filter(is_usable).collect();
-        let is_healthy = |known: &&&KnownEndpoint| {
-            !known.is_silent && !known.endpoint.stats().health.is_ejected(now_ms)
-        };
-        let mut healthy: Vec<&KnownEndpoint> = usable.iter().filter(is_healthy).copied().collect();
-        if healthy.len() * 2 < usable.len() {
-            // If most endpoints look unhealthy at once, the cause is rarely the endpoints.
-            healthy = usable;
-        }
-        let key_max = prefill_sort_key_max(&healthy);
-        healthy
-            .into_iter()
-            .map(|known| {
-                let endpoint = &known.endpoint;
-                let cost = self.network_cost(placement, endpoint);
-                let candidate = Candidate {
-                    copy_tokens_per_s: copy_tokens_per_s / cost.copy_speed_divisor,
-                    round_trip_ms: cost.delay_ms,
-                    is_cold: known.is_cold,
-                    is_preferred_for_prefill: Some(known.prefill_sort_key()) <= key_max,
-                    load: endpoint.load(),
-                    memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
-                    slots: known.slots,
-                    slowness_percent: known.slowness_percent,
-                };
-                (Arc::clone(endpoint), candidate)
-            })
-            .collect()
-    }
-
-    /// Whether a migration's copy can complete before the source is gone; `true` for new requests.
-    fn is_copy_possible(&self, placement: &PlacementRequest, endpoint: &Endpoint) -> bool {
-        let Some(source) = &placement.source_data_centre else {
-            return true;
-        };
-        self.topology.distance(source, &endpoint.data_centre) < Distance::OtherRegion
-    }
-
-    fn network_cost(&self, placement: &PlacementRequest, endpoint: &Endpoint) -> NetworkCost {
-        let (copy_speed_divisor, delay_ms) = match &placement.source_data_centre {
-            None => (1, self.topology.round_trip_ms(&endpoint.data_centre)),
-            Some(source) if *source == endpoint.data_centre => (1, 0),
-            Some(_) => (REMOTE_COPY_SPEED_DIVISOR, REMOTE_MIGRATION_PENALTY_MS),
-        };
-        NetworkCost {
-            copy_speed_divisor,
-            delay_ms,
-        }
-    }
-
     fn occupy(
         self: &Arc<Self>,
         state: &mut FleetState,
--- /dev/null
+++ b/crates/gateway/src/fleet/candidates.rs
@@ -0,0 +1,94 @@
+//! Endpoints that may serve a request, with what a choice among them depends on.
+
+use std::sync::Arc;
+
+use catalog::EngineSpec;
+use placement::Candidate;
+
+use super::known_endpoint::{KnownEndpoint, prefill_sort_key_max};
+use super::{Fleet, FleetState, PlacementRequest};
+use crate::Distance;
+use crate::endpoint::Endpoint;
+
+/// Penalty of a migration target in another data centre; a copy takes twice as long there.
+const REMOTE_MIGRATION_PENALTY_MS: u64 = 170;
+
+/// Divisor of the copy speed to another data centre.
+const REMOTE_COPY_SPEED_DIVISOR: u64 = 2;
+
+/// Network costs of sending a request to an endpoint.
+#[derive(Debug)]
+struct NetworkCost {
+    copy_speed_divisor: u64,
+    /// Round trip of a new request, or the penalty of a migration target.
+    delay_ms: u64,
+}
+
+impl Fleet {
+    /// Endpoints that may serve a request.
+    pub(super) fn candidates(
+        &self,
+        state: &FleetState,
+        placement: &PlacementRequest,
+    ) -> Vec<(Arc<Endpoint>, Candidate)> {
+        let now_ms = self.now_ms();
+        let engine = state.engine(&placement.service);
+        let copy_tokens_per_s = engine.map_or(0, EngineSpec::copy_tokens_per_s);
+        let is_usable = |known: &&KnownEndpoint| {
+            known.endpoint.service == placement.service
+                && placement.allows_version(&known.endpoint.software_version)
+                && !known.endpoint.is_leaving()
+                && (known.is_in_subset || placement.may_leave_subset())
+                && !placement.excluded_ids.contains(&known.endpoint.id)
+                && self.is_copy_possible(placement, &known.endpoint)
+        };
+        let usable: Vec<&KnownEndpoint> = state.endpoints.iter().filter(is_usable).collect();
+        let is_healthy = |known: &&&KnownEndpoint| {
+            !known.is_silent && !known.endpoint.stats().health.is_ejected(now_ms)
+        };
+        let mut healthy: Vec<&KnownEndpoint> = usable.iter().filter(is_healthy).copied().collect();
+        if healthy.len() * 2 < usable.len() {
+            // If most endpoints look unhealthy at once, the cause is rarely the endpoints.
+            healthy = usable;
+        }
+        let key_max = prefill_sort_key_max(&healthy);
+        healthy
+            .into_iter()
+            .map(|known| {
+                let endpoint = &known.endpoint;
+                let cost = self.network_cost(placement, endpoint);
+                let candidate = Candidate {
+                    copy_tokens_per_s: copy_tokens_per_s / cost.copy_speed_divisor,
+                    round_trip_ms: cost.delay_ms,
+                    is_cold: known.is_cold,
+                    is_preferred_for_prefill: Some(known.prefill_sort_key()) <= key_max,
+                    load: endpoint.load(),
+                    memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+                    slots: known.slots,
+                    slowness_percent: known.slowness_percent,
+                };
+                (Arc::clone(endpoint), candidate)
+            })
+            .collect()
+    }
+
+    /// Whether a migration's copy can complete before the source is gone; `true` for new requests.
+    fn is_copy_possible(&self, placement: &PlacementRequest, endpoint: &Endpoint) -> bool {
+        let Some(source) = &placement.source_data_centre else {
+            return true;
+        };
+        self.topology.distance(source, &endpoint.data_centre) < Distance::OtherRegion
+    }
+
+    fn network_cost(&self, placement: &PlacementRequest, endpoint: &Endpoint) -> NetworkCost {
+        let (copy_speed_divisor, delay_ms) = match &placement.source_data_centre {
+            None => (1, self.topology.round_trip_ms(&endpoint.data_centre)),
+            Some(source) if *source == endpoint.data_centre => (1, 0),
+            Some(_) => (REMOTE_COPY_SPEED_DIVISOR, REMOTE_MIGRATION_PENALTY_MS),
+        };
+        NetworkCost {
+            copy_speed_divisor,
+            delay_ms,
+        }
+    }
+}
--- a/crates/gateway/src/fleet/known_endpoint.rs
+++ b/crates/gateway/src/fleet/known_endpoint.rs
@@ -1,11 +1,11 @@
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use placement::{Load, prefill_engine_count};
 use registry::EndpointLoad;
 
 use super::subset::{subset_key, subset_key_max};
 use crate::endpoint::Endpoint;
-use crate::slowness_percent;
+use crate::{EndpointNotice, slowness_percent};
 
 /// Fewest events, over all instances, from which an endpoint's event interval is updated.
 const EVENTS_MIN: u32 = 8;
@@ -28,13 +28,16 @@
     pub(super) slots: u32,
     /// Event interval in percent of the median endpoint's; 100 unless it is much longer.
     pub(super) slowness_percent: u64,
-    started_at_ms: u64,
+    pub(super) started_at_ms: u64,
 }
 
 impl KnownEndpoint {
-    pub(super) fn new(registration: &registry::Registration) -> Self {
+    pub(super) fn new(
+        registration: &registry::Registration,
+        notice: Arc<Mutex<EndpointNotice>>,
+    ) -> Self {
         Self {
-            endpoint: Endpoint::new(registration),
+            endpoint: Endpoint::new(registration, notice),
             is_cold: false,
             is_in_subset: true,
             is_silent: false,
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -1,18 +1,23 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use catalog::{Catalog, Limits};
+use http_body_util::Full;
+use hyper::Request;
 use registry::{Document, DocumentSink, ServiceLoad, Subscription};
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use telemetry::{EndedRequest, GatewayGauges, GatewayMetrics};
 use tokio::sync::watch;
 use tokio::time::{Duration, Instant, sleep_until};
 
+use crate::connection::{EndpointResponse, SendError};
+use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
 use crate::handler::RoutedRequest;
 use crate::outcome::Outcome;
 use crate::stream_origin::StreamReporter;
-use crate::{Dialect, RequestCounts, RetryBudget, RetryLimits};
+use crate::{Dialect, RequestCounts, ResponseHead, RetryBudget, RetryLimits};
 
 /// Time before the end of a drain at which requests without a response are answered.
 const LAST_RESPONSES_MS: u64 = 300;
@@ -45,6 +50,25 @@
 }
 
 impl GatewayState {
+    /// Sends a request to an endpoint, and applies what the head of the response says about further
+    /// requests.
+    pub(crate) async fn send(
+        &self,
+        endpoint: &Endpoint,
+        request: Request<Full<Bytes>>,
+        may_reuse: bool,
+    ) -> Result<(EndpointResponse, ResponseHead), SendError> {
+        let response = endpoint.pool.send(request, may_reuse).await?;
+        let parts = &response.parts;
+        let head = self
+            .dialect
+            .parse_response_head(parts.status, &parts.headers);
+        if head.is_endpoint_leaving && endpoint.record_leaving() {
+            info!(self.log, "endpoint announced its leave"; "endpoint" => &endpoint.id);
+        }
+        Ok((response, head))
+    }
+
     /// Counts a client's request in the retry budget of its service.
     pub(crate) fn record_request(&self, service: &str) {
         let now_ms = self.fleet.now_ms();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod dialect;
 mod endpoint;
 mod endpoint_health;
+mod endpoint_notice;
 mod event_intervals;
 mod event_reader;
 mod fleet;
@@ -37,9 +38,11 @@
 mod wait_queue;
 
 pub use dialect::{
-    AttemptHead, CacheCopy, CopyOutcome, Dialect, GenerationSize, RequestHead, ResponseHead,
+    AttemptHead, CacheCopy, CopyOutcome, Dialect, GenerationSize, Rejection, RequestHead,
+    ResponseHead,
 };
 pub use endpoint_health::EndpointHealth;
+pub use endpoint_notice::EndpointNotice;
 pub use event_intervals::{EventIntervals, slowness_percent};
 pub use event_reader::EventReader;
 pub use fleet::{subset_key, subset_key_max};
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -6,18 +6,16 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use slog::{Logger, debug, info};
-use telemetry::GatewayMetrics;
+use slog::{debug, info};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::clock::elapsed_ms;
-use crate::connection::ConnectionPool;
 use crate::endpoint::Endpoint;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
-use crate::{CacheCopy, CopyOutcome, Dialect, is_nearly_complete, needs_second_copy};
+use crate::{CacheCopy, CopyOutcome, is_nearly_complete, needs_second_copy};
 
 /// Time limit of one copy; leaving endpoints are gone by then.
 const COPY_TIMEOUT_MS: u64 = 2_500;
@@ -48,11 +46,9 @@
 
 /// Source endpoint of a migration, with what is needed to copy from it.
 pub(super) struct MigrationSource {
-    dialect: Arc<dyn Dialect>,
+    endpoint: Arc<Endpoint>,
     failed_target_ids: Vec<String>,
-    log: Logger,
-    metrics: Arc<GatewayMetrics>,
-    pool: Arc<ConnectionPool>,
+    gateway: Arc<GatewayState>,
     request_id: String,
 }
 
@@ -138,11 +134,9 @@
             return;
         };
         let source = MigrationSource {
-            dialect: Arc::clone(&gateway.dialect),
+            endpoint: Arc::clone(&slot.endpoint),
             failed_target_ids,
-            log: gateway.log.clone(),
-            metrics: Arc::clone(&gateway.metrics),
-            pool: Arc::clone(&slot.endpoint.pool),
+            gateway: Arc::clone(gateway),
             request_id: request.id().to_owned(),
         };
         info!(gateway.log, "migration started"; "request" => request.id(),
@@ -219,7 +213,9 @@
         };
         source.record_outcome(&target, &outcome);
         let outcome = match (outcome, first_handle) {
-            (CopyOutcome::Copied { handle }, None) if needs_second_copy(elapsed_ms(started_at)) => {
+            (CopyOutcome::Copied { handle }, None)
+                if !target.endpoint.is_leaving() && needs_second_copy(elapsed_ms(started_at)) =>
+            {
                 target.complete_copy();
                 *self = Self::Copying {
                     started_at,
@@ -277,15 +273,15 @@
 impl MigrationSource {
     fn copy_to(&self, target: &Slot) -> CopyTask {
         let target = target.endpoint.pool.address();
-        let request = self.dialect.copy_request(&self.request_id, target);
-        let pool = Arc::clone(&self.pool);
-        let dialect = Arc::clone(&self.dialect);
+        let gateway = Arc::clone(&self.gateway);
+        let request = gateway.dialect.copy_request(&self.request_id, target);
+        let endpoint = Arc::clone(&self.endpoint);
         Box::pin(async move {
             let copied = async {
-                let response = pool.send(request, false).await.ok()?;
+                let (response, _) = gateway.send(&endpoint, request, false).await.ok()?;
                 let status = response.parts.status;
                 let body = response.body.collect().await.ok()?.to_bytes();
-                Some(dialect.parse_copy_response(status, &body))
+                Some(gateway.dialect.parse_copy_response(status, &body))
             };
             let limit = Duration::from_millis(COPY_TIMEOUT_MS);
             let outcome = timeout(limit, copied).await.ok().flatten();
@@ -294,7 +290,7 @@
     }
 
     fn into_complete_copy(self, target: Slot, handle: String) -> Box<CompleteCopy> {
-        let source = self.pool.address();
+        let source = self.endpoint.pool.address();
         let copy = UsedCopy {
             cache_copy: CacheCopy { handle, source },
             source: self,
@@ -304,19 +300,20 @@
 
     /// Frees a copy at the source and the target.
     fn free_copy(&self, handle: &str) {
-        let request = self.dialect.free_copy_request(handle);
-        let (pool, log) = (Arc::clone(&self.pool), self.log.clone());
+        let request = self.gateway.dialect.free_copy_request(handle);
+        let (gateway, endpoint) = (Arc::clone(&self.gateway), Arc::clone(&self.endpoint));
         tokio::spawn(async move {
-            if let Err(error) = pool.send(request, false).await {
+            if let Err(error) = gateway.send(&endpoint, request, false).await {
                 // The engines free the copy themselves after a while.
-                debug!(log, "KV cache copy not freed"; "error" => %error);
+                debug!(gateway.log, "KV cache copy not freed"; "error" => %error);
             }
         });
     }
 
     fn record_outcome(&self, target: &Slot, outcome: &CopyOutcome) {
-        self.metrics.record_migration_step(outcome.name());
-        info!(self.log, "KV cache copy ended"; "request" => &self.request_id,
+        let gateway = &self.gateway;
+        gateway.metrics.record_migration_step(outcome.name());
+        info!(gateway.log, "KV cache copy ended"; "request" => &self.request_id,
             "to" => &target.endpoint.id, "outcome" => ?outcome);
     }
 }
