Send no requests to an endpoint before its Retry-After is over

An endpoint that rejects a request with 503 may name a time for which it wants no requests of this instance. It is no candidate until then: for first attempts, retries, resumptions and migrations alike, also if most endpoints are paused. A slot that was occupied before is given up. A request whose endpoints are all paused for longer than it may wait is refused at once, and the Retry-After of the refusal includes the pause. Queued requests are also served after a failed load exchange, so that they do not wait for a registry.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -173,7 +173,7 @@
     pub(crate) fn retry_at(&self, slot: Slot, resume_point: ResumePoint) -> PendingAttempt {
         let sender = self.clone();
         let place = async move {
-            let allowed = check_endpoint(&slot.endpoint).and_then(|()| {
+            let allowed = sender.check_endpoint(&slot.endpoint).and_then(|()| {
                 let taken = sender.take_from_budget();
                 taken.map_err(|error| AttemptError::Rejected(error.reason))
             });
@@ -231,6 +231,15 @@
         ))
     }
 
+    /// Rejects an attempt whose endpoint began to leave or to pause after capacity was occupied there.
+    fn check_endpoint(&self, endpoint: &Endpoint) -> Result<(), AttemptError> {
+        if endpoint.takes_requests(self.gateway.fleet.now_ms()) {
+            return Ok(());
+        }
+        let reason = "the endpoint takes no requests now";
+        Err(AttemptError::Rejected(reason.to_owned()))
+    }
+
     /// Sends the request, and waits for the head of its response until the deadline.
     async fn exchange(
         &self,
@@ -238,7 +247,7 @@
         resume_point: &ResumePoint,
         progress: &AttemptProgress,
     ) -> AttemptOutcome {
-        if let Err(error) = check_endpoint(&slot.endpoint) {
+        if let Err(error) = self.check_endpoint(&slot.endpoint) {
             return AttemptOutcome::Failed(error, slot);
         }
         let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
@@ -368,14 +377,6 @@
     }
 }
 
-/// Rejects an attempt whose endpoint has begun to leave since capacity was occupied there.
-fn check_endpoint(endpoint: &Endpoint) -> Result<(), AttemptError> {
-    if endpoint.is_leaving() {
-        return Err(AttemptError::Rejected("the endpoint leaves".to_owned()));
-    }
-    Ok(())
-}
-
 /// Reads a stream up to its first whole event, or to its end.
 async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, AttemptError> {
     let mut reader = EventReader::default();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -311,7 +311,9 @@
         if self.possible_runs > 0 {
             return RequestError::failed(reason);
         }
-        RequestError::not_run(reason, RETRY_WAIT_MS)
+        let placement = self.placement_request(true);
+        let pause_left_ms = self.gateway.fleet.pause_left_ms(&placement);
+        RequestError::not_run(reason, RETRY_WAIT_MS.max(pause_left_ms))
     }
 
     fn stopped_error(&self) -> RequestError {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -142,4 +142,6 @@
     pub rejection: Option<Rejection>,
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
+    /// Time for which the endpoint wants no requests, if it rejected this one.
+    pub retry_after_ms: Option<u64>,
 }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -77,6 +77,21 @@
         is_new
     }
 
+    /// Applies that the endpoint wants no requests for a time; returns whether this begins a pause.
+    pub(crate) fn record_retry_after(&self, now_ms: u64, retry_after_ms: u64) -> bool {
+        self.notice().record_retry_after(now_ms, retry_after_ms)
+    }
+
+    /// Time until the endpoint takes requests again; 0 unless it is paused.
+    pub(crate) fn pause_left_ms(&self, now_ms: u64) -> u64 {
+        self.notice().pause_left_ms(now_ms)
+    }
+
+    /// Whether requests may be sent to the endpoint.
+    pub(crate) fn takes_requests(&self, now_ms: u64) -> bool {
+        !self.is_leaving() && self.pause_left_ms(now_ms) == 0
+    }
+
     fn notice(&self) -> MutexGuard<'_, EndpointNotice> {
         self.notice.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::clock::elapsed_ms;
 use crate::endpoint::Endpoint;
 use crate::outcome::RequestError;
+use crate::retry_after_schedule::RETRY_AFTER_MS_MAX;
 use crate::{RetryAfterSchedule, Topology, WaitQueue};
 use known_endpoint::{KnownEndpoint, choose_subset, update_slowness};
 use past_incarnations::PastIncarnations;
@@ -303,8 +304,12 @@
     ) -> Result<Slot, RequestError> {
         let (number, slot_receiver) = {
             let mut state = self.lock();
-            if state.count_ahead(placement) * state.serve_interval_ms > placement.wait_ms_max {
-                return Err(self.no_capacity_error(&mut state, "no room is expected in time"));
+            let pause_left_ms =
+                state.pause_left_ms(self.now_ms(), placement, &placement.excluded_ids);
+            let queue_ms = state.count_ahead(placement) * state.serve_interval_ms;
+            if queue_ms.max(pause_left_ms) > placement.wait_ms_max {
+                let reason = "no room is expected in time";
+                return Err(self.no_capacity_error(&mut state, placement, reason));
             }
             let (slot_sender, slot_receiver) = oneshot::channel();
             let queued = QueuedRequest {
@@ -322,7 +327,7 @@
         };
         match timeout(Duration::from_millis(placement.wait_ms_max), slot_receiver).await {
             Ok(Ok(slot)) => Ok(slot),
-            _ => Err(self.no_capacity_error(&mut self.lock(), "no room came in time")),
+            _ => Err(self.no_capacity_error(&mut self.lock(), placement, "no room came in time")),
         }
     }
 
@@ -433,12 +438,25 @@
         }
     }
 
-    fn no_capacity_error(&self, state: &mut FleetState, reason: &str) -> RequestError {
+    /// Time until an endpoint takes requests like this one again, but at most the longest time after
+    /// which a client may retry; 0 unless all of its endpoints are paused.
+    pub(crate) fn pause_left_ms(&self, placement: &PlacementRequest) -> u64 {
+        let pause_left_ms = self.lock().pause_left_ms(self.now_ms(), placement, &[]);
+        pause_left_ms.min(RETRY_AFTER_MS_MAX)
+    }
+
+    fn no_capacity_error(
+        &self,
+        state: &mut FleetState,
+        placement: &PlacementRequest,
+        reason: &str,
+    ) -> RequestError {
         let now_ms = self.now_ms();
-        let retry_after_ms = state
-            .retry_after_schedule
-            .next_ms(now_ms, state.serve_interval_ms);
-        RequestError::not_run(reason, retry_after_ms)
+        // The client's next request excludes no endpoints.
+        let pause_left_ms = state.pause_left_ms(now_ms, placement, &[]);
+        let schedule = &mut state.retry_after_schedule;
+        let retry_after_ms = pause_left_ms + schedule.next_ms(now_ms, state.serve_interval_ms);
+        RequestError::not_run(reason, retry_after_ms.min(RETRY_AFTER_MS_MAX))
     }
 
     fn lock(&self) -> MutexGuard<'_, FleetState> {
--- a/crates/gateway/src/fleet/candidates.rs
+++ b/crates/gateway/src/fleet/candidates.rs
@@ -35,14 +35,11 @@
         let engine = state.engine(&placement.service);
         let copy_tokens_per_s = engine.map_or(0, EngineSpec::copy_tokens_per_s);
         let is_usable = |known: &&KnownEndpoint| {
-            known.endpoint.service == placement.service
-                && placement.allows_version(&known.endpoint.software_version)
-                && !known.endpoint.is_leaving()
-                && (known.is_in_subset || placement.may_leave_subset())
+            known.endpoint.pause_left_ms(now_ms) == 0
                 && !placement.excluded_ids.contains(&known.endpoint.id)
                 && self.is_copy_possible(placement, &known.endpoint)
         };
-        let usable: Vec<&KnownEndpoint> = state.endpoints.iter().filter(is_usable).collect();
+        let usable: Vec<&KnownEndpoint> = state.suitable(placement).filter(is_usable).collect();
         let is_healthy = |known: &&&KnownEndpoint| {
             !known.is_silent && !known.endpoint.stats().health.is_ejected(now_ms)
         };
@@ -92,3 +89,33 @@
         }
     }
 }
+
+impl FleetState {
+    /// Endpoints that may serve a request unless it excludes them or they are paused.
+    fn suitable<'a>(
+        &'a self,
+        placement: &'a PlacementRequest,
+    ) -> impl Iterator<Item = &'a KnownEndpoint> {
+        self.endpoints.iter().filter(|known| {
+            known.endpoint.service == placement.service
+                && placement.allows_version(&known.endpoint.software_version)
+                && !known.endpoint.is_leaving()
+                && (known.is_in_subset || placement.may_leave_subset())
+        })
+    }
+
+    /// Time until the first endpoint for a request, other than the excluded ones, takes requests
+    /// again; 0 unless all of them are paused.
+    pub(super) fn pause_left_ms(
+        &self,
+        now_ms: u64,
+        placement: &PlacementRequest,
+        excluded_ids: &[String],
+    ) -> u64 {
+        self.suitable(placement)
+            .filter(|known| !excluded_ids.contains(&known.endpoint.id))
+            .map(|known| known.endpoint.pause_left_ms(now_ms))
+            .min()
+            .unwrap_or(0)
+    }
+}
--- a/crates/gateway/src/fleet/pending_reservation.rs
+++ b/crates/gateway/src/fleet/pending_reservation.rs
@@ -33,10 +33,10 @@
             .collect()
     }
 
-    /// Occupies the reserved option; `None` if its endpoint has since begun to leave.
+    /// Occupies the reserved option; `None` if its endpoint has since begun to leave or to pause.
     pub(crate) fn occupy(self, option: usize) -> Option<Slot> {
         let (endpoint, _) = self.options.get(option)?;
-        if endpoint.is_leaving() {
+        if !endpoint.takes_requests(self.fleet.now_ms()) {
             return None;
         }
         let mut state = self.fleet.lock();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -163,6 +163,8 @@
             }
             Err(error) => {
                 gateway.fleet.resend_subset();
+                // Pauses of endpoints end without an exchange too.
+                gateway.fleet.serve_queue();
                 debug!(gateway.log, "load exchange failed"; "error" => %error);
                 if last_answer_at.elapsed() >= Duration::from_millis(EXCHANGE_AGE_MS_MAX) {
                     gateway
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -66,6 +66,12 @@
         if head.is_endpoint_leaving && endpoint.record_leaving() {
             info!(self.log, "endpoint announced its leave"; "endpoint" => &endpoint.id);
         }
+        if let Some(retry_after_ms) = head.retry_after_ms
+            && endpoint.record_retry_after(self.fleet.now_ms(), retry_after_ms)
+        {
+            info!(self.log, "endpoint paused"; "endpoint" => &endpoint.id,
+                "retry_after_ms" => retry_after_ms);
+        }
         Ok((response, head))
     }
 
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -214,7 +214,10 @@
         source.record_outcome(&target, &outcome);
         let outcome = match (outcome, first_handle) {
             (CopyOutcome::Copied { handle }, None)
-                if !target.endpoint.is_leaving() && needs_second_copy(elapsed_ms(started_at)) =>
+                if target
+                    .endpoint
+                    .takes_requests(source.gateway.fleet.now_ms())
+                    && needs_second_copy(elapsed_ms(started_at)) =>
             {
                 target.complete_copy();
                 *self = Self::Copying {
--- a/crates/gateway/src/retry_after_schedule.rs
+++ b/crates/gateway/src/retry_after_schedule.rs
@@ -2,7 +2,7 @@
 const RETRY_AFTER_MS_MIN: u64 = 150;
 
 /// Longest time after which a client may retry; clients wait at most a third of their time left.
-const RETRY_AFTER_MS_MAX: u64 = 6_000;
+pub(crate) const RETRY_AFTER_MS_MAX: u64 = 6_000;
 
 /// Assigns refused clients the times at which they may retry.
 ///
