Take the trailers of a stream for what they are

Callers would see: a complete stream whose body ends with trailers is cut.

Cause: every frame that holds no data counted as a broken body.

Evidence: a_stream_with_trailers_is_complete failed before (the stream was not complete) and passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,6 +100,8 @@
     /// This instance stops.
     StopsSoon,
     TimedOut,
+    /// Trailers of the body, which are not forwarded.
+    Trailers,
 }
 
 /// Reason why a stream ended.
@@ -173,7 +175,10 @@
             end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
             () = sleep_until(held_until), if is_held => RelayEvent::SourceReleased,
             frame = self.stream.body.frame(), if !self.is_broken_off && !is_held => match frame {
-                Some(Ok(frame)) => RelayEvent::BodyFrame(frame.into_data().ok()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => RelayEvent::BodyFrame(Some(bytes)),
+                    Err(_) => RelayEvent::Trailers,
+                },
                 Some(Err(_)) => RelayEvent::BodyFrame(None),
                 None => RelayEvent::BodyEnded,
             },
@@ -194,7 +199,7 @@
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
             RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
             RelayEvent::Migration(step) => self.continue_migration(step).await,
-            RelayEvent::SourceReleased => None,
+            RelayEvent::SourceReleased | RelayEvent::Trailers => None,
             RelayEvent::Stalled => self.resume("no event came in time"),
             RelayEvent::StopsSoon => Some(StreamEnd::Broken("this instance stops".to_owned())),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
