Limit the bytes of interim responses before a head

Callers saw: an endpoint that sent interim responses (1xx) without end was still read a second later, although another endpoint had answered the request meanwhile, and so was one that answered the deletion of a KV cache copy like this; by the code, no deadline ends that.

Cause: hyper limits a single head to 408 KiB, but skips any number of interim responses.

Failing output before:

endless_interim_responses_are_cut_off assertion `left == right` failed: the connection is not closed left: 0, right: 1 an_endless_response_to_the_deletion_of_a_copy_is_cut_off assertion `left == right` failed: the connection is not closed left: 0, right: 2

Change: a connection fails once it has read 64 KiB without a complete head, interim responses included. Its read buffer is limited to 64 KiB too: 300 connections may then buffer 19 MiB of heads instead of 120 MiB, of the 88 MB that the smallest instance has.

Result: both tests pass. The other tests of this commit passed before: endless header line, header lines, bytes that are no HTTP, chunk extension, trailers, and bytes after a complete body. So did long bodies on kept connections and a final event without an id, which guard against limits that are too tight.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,8 +1,11 @@
 //! HTTP connections to one endpoint, kept open for further requests.
 
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +16,7 @@
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -37,6 +41,12 @@
 /// are for requests.
 const IDLE_CONNECTIONS_PERCENT: usize = 40;
 
+/// Longest head of a response, together with the interim responses before it.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
+
+/// Size of a connection's read buffer.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
+
 /// Connections to one endpoint; idle ones are reused.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
@@ -55,10 +65,24 @@
 /// Open connection; closed when dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    head_limit: HeadLimit,
     sender: SendRequest<Full<Bytes>>,
     task: AbortOnDrop,
 }
 
+/// Bytes that may still be read before the head of a response is complete.
+///
+/// hyper limits a single head, but skips any number of interim responses.
+#[derive(Debug, Clone)]
+struct HeadLimit(Arc<AtomicUsize>);
+
+/// Stream that fails once it has read more than a head may have.
+#[derive(Debug)]
+struct HeadLimitedStream {
+    head_limit: HeadLimit,
+    stream: TcpStream,
+}
+
 /// Task that is aborted when this is dropped.
 #[derive(Debug)]
 struct AbortOnDrop(JoinHandle<()>);
@@ -88,6 +112,82 @@
     }
 }
 
+impl HeadLimit {
+    fn new() -> Self {
+        Self(Arc::new(AtomicUsize::new(HEAD_BYTES_MAX)))
+    }
+
+    /// Starts to count the bytes of a head.
+    fn start_head(&self) {
+        self.0.store(HEAD_BYTES_MAX, Ordering::Relaxed);
+    }
+
+    /// Ends the limit until the next head; bodies are limited where they are read.
+    fn end_head(&self) {
+        self.0.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    fn is_reached(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+
+    fn record_read(&self, bytes: usize) {
+        let subtract = |left: usize| Some(left.saturating_sub(bytes));
+        // The closure never returns `None`.
+        let _ = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+    }
+}
+
+impl AsyncRead for HeadLimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.head_limit.is_reached() {
+            let reason = "the head of the response is too long";
+            return Poll::Ready(Err(io::Error::other(reason)));
+        }
+        let filled_bytes = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.head_limit
+            .record_read(buffer.filled().len() - filled_bytes);
+        read
+    }
+}
+
+impl AsyncWrite for HeadLimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
 impl ConnectionPool {
     pub(crate) fn new(address: SocketAddr) -> Arc<Self> {
         Arc::new(Self {
@@ -180,12 +280,20 @@
         stream
             .set_nodelay(true)
             .map_err(|source| SendError::NotSent(source.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let head_limit = HeadLimit::new();
+        let stream = HeadLimitedStream {
+            head_limit: head_limit.clone(),
+            stream,
+        };
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         // Errors are also returned to the request that waits on the connection.
         let task = tokio::spawn(async move { drop(connection.await) });
         Ok(Connection {
+            head_limit,
             sender,
             task: AbortOnDrop(task),
         })
@@ -202,8 +310,10 @@
         mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<EndpointResponse, (SendError, Option<Request<Full<Bytes>>>)> {
+        self.head_limit.start_head();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.head_limit.end_head();
                 let (parts, body) = response.into_parts();
                 Ok(EndpointResponse {
                     body,
