Limit collected answers to 2 MiB

Callers saw: an endless body was accepted up to 16 MiB, also if its length said at once that it was too long. One in tiny chunks kept a request that may not be repeated until its deadline (504 instead of 502).

Cause: RESPONSE_BYTES_MAX was 16 MiB, and each chunk was kept as a view of the read buffer that it came in, with 32 bytes for the view: a byte in a chunk of its own occupied over 30 times its size.

Failing output before:

an_endless_body_in_chunks_is_cut_off accepted bytes of 1 responses an_endless_body_without_a_length_is_cut_off accepted bytes of 1 responses a_body_of_excessive_length_is_cut_off accepted bytes of 1 responses an_endless_body_in_tiny_chunks_is_cut_off answered 504 after 2.006502602s

Change: at most 2 MiB are collected, in one buffer; a longer length is rejected before the body is read, and each chunk counts at least 32 bytes. The smallest instance has 88 MB. An endpoint with 24 slots that answers all of them without end occupies 24 x 2 MiB = 48 MiB; with 16 MiB it was 384 MiB, more than the largest instance has.

Result: the four tests pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::elapsed_ms;
-use crate::connection::{Connection, EndpointResponse, SendError};
+use crate::connection::{Connection, EndpointResponse, SendError, collect_body};
 use crate::endpoint::Endpoint;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
@@ -32,7 +32,7 @@
 pub(crate) const RETRY_WAIT_MS: u64 = 200;
 
 /// Longest response body that is collected before it is forwarded; streams are not collected.
-const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
+const RESPONSE_BYTES_MAX: usize = 2 * 1024 * 1024;
 
 /// Position from which a stream resumes; the default is its start.
 #[derive(Debug, Default)]
@@ -328,10 +328,8 @@
         let body = if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
             read_first_event(body).await?
         } else {
-            let collected = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
-            let collected = collected
-                .map_err(|error| AttemptError::Failed(format!("the answer broke off: {error}")))?;
-            AcceptedBody::Whole(collected.to_bytes())
+            let collected = collect_body(body, RESPONSE_BYTES_MAX).await;
+            AcceptedBody::Whole(collected.map_err(|error| AttemptError::Failed(error.to_string()))?)
         };
         Ok(AcceptedResponse {
             body,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,10 +8,10 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
@@ -47,6 +47,10 @@
 /// Size of a connection's read buffer.
 const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
 
+/// Bytes that a chunk of a collected body counts at least, so that the work for a body in tiny chunks
+/// is bounded too.
+const CHUNK_BYTES_MIN: usize = 32;
+
 /// Connections to one endpoint; idle ones are reused.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
@@ -106,6 +110,15 @@
     NotSent(String),
 }
 
+/// Reason why a body was not collected.
+#[derive(Debug, Error)]
+pub(crate) enum BodyError {
+    #[error("the answer broke off: {0}")]
+    BrokenOff(#[from] hyper::Error),
+    #[error("the answer is longer than {0} bytes")]
+    TooLong(usize),
+}
+
 impl Drop for AbortOnDrop {
     fn drop(&mut self) {
         self.0.abort();
@@ -335,3 +348,25 @@
         self.sender.is_closed() || self.task.0.is_finished()
     }
 }
+
+/// Collects a body of at most `bytes_max`. Copies the chunks: each one would keep the whole read
+/// buffer that it was received in.
+pub(crate) async fn collect_body(mut body: Incoming, bytes_max: usize) -> Result<Bytes, BodyError> {
+    let known_bytes = body.size_hint().lower();
+    if usize::try_from(known_bytes).map_or(true, |known_bytes| known_bytes > bytes_max) {
+        return Err(BodyError::TooLong(bytes_max));
+    }
+    let mut collected = BytesMut::new();
+    let mut counted_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame?.into_data() else {
+            continue;
+        };
+        counted_bytes += bytes.len().max(CHUNK_BYTES_MIN);
+        if counted_bytes > bytes_max {
+            return Err(BodyError::TooLong(bytes_max));
+        }
+        collected.extend_from_slice(&bytes);
+    }
+    Ok(collected.freeze())
+}
