Limit the response to a copy request to 16 KiB

Callers saw: an endpoint that answered kv-move without end was still read a second later; by the code, for 2.5 s, and again with each retry, and all of it was kept in memory.

Cause: MigrationSource::copy_to collected the body without a limit.

Failing output before:

an_endless_response_to_a_copy_request_is_cut_off assertion `left == right` failed: the connection is not closed left: 0, right: 1

Change: the body, a handle and a count, may have 16 KiB.

--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use slog::{debug, info};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::clock::elapsed_ms;
+use crate::connection::collect_body;
 use crate::endpoint::Endpoint;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
@@ -20,6 +20,9 @@
 /// Time limit of one copy; leaving endpoints are gone by then.
 const COPY_TIMEOUT_MS: u64 = 2_500;
 
+/// Longest response to a copy request: a handle and a count.
+const COPY_RESPONSE_BYTES_MAX: usize = 16 * 1024;
+
 const RETRY_PAUSE_MS: u64 = 120;
 
 type CopyTask = Pin<Box<dyn Future<Output = CopyOutcome> + Send>>;
@@ -283,7 +286,8 @@
             let copied = async {
                 let (response, _) = gateway.send(&endpoint, request, false).await.ok()?;
                 let status = response.parts.status;
-                let body = response.body.collect().await.ok()?.to_bytes();
+                let collected = collect_body(response.body, COPY_RESPONSE_BYTES_MAX).await;
+                let body = collected.ok()?;
                 Some(gateway.dialect.parse_copy_response(status, &body))
             };
             let limit = Duration::from_millis(COPY_TIMEOUT_MS);
