Leave a stream whose bytes contain no event

Callers saw: blank lines, comments, events without ids and repeated events were forwarded without end until the deadline, and counted as progress, so that a stalled stream was not resumed elsewhere. A repeated event also moved the position from which a stream is resumed back. A line or an event without end in small chunks held a request until its deadline. By the code, 1 MiB was buffered (2 MiB before the first event), and a resumable stream with more was cut instead of resumed.

Cause: EventReader took any blank line for the end of an event, and searched the whole partial event again with each chunk.

Change: what follows the last event with an increased id is kept back until another such event or the end of the stream. If more than 64 KiB are kept back, the endpoint's connection is closed, and the stream is resumed elsewhere or cut. The events before a part that is too long are now forwarded first; by the code, they counted as forwarded but were dropped. 300 streams may buffer 300 x 128 KiB = 38 MiB before their first events.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -387,7 +387,7 @@
             continue;
         };
         received.extend_from_slice(&bytes);
-        if !reader.push(bytes).is_empty() {
+        if !reader.push_until_event(bytes).is_empty() {
             return Ok(AcceptedBody::Stream(received.freeze(), body));
         }
         if reader.is_partial_too_long() {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -47,9 +47,9 @@
 /// Size of a connection's read buffer.
 const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
 
-/// Bytes that a chunk of a collected body counts at least, so that the work for a body in tiny chunks
-/// is bounded too.
-const CHUNK_BYTES_MIN: usize = 32;
+/// Bytes that a chunk of a body counts at least, so that the work for a body in tiny chunks is bounded
+/// too.
+pub(crate) const CHUNK_BYTES_MIN: usize = 32;
 
 /// Connections to one endpoint; idle ones are reused.
 #[derive(Debug)]
@@ -344,6 +344,11 @@
         }
     }
 
+    /// Closes the connection, also while a response is read.
+    pub(crate) fn close(&self) {
+        self.task.0.abort();
+    }
+
     fn is_closed(&self) -> bool {
         self.sender.is_closed() || self.task.0.is_finished()
     }
--- a/crates/gateway/src/event_reader.rs
+++ b/crates/gateway/src/event_reader.rs
@@ -1,15 +1,28 @@
 use bytes::{Bytes, BytesMut};
 
-/// Longest incomplete event that is buffered; endpoints send events of a few hundred bytes.
-const EVENT_BYTES_MAX: usize = 1024 * 1024;
+use crate::connection::CHUNK_BYTES_MIN;
+
+/// Longest part of a stream that is buffered until an event; endpoints send events of a few hundred
+/// bytes.
+const EVENT_BYTES_MAX: usize = 64 * 1024;
+
+/// Bytes before the end of an incomplete event that may belong to its last line end.
+const LINE_END_BYTES_MAX: usize = 3;
 
 /// Splits the bytes of a server-sent event stream into whole events.
 ///
 /// Only whole events are forwarded. A stream that breaks off within an event can therefore resume
 /// from another endpoint without any bytes of the partial event.
+///
+/// [`push_until_event`](Self::push_until_event) also keeps back what is no event of an answer, whose
+/// ids are numeric and increase: blank lines, comments and events without such an id.
 #[derive(Debug, Default)]
 pub struct EventReader {
+    /// Chunks since one that completed an event with an increased id, if bytes are buffered.
+    buffered_chunks: usize,
     event_count: u64,
+    /// Whole events after the last one with an increased id.
+    held: BytesMut,
     last_event_id: Option<u64>,
     partial: BytesMut,
     /// Whether events up to the last one may come again.
@@ -22,17 +35,45 @@
         let whole = if self.partial.is_empty() && bytes.ends_with(b"\n\n") {
             bytes
         } else {
+            // The partial event has no end, so only the new bytes may complete one.
+            let start = self.partial.len().saturating_sub(LINE_END_BYTES_MAX);
             self.partial.extend_from_slice(&bytes);
-            let Some(end) = last_event_end(&self.partial) else {
+            let Some(end) = last_event_end(&self.partial[start..]) else {
                 return Bytes::new();
             };
-            self.partial.split_to(end).freeze()
+            self.partial.split_to(start + end).freeze()
         };
         let new = self.skip_forwarded(whole);
         self.record_events(&new);
         new
     }
 
+    /// Like [`push`](Self::push), but keeps back whole events until one with an increased id
+    /// follows.
+    pub fn push_until_event(&mut self, bytes: Bytes) -> Bytes {
+        let previous_id = self.last_event_id;
+        let mut whole = self.push(bytes);
+        let end = increased_event_end(&whole, previous_id);
+        let later = whole.split_off(end);
+        if !self.held.is_empty() && !whole.is_empty() {
+            self.held.extend_from_slice(&whole);
+            whole = self.held.split().freeze();
+        }
+        self.held.extend_from_slice(&later);
+        let is_buffered = !self.partial.is_empty() || !self.held.is_empty();
+        self.buffered_chunks = if is_buffered && whole.is_empty() {
+            self.buffered_chunks + 1
+        } else {
+            0
+        };
+        whole
+    }
+
+    /// Takes the whole events that were kept back; called at the end of the stream.
+    pub fn take_held(&mut self) -> Bytes {
+        self.held.split().freeze()
+    }
+
     /// Skips events up to the last one; called when another endpoint continues the stream, which
     /// may start before it.
     pub fn skip_forwarded_events(&mut self) {
@@ -45,14 +86,17 @@
         !self.partial.is_empty()
     }
 
-    /// Whether the incomplete event is longer than the limit.
+    /// Whether the buffered bytes are more than the limit.
     #[must_use]
     pub fn is_partial_too_long(&self) -> bool {
-        self.partial.len() > EVENT_BYTES_MAX
+        let bytes = self.partial.len() + self.held.len();
+        bytes.max(self.buffered_chunks * CHUNK_BYTES_MIN) > EVENT_BYTES_MAX
     }
 
-    /// Drops the incomplete event; called before bytes of another endpoint are added.
+    /// Drops all buffered bytes; called before bytes of another endpoint are added.
     pub fn discard_partial(&mut self) {
+        self.buffered_chunks = 0;
+        self.held.clear();
         self.partial.clear();
     }
 
@@ -62,7 +106,7 @@
         self.event_count
     }
 
-    /// Id of the last whole event that has a numeric id.
+    /// Greatest numeric id of the whole events.
     #[must_use]
     pub fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
@@ -86,7 +130,7 @@
 
     fn record_events(&mut self, whole: &[u8]) {
         self.event_count += id_values(whole).count() as u64;
-        self.last_event_id = event_ids(whole).last().or(self.last_event_id);
+        self.last_event_id = event_ids(whole).max().max(self.last_event_id);
     }
 }
 
@@ -101,6 +145,24 @@
     id_values(events).filter_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
 }
 
+/// Position after the last event whose numeric id is greater than the previous one; 0 if there is
+/// none.
+fn increased_event_end(events: &[u8], mut previous_id: Option<u64>) -> usize {
+    let mut line_start = 0;
+    let mut last_id_at = None;
+    for line in events.split_inclusive(|&byte| byte == b'\n') {
+        let id = event_ids(line).next();
+        if id.is_some_and(|id| previous_id.is_none_or(|previous_id| id > previous_id)) {
+            previous_id = id;
+            last_id_at = Some(line_start);
+        }
+        line_start += line.len();
+    }
+    last_id_at.map_or(0, |at| {
+        at + first_event_end(&events[at..]).unwrap_or(events.len() - at)
+    })
+}
+
 /// Position after the first blank line.
 fn first_event_end(bytes: &[u8]) -> Option<usize> {
     let lf = bytes.windows(2).position(|pair| pair == b"\n\n");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -191,11 +191,11 @@
     async fn react(&mut self, event: RelayEvent) -> Option<StreamEnd> {
         match event {
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
-                self.recover("within an event")
+                self.recover("the endpoint broke off within an event")
             }
-            RelayEvent::BodyEnded => Some(StreamEnd::Complete),
+            RelayEvent::BodyEnded => Some(self.complete().await),
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
-            RelayEvent::BodyFrame(None) => self.recover("without its end"),
+            RelayEvent::BodyFrame(None) => self.recover("the endpoint broke off without its end"),
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
             RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
             RelayEvent::Migration(step) => self.continue_migration(step).await,
@@ -208,12 +208,9 @@
 
     async fn forward(&mut self, bytes: Bytes) -> Option<StreamEnd> {
         let previous_count = self.reader.event_count();
-        let whole_events = self.reader.push(bytes);
-        if self.reader.is_partial_too_long() {
-            return Some(StreamEnd::Broken("an event is too long".to_owned()));
-        }
+        let whole_events = self.reader.push_until_event(bytes);
         if whole_events.is_empty() {
-            return None;
+            return self.check_event_length();
         }
         self.cancel_resumption("the endpoint sent the next event");
         let gap = self.last_event_at.elapsed();
@@ -243,7 +240,24 @@
         if self.body_sender.send(Ok(whole_events)).await.is_err() {
             return Some(StreamEnd::ClientLeft);
         }
-        None
+        self.check_event_length()
+    }
+
+    /// Leaves an endpoint that sends bytes without completing an event.
+    fn check_event_length(&mut self) -> Option<StreamEnd> {
+        if !self.reader.is_partial_too_long() {
+            return None;
+        }
+        self.recover("an event is too long")
+    }
+
+    /// Forwards what follows the last event.
+    async fn complete(&mut self) -> StreamEnd {
+        let rest = self.reader.take_held();
+        if !rest.is_empty() && self.body_sender.send(Ok(rest)).await.is_err() {
+            return StreamEnd::ClientLeft;
+        }
+        StreamEnd::Complete
     }
 
     fn update_prediction(&mut self) {
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -41,14 +41,15 @@
             && self.attempts.possible_runs < self.attempts.request.route.attempts_max
     }
 
-    /// Continues elsewhere after the endpoint interrupted the stream; `how` ends the logged reason.
-    pub(super) fn recover(&mut self, how: &str) -> Option<StreamEnd> {
+    /// Closes the connection to the endpoint and continues elsewhere, after the endpoint interrupted
+    /// the stream.
+    pub(super) fn recover(&mut self, reason: &str) -> Option<StreamEnd> {
         self.reader.discard_partial();
         self.is_broken_off = true;
-        let reason = format!("the endpoint broke off {how}");
+        self.stream.connection.close();
         if let Some(copy) = self.migration.take_first_copy() {
-            self.cancel_resumption(&reason);
-            self.continue_from_copy(*copy, reason);
+            self.cancel_resumption(reason);
+            self.continue_from_copy(*copy, reason.to_owned());
             return None;
         }
         let pending = self.continuation.as_ref();
@@ -61,7 +62,7 @@
         if pending.is_some() {
             return None;
         }
-        self.resume(&reason)
+        self.resume(reason)
     }
 
     /// Requests the stream from another endpoint, starting after its last event.
--- a/crates/gateway/tests/streams_pass_whole_events_only.rs
+++ b/crates/gateway/tests/streams_pass_whole_events_only.rs
@@ -87,3 +87,42 @@
     let forwarded = reader.push(Bytes::from_static(b"data: note\n\n"));
     assert_eq!(forwarded, "data: note\n\n");
 }
+
+/// Guards against bytes that are no event of an answer and are forwarded although no event follows,
+/// or lost although one does.
+#[test]
+fn what_is_no_event_is_kept_back_until_an_event_follows() {
+    const KEPT_BACK: [&str; 5] = [
+        ":\n\n",
+        "\n",
+        "data: x\n\n",
+        "id: x\ndata: x\n\n",
+        "id: 0\ndata: repeated\r\n\r\n",
+    ];
+    fn holds(pieces: Vec<u8>, chunk_length: u8) -> bool {
+        let (mut whole, mut next_id, mut events_end) = (Vec::new(), 0_u64, 0);
+        for piece in pieces {
+            match KEPT_BACK.get(usize::from(piece) % (KEPT_BACK.len() + 2)) {
+                Some(kept_back) if next_id > 0 => whole.extend_from_slice(kept_back.as_bytes()),
+                _ => {
+                    whole.extend_from_slice(format!("id: {next_id}\ndata: y\n\n").as_bytes());
+                    next_id += 1;
+                    events_end = whole.len();
+                }
+            }
+        }
+        let mut reader = EventReader::default();
+        let mut forwarded = Vec::new();
+        for chunk in whole.chunks(usize::from(chunk_length).max(1)) {
+            forwarded.extend_from_slice(&reader.push_until_event(Bytes::copy_from_slice(chunk)));
+        }
+        let is_kept_back = forwarded == whole[..events_end];
+        forwarded.extend_from_slice(&reader.take_held());
+        is_kept_back
+            && whole.starts_with(&forwarded)
+            && reader.last_event_id() == next_id.checked_sub(1)
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u8>, u8) -> bool);
+}
