End an unanswered deletion of a KV cache copy

Callers saw: nothing at first; an endpoint that never answered the deletion of a copy kept one of its connections and a task of the instance each time.

Cause: the request had no time limit.

Failing output before:

an_unanswered_deletion_of_a_copy_ends the connection is not closed

--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -23,6 +23,9 @@
 /// Longest response to a copy request: a handle and a count.
 const COPY_RESPONSE_BYTES_MAX: usize = 16 * 1024;
 
+/// Time limit of the request that frees a copy.
+const FREE_TIMEOUT_MS: u64 = 2_500;
+
 const RETRY_PAUSE_MS: u64 = 120;
 
 type CopyTask = Pin<Box<dyn Future<Output = CopyOutcome> + Send>>;
@@ -310,10 +313,14 @@
         let request = self.gateway.dialect.free_copy_request(handle);
         let (gateway, endpoint) = (Arc::clone(&self.gateway), Arc::clone(&self.endpoint));
         tokio::spawn(async move {
-            if let Err(error) = gateway.send(&endpoint, request, false).await {
-                // The engines free the copy themselves after a while.
-                debug!(gateway.log, "KV cache copy not freed"; "error" => %error);
-            }
+            let limit = Duration::from_millis(FREE_TIMEOUT_MS);
+            let error = match timeout(limit, gateway.send(&endpoint, request, false)).await {
+                Ok(Ok(_)) => return,
+                Ok(Err(error)) => error.to_string(),
+                Err(elapsed) => elapsed.to_string(),
+            };
+            // The engines free the copy themselves after a while.
+            debug!(gateway.log, "KV cache copy not freed"; "error" => error);
         });
     }
 
