--- a/crates/entry/tests/call/main.rs
+++ b/crates/entry/tests/call/main.rs
@@ -1,5 +1,6 @@
 //! Checks the state machine of generation calls, also under random orders of events.
 
+mod kept;
 mod simulation;
 
 use std::ops::Range;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,10 +5,12 @@
     reason = "no test file uses every fake of this module"
 )]
 
+mod engine_scripts;
 mod fake_backend;
 mod fake_endpoint;
 mod test_client;
 
+pub use engine_scripts::{respond_to_cancel, resume_index, stream_five_tokens, stream_tokens_from};
 pub use fake_backend::EntryBuilder;
 pub use fake_endpoint::{FakeEndpoint, ReceivedRequest, ServerConnection, generation_id};
 pub use test_client::{Response, TestClient};
