Forward a stream that ends before an event with an id

Callers would see: a complete answer without its only events, which had no ids.

Cause: the bytes that were read in search of the first event were dropped if the stream ended before one. They are handed on now.

Evidence: a_stream_of_events_without_ids_is_whole failed before and passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -398,7 +398,7 @@
         let reason = "the stream broke off within its first event";
         return Err(AttemptError::Failed(reason.to_owned()));
     }
-    Ok(AcceptedBody::Stream(Bytes::new(), body))
+    Ok(AcceptedBody::Stream(received.freeze(), body))
 }
 
 impl RoutedRequest {
