Allow an ordinary event in many small chunks

Callers would see: 502 for an event of 2,514 bytes that comes byte by byte. It came with the limit on streams without events.

Cause: chunks counted as 32 bytes each towards the limit of 64 KiB. They have a limit of their own, 16,384.

Evidence: an_event_in_many_chunks_is_whole failed before and passes, and so do the tests of endless_responses.rs.

--- a/crates/gateway/src/event_reader.rs
+++ b/crates/gateway/src/event_reader.rs
@@ -1,6 +1,7 @@
 use bytes::{Bytes, BytesMut};
 
-use crate::connection::CHUNK_BYTES_MIN;
+/// Most chunks that are buffered until an event.
+const BUFFERED_CHUNKS_MAX: usize = 16 * 1024;
 
 /// Longest part of a stream that is buffered until an event; endpoints send events of a few hundred
 /// bytes.
@@ -90,7 +91,7 @@
     #[must_use]
     pub fn is_partial_too_long(&self) -> bool {
         let bytes = self.partial.len() + self.held.len();
-        bytes.max(self.buffered_chunks * CHUNK_BYTES_MIN) > EVENT_BYTES_MAX
+        bytes > EVENT_BYTES_MAX || self.buffered_chunks > BUFFERED_CHUNKS_MAX
     }
 
     /// Drops all buffered bytes; called before bytes of another endpoint are added.
