Queue requests that are bound to a software version apart

Callers saw in tests: new streams were refused at once, or after 0.2 s, while endpoints of another version were free, because one resumption waited for its own version.

Cause: the queue orders requests by service, and a request that does not fit holds up those behind it. Requests that are bound to a version have a queue key of their own now. An endpoint that leaves does not count as one that can resume, so a hopeless resumption is refused at once.

Evidence: a_waiting_resumption_does_not_hold_up_other_versions failed before and passes.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -104,6 +104,15 @@
         required.is_none_or(|required| required == software_version)
     }
 
+    /// Requests of one key wait for each other; those bound to a version wait for that version only.
+    fn queue_key(&self) -> String {
+        let version = self.software_version.as_deref();
+        version.map_or_else(
+            || self.service.clone(),
+            |version| format!("{} {version}", self.service),
+        )
+    }
+
     /// Whether it has too few candidates to be limited to the subscribed subset.
     fn may_leave_subset(&self) -> bool {
         self.software_version.is_some() || self.source_data_centre.is_some()
@@ -191,7 +200,11 @@
 
     /// Whether an endpoint of the origin's service has its software version.
     pub(crate) fn has_origin(&self, origin: &StreamOrigin) -> bool {
-        self.lock().software_versions.is_present(origin)
+        self.lock().endpoints.iter().any(|known| {
+            known.endpoint.service == origin.service
+                && known.endpoint.software_version == origin.software_version
+                && !known.endpoint.is_leaving()
+        })
     }
 
     /// Subscription of the next load exchange. The ids of the subset are sent once after a change.
@@ -318,7 +331,7 @@
             };
             let number = state
                 .queue
-                .push(placement.priority, &placement.service, queued);
+                .push(placement.priority, &placement.queue_key(), queued);
             (number, slot_receiver)
         };
         let _guard = QueueGuard {
@@ -493,7 +506,7 @@
     /// Queued requests that are served before a new one.
     fn count_ahead(&self, placement: &PlacementRequest) -> u64 {
         self.queue
-            .count_ahead(placement.priority, &placement.service) as u64
+            .count_ahead(placement.priority, &placement.queue_key()) as u64
     }
 
     fn engine(&self, service: &str) -> Option<&EngineSpec> {
--- a/crates/gateway/src/fleet/software_versions.rs
+++ b/crates/gateway/src/fleet/software_versions.rs
@@ -59,12 +59,6 @@
         let only = recent.next()?;
         recent.next().is_none().then(|| only.origin.clone())
     }
-
-    /// Whether an endpoint has the service and version.
-    pub(super) fn is_present(&self, origin: &StreamOrigin) -> bool {
-        let found = self.seen.binary_search_by(|seen| seen.origin.cmp(origin));
-        found.is_ok_and(|at| self.seen[at].is_present)
-    }
 }
 
 impl SeenVersion {
