Refuse resumptions of unknown origin on split routes

Callers saw in tests: a stream went on at a random service of a split route if its origin was not known.

Cause: the only version of a service that was drawn by weight was taken for the origin. That holds only where the route leads to one service.

Evidence: a_stream_of_unknown_service_is_not_resumed_among_several failed before and passes.

--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -84,7 +84,7 @@
         let found = self.find_origin(head.resumed_request_id.as_deref()).await;
         let origin = found
             .clone()
-            .or_else(|| self.fleet.only_origin(service))
+            .or_else(|| self.fleet.only_origin(service).filter(|_| !is_split(route)))
             .filter(|origin| is_routed(route, origin));
         info!(self.log, "stream resumption received"; "request" => &head.request_id,
             "resumes" => &head.resumed_request_id, "last_event" => head.last_event_id,
@@ -164,6 +164,15 @@
     route.retry_class.is_stream() && route.retry_class.is_idempotent()
 }
 
+fn is_split(route: &Route) -> bool {
+    route
+        .services
+        .iter()
+        .filter(|service| service.weight > 0)
+        .count()
+        > 1
+}
+
 fn is_routed(route: &Route, origin: &StreamOrigin) -> bool {
     route
         .services
