Keep the origin of a stream that is resumed again

Callers would see: a resumption of a long stream, or of a chain of resumptions, refused for an unknown origin. Found by the review.

Cause: an origin expired one to two minutes after the stream began, however often it was looked up. A lookup keeps it for as long again.

Evidence: an_origin_that_is_looked_up_is_kept failed before and passes.

--- a/crates/registry/src/stream_origins.rs
+++ b/crates/registry/src/stream_origins.rs
@@ -56,11 +56,14 @@
         }
     }
 
-    /// Origin of the stream that a request began.
+    /// Origin of the stream that a request began; it is kept for as long again.
     pub fn find(&mut self, now_ms: u64, request_id: &str) -> Option<StreamOrigin> {
         self.rotate(now_ms);
         let key = self.hasher.hash_one(request_id);
-        let found = self.current.get(&key).or_else(|| self.previous.get(&key));
+        if let Some(origin) = self.previous.remove(&key) {
+            self.current.entry(key).or_insert(origin);
+        }
+        let found = self.current.get(&key);
         found.map(|origin| StreamOrigin::clone(origin))
     }
 
--- a/crates/registry/tests/origins_of_streams_are_remembered.rs
+++ b/crates/registry/tests/origins_of_streams_are_remembered.rs
@@ -67,3 +67,14 @@
     assert_eq!(origins.find(CLIENT_TIMEOUT_MS + 2, "r1"), Some(origin(2)));
     assert_eq!(origins.find(CLIENT_TIMEOUT_MS + 2, "r2"), None);
 }
+
+/// Guards against a stream that is resumed again and again and whose origin expires meanwhile.
+#[test]
+fn an_origin_that_is_looked_up_is_kept() {
+    let mut origins = StreamOrigins::default();
+    origins.record(0, begun(1, &["r1".to_owned()]));
+    for number in 1..6 {
+        let now_ms = number * CLIENT_TIMEOUT_MS;
+        assert_eq!(origins.find(now_ms, "r1"), Some(origin(1)));
+    }
+}
