Report streams to three registries that can be reached

Found by the review, by reading: a registry whose connection had just been dropped counted as one of the three that a stream is reported to, and a silent one delayed the next report by 300 ms. Only open connections count now, and the limit is that of a lookup, 100 ms.

--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -42,8 +42,9 @@
 /// Registries that each stream is reported to, so that two may be lost.
 const STREAM_REPORT_COPIES: usize = 3;
 
-/// Time limit for reporting streams to one registry.
-const STREAM_REPORT_TIMEOUT_MS: u64 = 300;
+/// Time limit for reporting streams to one registry: four round trips between regions. The next
+/// report waits for it.
+const STREAM_REPORT_TIMEOUT_MS: u64 = 100;
 
 /// Time limit for finding the origin of a stream: four round trips between regions.
 const STREAM_ORIGIN_TIMEOUT_MS: u64 = 100;
@@ -246,8 +247,8 @@
         let registries = self.subscriber.connected_registries();
         let reports = registries
             .iter()
-            .take(STREAM_REPORT_COPIES)
             .filter_map(|connection| Some((connection, connection.connected_client()?)))
+            .take(STREAM_REPORT_COPIES)
             .map(async |(connection, client)| {
                 let context = call_context(STREAM_REPORT_TIMEOUT_MS);
                 if let Err(error) = client.record_streams(context, begun.to_vec()).await {
