Check the lease after the origin of a stream was looked up

Found by the review, by reading: a resumption may wait a quarter of a second for its origin, and the lease was checked before. It is checked after everything that takes time.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -235,17 +235,17 @@
         ));
     }
     let bytes = body.read().await?;
+    let (service, software_version) = match gateway.resumed_origin(head, &route, &service).await? {
+        Some(origin) => (origin.service, Some(origin.software_version)),
+        None => (service, None),
+    };
     if !gateway.has_valid_catalog() {
-        // The lease may have expired while the body was read.
+        // The lease may have expired while the body was read or the origin looked up.
         return Err(RequestError::not_run(
             "no valid lease",
             NO_CATALOG_RETRY_AFTER_MS,
         ));
     }
-    let (service, software_version) = match gateway.resumed_origin(head, &route, &service).await? {
-        Some(origin) => (origin.service, Some(origin.software_version)),
-        None => (service, None),
-    };
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
