Suspend a generation while another endpoint is awaited for long

Cause: a generation left its source only when its target had sent an event, and nothing bounded that time. A target works from the moment at which it is asked, and a healthy one may send nothing for more than a second. The rule that no working endpoint is given up before its replacement delivers had no counterpart for the endpoint that works beside it. Resumptions of silent streams had the same gap.

Change: if the awaited endpoint has sent no event 250 ms after it was asked, the stream's endpoint is asked for a last copy: it stops, keeps the memory, and copies it to a standby endpoint. So both rules hold: two endpoints do not work for 400 ms, and nothing is lost when a target pauses. A target that rejects the generation late, or is silent for 1.8 s, is left and the generation continues from the copy. If the endpoint does not suspend the generation, the awaited one is left in its place. A stream that ends with its connection is not complete if it was suspended. A suspension is only requested if the budget for repeats has room for the continuation.

Ruled out: closing the source at the limit loses the answer if the target rejects it; leaving the target at the limit does not stop one whose link is silent, and gives up what it has done.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,8 +8,8 @@
 //! come: with the whole body, or with the first event of a stream.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -17,7 +17,8 @@
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::SetOnce;
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
 use crate::clock::elapsed_ms;
 use crate::connection::{Connection, EndpointResponse, SendError, collect_body};
@@ -97,7 +98,7 @@
 #[derive(Debug, Default)]
 struct AttemptProgress {
     /// Endpoint that the request is sent to, and since when; set once capacity is occupied.
-    sent_to: OnceLock<(Arc<Endpoint>, Instant)>,
+    sent_to: SetOnce<(Arc<Endpoint>, Instant)>,
     /// Whether the endpoint's delay has been counted as a failure.
     is_overdue: AtomicBool,
 }
@@ -115,10 +116,24 @@
         &mut self.end
     }
 
+    /// Endpoint that the request is sent to; `None` while it waits for capacity.
+    pub(crate) fn endpoint(&self) -> Option<&Arc<Endpoint>> {
+        let (endpoint, _) = self.progress.sent_to.get()?;
+        Some(endpoint)
+    }
+
     /// Id of the endpoint that the request is sent to; `None` while it waits for capacity.
     pub(crate) fn endpoint_id(&self) -> Option<&str> {
-        let (endpoint, _) = self.progress.sent_to.get()?;
-        Some(&endpoint.id)
+        Some(&self.endpoint()?.id)
+    }
+
+    /// Waits until the request was sent a time ago.
+    pub(crate) fn sent_for(&self, time: Duration) -> impl Future<Output = ()> + Send + use<> {
+        let progress = Arc::clone(&self.progress);
+        async move {
+            let (_, sent_at) = progress.sent_to.wait().await;
+            sleep_until(*sent_at + time).await;
+        }
     }
 
     /// Time from which the request was sent; `None` while it waits for capacity.
@@ -136,6 +151,14 @@
 }
 
 impl AttemptProgress {
+    /// Records that the request is sent now; an attempt sends it once.
+    fn record_sent(&self, endpoint: &Arc<Endpoint>) {
+        let sent_to = (Arc::clone(endpoint), Instant::now());
+        self.sent_to
+            .set(sent_to)
+            .expect("an attempt sends its request once");
+    }
+
     /// Counts a failure of the endpoint unless one was counted; returns whether it was not.
     fn record_failure(&self, endpoint: &Endpoint, now_ms: u64) -> bool {
         let is_first = !self.is_overdue.swap(true, Ordering::Relaxed);
@@ -169,11 +192,19 @@
         self.start(place, resume_point)
     }
 
-    /// Starts an attempt at an occupied slot, if the retry budget allows it.
-    pub(crate) fn retry_at(&self, slot: Slot, resume_point: ResumePoint) -> PendingAttempt {
+    /// Starts an attempt at an occupied slot; if it `needs_budget`, the retry budget must allow it.
+    pub(crate) fn retry_at(
+        &self,
+        slot: Slot,
+        resume_point: ResumePoint,
+        needs_budget: bool,
+    ) -> PendingAttempt {
         let sender = self.clone();
         let place = async move {
             let allowed = sender.check_endpoint(&slot.endpoint).and_then(|()| {
+                if !needs_budget {
+                    return Ok(());
+                }
                 let taken = sender.take_from_budget();
                 taken.map_err(|error| AttemptError::Rejected(error.reason))
             });
@@ -250,8 +281,8 @@
         if let Err(error) = self.check_endpoint(&slot.endpoint) {
             return AttemptOutcome::Failed(error, slot);
         }
-        let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
-        let (endpoint, _) = progress.sent_to.get_or_init(sent_to);
+        let endpoint = &slot.endpoint;
+        progress.record_sent(endpoint);
         if resume_point.last_event_id.is_none() {
             self.gateway.report_stream(&self.request, endpoint);
         }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -26,7 +26,7 @@
 use crate::handler::RoutedRequest;
 use crate::outcome::{Outcome, RequestError};
 use crate::relay::{Relay, RelayedStream};
-use crate::response::{ResponseBody, full_body, strip_hop_by_hop_headers};
+use crate::response::{ResponseBody, full_body, is_delimited, strip_hop_by_hop_headers};
 
 /// Least remaining time for which an attempt is made.
 const REMAINING_MS_MIN: u64 = 20;
@@ -228,6 +228,7 @@
                     body: rest,
                     connection,
                     head,
+                    is_delimited: is_delimited(&parts),
                     slot,
                 };
                 return Some(Ok(Relay::spawn(self, stream, parts, first)));
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -18,8 +18,13 @@
     fn parse_response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
     /// Builds the request to the source that copies the KV cache of a running request to the
-    /// endpoint at `target`.
-    fn copy_request(&self, request_id: &str, target: SocketAddr) -> Request<Full<Bytes>>;
+    /// endpoint at `target`; if `is_last`, the source stops the generation first and keeps its memory.
+    fn copy_request(
+        &self,
+        request_id: &str,
+        target: SocketAddr,
+        is_last: bool,
+    ) -> Request<Full<Bytes>>;
 
     /// Parses the response to a copy request.
     fn parse_copy_response(&self, status: StatusCode, body: &[u8]) -> CopyOutcome;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,10 +6,12 @@
 //! Any other interrupted stream is aborted, so that the client does not take it for complete.
 //!
 //! A stream leaves its endpoint only once another one has sent an event. Until then its events are
-//! forwarded, and if no other endpoint answers, it stays. Silence alone never ends a stream.
+//! forwarded, and if no other endpoint answers, it stays. Silence alone never ends a stream. But two
+//! endpoints work on it only briefly: if the other one takes long, the first one suspends it.
 
 mod continuation;
 mod migration;
+mod suspension;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,16 +26,16 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use crate::attempt::AttemptEnd;
 use crate::attempts::{Attempts, client_parts, keep_connection};
 use crate::clock::milliseconds;
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::outcome::Outcome;
 use crate::response::{IncompleteBody, ResponseBody, channel_body};
-use crate::{EventReader, ResponseHead};
-use continuation::Continuation;
+use crate::{CopyOutcome, EventReader, ResponseHead};
+use continuation::{Continuation, ContinuationStep};
 use migration::{Migration, MigrationStep};
+use suspension::{AwaitedLimit, OVERLAP_MS_MAX, Suspension};
 
 /// Chunks that are buffered for a slow client.
 const BUFFERED_CHUNKS_MAX: usize = 16;
@@ -61,6 +63,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) head: ResponseHead,
+    /// Whether its end can be told from that of its connection.
+    pub(crate) is_delimited: bool,
     pub(crate) slot: Slot,
 }
 
@@ -84,6 +88,8 @@
     stream: RelayedStream,
     /// Time from which a pause of the stream counts, if there was no later event.
     stall_start_at: Instant,
+    /// State of the generation at the stream's endpoint, if that was asked to stop it.
+    suspension: Option<Suspension>,
 }
 
 /// Event that a relay reacts to.
@@ -92,13 +98,14 @@
     /// Data of the body; `None` after an error.
     BodyFrame(Option<Bytes>),
     ClientLeft,
-    ContinuationEnded(AttemptEnd),
+    Continuation(ContinuationStep),
     Migration(MigrationStep),
     /// The source is read again.
     SourceReleased,
     Stalled,
     /// This instance stops.
     StopsSoon,
+    SuspensionAnswered(CopyOutcome),
     TimedOut,
     /// Trailers of the body, which are not forwarded.
     Trailers,
@@ -147,6 +154,7 @@
             reader: EventReader::default(),
             stream,
             stall_start_at: Instant::now(),
+            suspension: None,
         };
         tokio::spawn(relay.run(first));
         Response::from_parts(parts, channel_body(body_receiver))
@@ -167,12 +175,18 @@
         let stall_at = self.stall_at();
         let held_until = self.held_until();
         let is_held = held_until > Instant::now();
+        let limit = self.awaited_limit();
         tokio::select! {
             biased;
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
             () = self.attempts.gateway.stops_soon() => RelayEvent::StopsSoon,
             () = sleep_until(self.attempts.request.deadline) => RelayEvent::TimedOut,
-            end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
+            step = Continuation::next_step(&mut self.continuation, limit) => {
+                RelayEvent::Continuation(step)
+            }
+            outcome = Suspension::outcome(&mut self.suspension) => {
+                RelayEvent::SuspensionAnswered(outcome)
+            }
             () = sleep_until(held_until), if is_held => RelayEvent::SourceReleased,
             frame = self.stream.body.frame(), if !self.is_broken_off && !is_held => match frame {
                 Some(Ok(frame)) => match frame.into_data() {
@@ -193,14 +207,19 @@
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
                 self.recover("the endpoint broke off within an event")
             }
-            RelayEvent::BodyEnded => Some(self.complete().await),
+            RelayEvent::BodyEnded if self.stream.is_delimited => Some(self.complete().await),
+            RelayEvent::BodyEnded => self.apply_suspended_end().await,
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
             RelayEvent::BodyFrame(None) => self.recover("the endpoint broke off without its end"),
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
-            RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
+            RelayEvent::Continuation(ContinuationStep::Ended(end)) => {
+                self.apply_continuation(end).await
+            }
+            RelayEvent::Continuation(ContinuationStep::LimitReached) => self.limit_awaited(),
             RelayEvent::Migration(step) => self.continue_migration(step).await,
             RelayEvent::SourceReleased | RelayEvent::Trailers => None,
             RelayEvent::Stalled => self.resume("no event came in time"),
+            RelayEvent::SuspensionAnswered(outcome) => self.apply_suspension_outcome(outcome).await,
             RelayEvent::StopsSoon => Some(StreamEnd::Broken("this instance stops".to_owned())),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
         }
@@ -212,7 +231,9 @@
         if whole_events.is_empty() {
             return self.check_event_length();
         }
-        self.cancel_resumption("the endpoint sent the next event");
+        if self.suspension.is_none() {
+            self.cancel_resumption("the endpoint sent the next event");
+        }
         let gap = self.last_event_at.elapsed();
         let gap_ms = milliseconds(gap);
         self.last_event_at = Instant::now();
@@ -296,13 +317,42 @@
             return self.last_event_at;
         }
         let gap_target_ms = self.attempts.request.route.event_gap_target_ms;
-        let held = Duration::from_millis(gap_target_ms * HELD_GAP_PERCENT / 100);
+        let held_ms = (gap_target_ms * HELD_GAP_PERCENT / 100).min(OVERLAP_MS_MAX);
+        let held = Duration::from_millis(held_ms);
         self.held_from + held
     }
 
+    /// Limit of the time for which an endpoint is awaited without an event.
+    fn awaited_limit(&self) -> Option<AwaitedLimit> {
+        match &self.suspension {
+            None => (!self.is_broken_off).then_some(AwaitedLimit::Overlap),
+            Some(suspension) => suspension
+                .has_standby_copy()
+                .then_some(AwaitedLimit::Silence),
+        }
+    }
+
+    fn limit_awaited(&mut self) -> Option<StreamEnd> {
+        match self.awaited_limit()? {
+            AwaitedLimit::Overlap => {
+                self.suspend();
+                None
+            }
+            AwaitedLimit::Silence => self.continue_at_standby(),
+        }
+    }
+
+    fn supports_migration(&self) -> bool {
+        let request = &self.attempts.request;
+        let service = request.catalog.service(&request.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_some_and(|engine| engine.supports_migration)
+    }
+
     fn stall_at(&self) -> Instant {
         let request = &self.attempts.request;
-        if self.is_broken_off || self.continuation.is_some() || !self.may_resume() {
+        let is_awaiting = self.continuation.is_some() || self.suspension.is_some();
+        if self.is_broken_off || is_awaiting || !self.may_resume() {
             return request.deadline;
         }
         let stall_ms = request.route.event_gap_target_ms * STALL_GAP_TARGETS;
@@ -314,7 +364,7 @@
         match step {
             MigrationStep::CopyComplete(copy) => {
                 self.cancel_resumption("its KV cache copy is complete");
-                self.continue_from_copy(*copy, "the endpoint leaves".to_owned());
+                self.continue_from_copy(*copy, "the endpoint leaves".to_owned(), true);
             }
             MigrationStep::StartDue => self.start_migration().await,
             MigrationStep::Unchanged => {}
@@ -325,12 +375,7 @@
     async fn start_migration(&mut self) {
         let request = Arc::clone(&self.attempts.request);
         let gateway = Arc::clone(&self.attempts.gateway);
-        let service = request.catalog.service(&request.service);
-        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-            self.migration = Migration::Disabled;
-            return;
-        };
-        if !engine.supports_migration || self.is_resumable() && self.reader.event_count() == 0 {
+        if !self.supports_migration() || self.is_resumable() && self.reader.event_count() == 0 {
             self.migration = Migration::Disabled;
             return;
         }
@@ -341,11 +386,29 @@
         let remaining_tokens = predicted_output_tokens
             .saturating_sub(output_tokens)
             .max(output_tokens / REMAINING_OUTPUT_DIVISOR);
+        let placement = self.migration_placement();
+        self.migration
+            .start(
+                &gateway,
+                &request,
+                &self.stream.slot,
+                remaining_tokens,
+                &placement,
+            )
+            .await;
+    }
+
+    /// Placement of the generation at a target that its KV cache can be copied to.
+    fn migration_placement(&self) -> PlacementRequest {
+        let request = &self.attempts.request;
+        let generation = request.head.generation.as_ref();
+        let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
+        let endpoint = &self.stream.slot.endpoint;
         let mut excluded_ids = self.migration.failed_target_ids().to_vec();
-        excluded_ids.push(self.stream.slot.endpoint.id.clone());
-        let placement = PlacementRequest {
+        excluded_ids.push(endpoint.id.clone());
+        PlacementRequest {
             demand: Demand {
-                kv_copy_tokens: prompt_tokens + output_tokens,
+                kv_copy_tokens: prompt_tokens + self.output_tokens(),
                 is_migration: true,
                 prefill_tokens: 0,
                 prefill_ms_max: u64::MAX,
@@ -354,19 +417,10 @@
             excluded_ids,
             priority: request.priority,
             service: request.service.clone(),
-            software_version: Some(self.stream.slot.endpoint.software_version.clone()),
-            source_data_centre: Some(self.stream.slot.endpoint.data_centre.clone()),
+            software_version: Some(endpoint.software_version.clone()),
+            source_data_centre: Some(endpoint.data_centre.clone()),
             wait_ms_max: 0,
-        };
-        self.migration
-            .start(
-                &gateway,
-                &request,
-                &self.stream.slot,
-                remaining_tokens,
-                &placement,
-            )
-            .await;
+        }
     }
 
     async fn finish(self, end: StreamEnd) {
@@ -380,8 +434,12 @@
             migration,
             reader,
             stream,
+            suspension,
             ..
         } = self;
+        if let Some(suspension) = suspension {
+            suspension.free();
+        }
         let RelayedStream {
             connection,
             head,
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -6,12 +6,14 @@
 use tokio::time::{Duration, Instant};
 
 use super::migration::{CompleteCopy, Migration, UsedCopy};
+use super::suspension::AwaitedLimit;
 use super::{Relay, RelayedStream, STALL_MS_MIN, StreamEnd};
 use crate::attempt::{
     AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
     PendingAttempt, ResumePoint,
 };
 use crate::fleet::{PlacementRequest, Slot};
+use crate::response::is_delimited;
 
 /// Time for which a resumed stream waits for capacity.
 const RESUME_WAIT_MS: u64 = 300;
@@ -26,15 +28,31 @@
 }
 
 impl Continuation {
-    /// Waits for the end of a pending attempt. The future may be dropped and requested again.
-    pub(super) async fn end(pending_continuation: &mut Option<Self>) -> AttemptEnd {
-        match pending_continuation {
-            Some(continuation) => continuation.attempt.end().await,
-            None => pending().await,
+    /// Waits for the end of a pending attempt, or for a limit of the time without an event. The future
+    /// may be dropped and requested again.
+    pub(super) async fn next_step(
+        pending_continuation: &mut Option<Self>,
+        limit: Option<AwaitedLimit>,
+    ) -> ContinuationStep {
+        let Some(continuation) = pending_continuation else {
+            return pending().await;
+        };
+        let limit_time = limit.map_or(Duration::ZERO, AwaitedLimit::time);
+        let sent_for_limit = continuation.attempt.sent_for(limit_time);
+        tokio::select! {
+            biased;
+            end = continuation.attempt.end() => ContinuationStep::Ended(end),
+            () = sent_for_limit, if limit.is_some() => ContinuationStep::LimitReached,
         }
     }
 }
 
+/// Change of a pending continuation that its relay reacts to.
+pub(super) enum ContinuationStep {
+    Ended(AttemptEnd),
+    LimitReached,
+}
+
 impl Relay {
     pub(super) fn may_resume(&self) -> bool {
         self.is_resumable()
@@ -47,9 +65,12 @@
         self.reader.discard_partial();
         self.is_broken_off = true;
         self.stream.connection.close();
+        if self.suspension.is_some() {
+            return self.continue_suspended_unless_awaited(reason);
+        }
         if let Some(copy) = self.migration.take_first_copy() {
             self.cancel_resumption(reason);
-            self.continue_from_copy(*copy, reason.to_owned());
+            self.continue_from_copy(*copy, reason.to_owned(), true);
             return None;
         }
         let pending = self.continuation.as_ref();
@@ -129,6 +150,7 @@
                         body: rest,
                         connection,
                         head,
+                        is_delimited: is_delimited(&parts),
                         slot,
                     };
                     self.switch_endpoint(stream, copy.is_some(), &reason);
@@ -143,17 +165,21 @@
             }
         };
         match copy {
-            Some(copy) => self.apply_copy_failure(&error, copy, &slot),
-            None => self.apply_resumption_failure(&error, &slot),
+            Some(copy) => self.apply_copy_failure(&error, copy, slot),
+            None => self.apply_resumption_failure(&error, slot),
         }
     }
 
-    fn apply_resumption_failure(&mut self, error: &AttemptError, slot: &Slot) -> Option<StreamEnd> {
+    fn apply_resumption_failure(&mut self, error: &AttemptError, slot: Slot) -> Option<StreamEnd> {
         if matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut) {
             self.attempts.possible_runs += 1;
             self.attempts.excluded_ids.push(slot.endpoint.id.clone());
         }
-        self.end_if_broken_off(format!("the stream did not go on: {error}"))
+        let reason = format!("the stream did not go on: {error}");
+        if self.suspension.is_some() {
+            return self.continue_suspended(Some(slot), &reason);
+        }
+        self.end_if_broken_off(reason)
     }
 
     /// Keeps the generation at its source if the target certainly does not run it. It cannot
@@ -162,8 +188,16 @@
         &mut self,
         error: &AttemptError,
         copy: UsedCopy,
-        slot: &Slot,
+        slot: Slot,
     ) -> Option<StreamEnd> {
+        let is_not_run = matches!(
+            error,
+            AttemptError::Rejected(_) | AttemptError::Unreachable(_)
+        );
+        if self.suspension.is_some() && (is_not_run || self.is_resumable()) {
+            copy.free();
+            return self.continue_suspended(Some(slot), &format!("at the copy: {error}"));
+        }
         if self.is_broken_off {
             return self.resume(&format!("the endpoint broke off, and at the copy: {error}"));
         }
@@ -172,7 +206,8 @@
                 info!(self.attempts.gateway.log, "KV cache copy not used";
                     "request" => self.attempts.request.id(),
                     "endpoint" => &slot.endpoint.id, "reason" => %error);
-                self.migration.discard_copy_and_retry(copy, slot);
+                self.migration
+                    .discard_copy_and_retry(copy, &slot.endpoint.id);
                 None
             }
             AttemptError::Failed(_) | AttemptError::TimedOut => Some(StreamEnd::Broken(format!(
@@ -194,8 +229,13 @@
     }
 
     /// Requests the generation at the target of its copy. It continues at the source until the
-    /// target answers, and ends there when the connection closes.
-    pub(super) fn continue_from_copy(&mut self, copy: CompleteCopy, reason: String) {
+    /// target answers or is late, and ends there when the connection closes.
+    pub(super) fn continue_from_copy(
+        &mut self,
+        copy: CompleteCopy,
+        reason: String,
+        needs_budget: bool,
+    ) {
         let (slot, copy) = copy.into_parts();
         self.held_from = self.last_event_at;
         let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
@@ -204,7 +244,7 @@
             ..self.resume_point()
         };
         self.continuation = Some(Continuation {
-            attempt: sender.retry_at(slot, resume_point),
+            attempt: sender.retry_at(slot, resume_point, needs_budget),
             copy: Some(copy),
             reason,
         });
@@ -237,6 +277,9 @@
         self.is_broken_off = false;
         let migration = Migration::watch(&stream.slot.endpoint);
         std::mem::replace(&mut self.migration, migration).free_copy();
+        if let Some(suspension) = self.suspension.take() {
+            suspension.free();
+        }
         self.stall_start_at = Instant::now();
         stream.slot.complete_prefill();
         self.stream = stream;
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -1,6 +1,7 @@
 //! Migrates a generation off a leaving endpoint while its stream continues.
 
 use std::future::pending;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +29,7 @@
 
 const RETRY_PAUSE_MS: u64 = 120;
 
-type CopyTask = Pin<Box<dyn Future<Output = CopyOutcome> + Send>>;
+pub(super) type CopyTask = Pin<Box<dyn Future<Output = CopyOutcome> + Send>>;
 
 /// State of a generation's migration off its endpoint.
 pub(super) enum Migration {
@@ -140,10 +141,8 @@
             return;
         };
         let source = MigrationSource {
-            endpoint: Arc::clone(&slot.endpoint),
             failed_target_ids,
-            gateway: Arc::clone(gateway),
-            request_id: request.id().to_owned(),
+            ..MigrationSource::new(gateway, request, &slot.endpoint)
         };
         info!(gateway.log, "migration started"; "request" => request.id(),
             "from" => &slot.endpoint.id, "to" => &target.endpoint.id,
@@ -156,7 +155,7 @@
         tokio::spawn(async move { pool.prewarm().await });
         *self = Self::Copying {
             started_at: Instant::now(),
-            copy: source.copy_to(&target),
+            copy: source.copy_to(target.endpoint.pool.address(), false),
             source,
             first_handle: None,
             target,
@@ -164,10 +163,10 @@
     }
 
     /// Frees a copy that the target did not continue from, and tries another target after a pause.
-    pub(super) fn discard_copy_and_retry(&mut self, copy: UsedCopy, target: &Slot) {
+    pub(super) fn discard_copy_and_retry(&mut self, copy: UsedCopy, target_id: &str) {
         copy.free();
         let mut source = copy.source;
-        source.failed_target_ids.push(target.endpoint.id.clone());
+        source.failed_target_ids.push(target_id.to_owned());
         *self = Self::schedule_retry(source.failed_target_ids);
     }
 
@@ -228,7 +227,7 @@
                 target.complete_copy();
                 *self = Self::Copying {
                     started_at,
-                    copy: source.copy_to(&target),
+                    copy: source.copy_to(target.endpoint.pool.address(), false),
                     source,
                     first_handle: Some(handle),
                     target,
@@ -280,14 +279,30 @@
 }
 
 impl MigrationSource {
-    fn copy_to(&self, target: &Slot) -> CopyTask {
-        let target = target.endpoint.pool.address();
+    pub(super) fn new(
+        gateway: &Arc<GatewayState>,
+        request: &RoutedRequest,
+        endpoint: &Arc<Endpoint>,
+    ) -> Self {
+        Self {
+            endpoint: Arc::clone(endpoint),
+            failed_target_ids: Vec::new(),
+            gateway: Arc::clone(gateway),
+            request_id: request.id().to_owned(),
+        }
+    }
+
+    /// Starts a copy; if `is_last`, the source stops the generation first.
+    pub(super) fn copy_to(&self, target: SocketAddr, is_last: bool) -> CopyTask {
         let gateway = Arc::clone(&self.gateway);
-        let request = gateway.dialect.copy_request(&self.request_id, target);
+        let request = gateway
+            .dialect
+            .copy_request(&self.request_id, target, is_last);
         let endpoint = Arc::clone(&self.endpoint);
         Box::pin(async move {
             let copied = async {
-                let (response, _) = gateway.send(&endpoint, request, false).await.ok()?;
+                // The generation stops sooner if no connection has to be opened.
+                let (response, _) = gateway.send(&endpoint, request, is_last).await.ok()?;
                 let status = response.parts.status;
                 let collected = collect_body(response.body, COPY_RESPONSE_BYTES_MAX).await;
                 let body = collected.ok()?;
@@ -299,7 +314,7 @@
         })
     }
 
-    fn into_complete_copy(self, target: Slot, handle: String) -> Box<CompleteCopy> {
+    pub(super) fn into_complete_copy(self, target: Slot, handle: String) -> Box<CompleteCopy> {
         let source = self.endpoint.pool.address();
         let copy = UsedCopy {
             cache_copy: CacheCopy { handle, source },
@@ -309,7 +324,7 @@
     }
 
     /// Frees a copy at the source and the target.
-    fn free_copy(&self, handle: &str) {
+    pub(super) fn free_copy(&self, handle: &str) {
         let request = self.gateway.dialect.free_copy_request(handle);
         let (gateway, endpoint) = (Arc::clone(&self.gateway), Arc::clone(&self.endpoint));
         tokio::spawn(async move {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response;
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
@@ -59,6 +60,12 @@
     response
 }
 
+/// Whether the end of a response's body can be told from that of its connection.
+pub(crate) fn is_delimited(parts: &response::Parts) -> bool {
+    let headers = &parts.headers;
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 pub(crate) fn empty_response(status: StatusCode) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(Bytes::new()));
     *response.status_mut() = status;
