Show how long two endpoints may work on a migrated generation

Callers saw nothing; operators could not see it either: no line said when the target of a migration was asked, and the line of the switch did not say how long that took. So the logs could not tell a target whose output is held back from one that begins late.

The gateway now logs `migration target asked`. `stream switched endpoint` has `overlap_ms`, from the request to the target until its first event, and `is_broken_off`, whether the source had already ended the stream. The histogram `endpoint_switch_seconds` has those times for sources that had not. No decision of the gateway changed.

--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -11,6 +11,7 @@
     AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
     PendingAttempt, ResumePoint,
 };
+use crate::clock::elapsed_ms;
 use crate::fleet::{PlacementRequest, Slot};
 
 /// Time for which a resumed stream waits for capacity.
@@ -114,7 +115,11 @@
 
     /// Applies the end of the pending continuation.
     pub(super) async fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
-        let Continuation { copy, reason, .. } = self.continuation.take()?;
+        let Continuation {
+            attempt,
+            copy,
+            reason,
+        } = self.continuation.take()?;
         self.stall_start_at = Instant::now();
         let (error, slot) = match end.outcome {
             AttemptOutcome::Accepted(accepted, slot) => {
@@ -131,7 +136,8 @@
                         head,
                         slot,
                     };
-                    self.switch_endpoint(stream, copy.is_some(), &reason);
+                    let overlap_ms = attempt.sent_at().map_or(0, elapsed_ms);
+                    self.switch_endpoint(stream, copy.is_some(), overlap_ms, &reason);
                     return self.forward(first).await;
                 }
                 let answered = format!("the endpoint answered {}", parts.status);
@@ -198,6 +204,10 @@
     pub(super) fn continue_from_copy(&mut self, copy: CompleteCopy, reason: String) {
         let (slot, copy) = copy.into_parts();
         self.held_from = self.last_event_at;
+        info!(self.attempts.gateway.log, "migration target asked";
+            "request" => self.attempts.request.id(), "from" => &self.stream.slot.endpoint.id,
+            "to" => &slot.endpoint.id, "last_event" => self.reader.last_event_id(),
+            "reason" => &reason);
         let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
         let resume_point = ResumePoint {
             copy: Some(copy.cache_copy.clone()),
@@ -218,15 +228,27 @@
         }
     }
 
-    fn switch_endpoint(&mut self, mut stream: RelayedStream, is_copied: bool, reason: &str) {
+    /// Leaves the source for a target whose first event came `overlap_ms` after it was asked.
+    fn switch_endpoint(
+        &mut self,
+        mut stream: RelayedStream,
+        is_copied: bool,
+        overlap_ms: u64,
+        reason: &str,
+    ) {
         let request = &self.attempts.request;
         let source_id = &self.stream.slot.endpoint.id;
         info!(self.attempts.gateway.log, "stream switched endpoint"; "request" => request.id(),
             "from" => source_id, "to" => &stream.slot.endpoint.id,
             "from_version" => &self.stream.slot.endpoint.software_version,
             "to_version" => &stream.slot.endpoint.software_version,
-            "is_copied" => is_copied, "last_event" => self.reader.last_event_id(),
+            "is_copied" => is_copied, "is_broken_off" => self.is_broken_off,
+            "last_event" => self.reader.last_event_id(), "overlap_ms" => overlap_ms,
             "reason" => reason);
+        if !self.is_broken_off {
+            let metrics = &self.attempts.gateway.metrics;
+            metrics.record_endpoint_switch(is_copied, overlap_ms);
+        }
         if !is_copied {
             self.attempts.possible_runs += 1;
             self.attempts.excluded_ids.push(source_id.clone());
--- a/crates/telemetry/src/gateway_metrics.rs
+++ b/crates/telemetry/src/gateway_metrics.rs
@@ -8,6 +8,11 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.0, 5.0, 10.0, 20.0, 40.0,
 ];
 
+/// Bucket bounds for the time in which two endpoints may work on one stream, in seconds.
+const OVERLAP_BOUNDS_S: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 5.0,
+];
+
 const MILLISECONDS_PER_SECOND: f64 = 1_000.0;
 
 /// Metrics of a gateway: requests by customer and kind of route, and gauges of its state.
@@ -17,6 +22,7 @@
     customers: CustomerSeries,
     document_version: Gauge<u64>,
     endpoints: Gauge<u64>,
+    endpoint_switch: Histogram<f64>,
     lease_age: Gauge<u64>,
     longest_gap: Histogram<f64>,
     migration_steps: Counter<u64>,
@@ -62,6 +68,7 @@
             customers: CustomerSeries::default(),
             document_version: meter.u64_gauge("document_version").build(),
             endpoints: meter.u64_gauge("endpoints").build(),
+            endpoint_switch: self::histogram(meter, "endpoint_switch", OVERLAP_BOUNDS_S),
             lease_age: meter.u64_gauge("lease_age").with_unit("ms").build(),
             longest_gap: histogram("longest_pause"),
             migration_steps: meter.u64_counter("moves").build(),
@@ -110,6 +117,15 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the time from the request to a stream's new endpoint until its first event, in which
+    /// the endpoint before may work on.
+    pub fn record_endpoint_switch(&self, is_copied: bool, overlap_ms: u64) {
+        self.endpoint_switch.record(
+            seconds(overlap_ms),
+            &[KeyValue::new("is_copied", is_copied)],
+        );
+    }
+
     /// Counts a retry of a request, sent or refused by the retry budget.
     pub fn record_retry(&self, is_allowed: bool) {
         let attributes = [KeyValue::new("is_allowed", is_allowed)];
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -60,3 +60,28 @@
         ("2", "1")
     );
 }
+
+/// Guards against a long overlap of two endpoints that no figure shows.
+#[test]
+fn endpoint_switches_are_counted_by_their_overlap() {
+    let metrics = Metrics::new().unwrap();
+    let gateway_metrics = metrics.gateway_metrics();
+    for overlap_ms in [20, 380, 900] {
+        gateway_metrics.record_endpoint_switch(true, overlap_ms);
+    }
+    gateway_metrics.record_endpoint_switch(false, 900);
+    let text = metrics.scrape().unwrap();
+    let count_up_to = |bound: &str| {
+        let is_series = |line: &&str| {
+            line.starts_with("endpoint_switch_seconds_bucket")
+                && line.contains("is_copied=\"true\"")
+                && line.contains(&format!("le=\"{bound}\""))
+        };
+        let line = text.lines().find(is_series).unwrap();
+        line.rsplit(' ').next().unwrap().to_owned()
+    };
+    assert_eq!(
+        (count_up_to("0.4").as_str(), count_up_to("+Inf").as_str()),
+        ("2", "3")
+    );
+}
