Keep reacting while a client does not take its stream

What callers saw: nothing on a fast connection. While a client did not read, its endpoint worked on past the deadline, and neither the event of an awaited endpoint, a planned stop nor a limit was seen.

Cause: the relay waited for the client within its reaction to an event, and at the end before it dropped the connections. So whatever bounds the work of endpoints did not run.

Change: events that the client has not taken are kept, the endpoint is not read meanwhile, and their forwarding is one of the events that the relay waits for. At the end the endpoints are left before the client is told. A stream that is complete leaves an awaited endpoint at once.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 mod migration;
 mod suspension;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,6 +81,8 @@
     held_from: Instant,
     /// Whether the endpoint broke off the stream, so that only a continuation can complete it.
     is_broken_off: bool,
+    /// Whether the stream has ended completely, and only has to be forwarded.
+    is_complete: bool,
     last_event_at: Instant,
     migration: Migration,
     /// Predicted tokens in memory at the end of the generation.
@@ -90,6 +93,8 @@
     stall_start_at: Instant,
     /// State of the generation at the stream's endpoint, if that was asked to stop it.
     suspension: Option<Suspension>,
+    /// Whole events that the client has not taken; the endpoint is not read meanwhile.
+    unsent: VecDeque<Bytes>,
 }
 
 /// Event that a relay reacts to.
@@ -99,6 +104,8 @@
     BodyFrame(Option<Bytes>),
     ClientLeft,
     Continuation(ContinuationStep),
+    /// The client has taken events.
+    Forwarded,
     Migration(MigrationStep),
     /// The source is read again.
     SourceReleased,
@@ -148,6 +155,7 @@
             gap_ms_max: 0,
             held_from: Instant::now(),
             is_broken_off: false,
+            is_complete: false,
             last_event_at: Instant::now(),
             migration: Migration::watch(&stream.slot.endpoint),
             predicted_tokens,
@@ -155,13 +163,14 @@
             stream,
             stall_start_at: Instant::now(),
             suspension: None,
+            unsent: VecDeque::new(),
         };
         tokio::spawn(relay.run(first));
         Response::from_parts(parts, channel_body(body_receiver))
     }
 
     async fn run(mut self, first: Bytes) {
-        let mut end = self.forward(first).await;
+        let mut end = self.forward(first);
         while end.is_none() {
             let event = self.next_event().await;
             end = self.react(event).await;
@@ -176,6 +185,8 @@
         let held_until = self.held_until();
         let is_held = held_until > Instant::now();
         let limit = self.awaited_limit();
+        let is_read = !self.is_broken_off && !self.is_complete && !is_held;
+        let is_read = is_read && self.unsent.is_empty();
         tokio::select! {
             biased;
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
@@ -188,7 +199,16 @@
                 RelayEvent::SuspensionAnswered(outcome)
             }
             () = sleep_until(held_until), if is_held => RelayEvent::SourceReleased,
-            frame = self.stream.body.frame(), if !self.is_broken_off && !is_held => match frame {
+            permit = self.body_sender.reserve(), if !self.unsent.is_empty() => match permit {
+                Ok(permit) => {
+                    if let Some(events) = self.unsent.pop_front() {
+                        permit.send(Ok(events));
+                    }
+                    RelayEvent::Forwarded
+                }
+                Err(_) => RelayEvent::ClientLeft,
+            },
+            frame = self.stream.body.frame(), if is_read => match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => RelayEvent::BodyFrame(Some(bytes)),
                     Err(_) => RelayEvent::Trailers,
@@ -207,25 +227,24 @@
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
                 self.recover("the endpoint broke off within an event")
             }
-            RelayEvent::BodyEnded if self.stream.is_delimited => Some(self.complete().await),
-            RelayEvent::BodyEnded => self.apply_suspended_end().await,
-            RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
+            RelayEvent::BodyEnded if self.stream.is_delimited => self.complete(),
+            RelayEvent::BodyEnded => self.apply_suspended_end(),
+            RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes),
             RelayEvent::BodyFrame(None) => self.recover("the endpoint broke off without its end"),
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
-            RelayEvent::Continuation(ContinuationStep::Ended(end)) => {
-                self.apply_continuation(end).await
-            }
+            RelayEvent::Continuation(ContinuationStep::Ended(end)) => self.apply_continuation(end),
             RelayEvent::Continuation(ContinuationStep::LimitReached) => self.limit_awaited(),
+            RelayEvent::Forwarded => self.end_if_forwarded(),
             RelayEvent::Migration(step) => self.continue_migration(step).await,
             RelayEvent::SourceReleased | RelayEvent::Trailers => None,
             RelayEvent::Stalled => self.resume("no event came in time"),
-            RelayEvent::SuspensionAnswered(outcome) => self.apply_suspension_outcome(outcome).await,
+            RelayEvent::SuspensionAnswered(outcome) => self.apply_suspension_outcome(outcome),
             RelayEvent::StopsSoon => Some(StreamEnd::Broken("this instance stops".to_owned())),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
         }
     }
 
-    async fn forward(&mut self, bytes: Bytes) -> Option<StreamEnd> {
+    fn forward(&mut self, bytes: Bytes) -> Option<StreamEnd> {
         let previous_count = self.reader.event_count();
         let whole_events = self.reader.push_until_event(bytes);
         if whole_events.is_empty() {
@@ -258,9 +277,7 @@
             }
         }
         self.update_prediction();
-        if self.body_sender.send(Ok(whole_events)).await.is_err() {
-            return Some(StreamEnd::ClientLeft);
-        }
+        self.unsent.push_back(whole_events);
         self.check_event_length()
     }
 
@@ -272,13 +289,23 @@
         self.recover("an event is too long")
     }
 
-    /// Forwards what follows the last event.
-    async fn complete(&mut self) -> StreamEnd {
+    /// Leaves an awaited endpoint, and forwards what follows the last event.
+    fn complete(&mut self) -> Option<StreamEnd> {
+        if let Some(copy) = self.continuation.take().and_then(|pending| pending.copy) {
+            copy.free();
+        }
+        std::mem::replace(&mut self.migration, Migration::Disabled).free_copy();
+        self.is_complete = true;
         let rest = self.reader.take_held();
-        if !rest.is_empty() && self.body_sender.send(Ok(rest)).await.is_err() {
-            return StreamEnd::ClientLeft;
+        if !rest.is_empty() {
+            self.unsent.push_back(rest);
         }
-        StreamEnd::Complete
+        self.end_if_forwarded()
+    }
+
+    /// Ends a complete stream once the client has taken all of it.
+    fn end_if_forwarded(&self) -> Option<StreamEnd> {
+        (self.is_complete && self.unsent.is_empty()).then_some(StreamEnd::Complete)
     }
 
     fn update_prediction(&mut self) {
@@ -352,7 +379,7 @@
     fn stall_at(&self) -> Instant {
         let request = &self.attempts.request;
         let is_awaiting = self.continuation.is_some() || self.suspension.is_some();
-        if self.is_broken_off || is_awaiting || !self.may_resume() {
+        if self.is_broken_off || self.is_complete || is_awaiting || !self.may_resume() {
             return request.deadline;
         }
         let stall_ms = request.route.event_gap_target_ms * STALL_GAP_TARGETS;
@@ -437,15 +464,24 @@
             suspension,
             ..
         } = self;
+        // The endpoints stop now, although a slow client may take long to see the end.
         if let Some(suspension) = suspension {
             suspension.free();
         }
+        let used_copy = continuation.and_then(|continuation| continuation.copy);
+        if matches!(end, StreamEnd::Complete) {
+            migration.free_copy();
+            if let Some(copy) = used_copy {
+                copy.free();
+            }
+        }
         let RelayedStream {
             connection,
             head,
             slot,
             ..
         } = stream;
+        let endpoint = Arc::clone(&slot.endpoint);
         let (gateway, request) = (&attempts.gateway, &attempts.request);
         let now_ms = gateway.fleet.now_ms();
         let outcome = match &end {
@@ -456,19 +492,14 @@
         };
         match &end {
             StreamEnd::Complete => {
-                migration.free_copy();
-                if let Some(copy) = continuation.and_then(|continuation| continuation.copy) {
-                    copy.free();
-                }
-                slot.endpoint.stats().health.record_success(now_ms);
+                endpoint.stats().health.record_success(now_ms);
                 keep_connection(connection, &head, &slot);
             }
-            StreamEnd::Broken(_) | StreamEnd::TimedOut => {
-                // Fails if the client has left too.
-                let _ = body_sender.send(Err(IncompleteBody)).await;
+            StreamEnd::Broken(_) | StreamEnd::ClientLeft | StreamEnd::TimedOut => {
+                drop(connection);
             }
-            StreamEnd::ClientLeft => {}
         }
+        drop(slot);
         let reason = match &end {
             StreamEnd::Broken(reason) => Some(reason.as_str()),
             StreamEnd::ClientLeft => Some("the client left within the answer"),
@@ -490,10 +521,14 @@
         info!(gateway.log, "request ended"; "request" => request.id(), "outcome" => ?outcome,
             "status" => 200, "reason" => reason, "waited_ms" => attempts.waited_ms,
             "route" => &request.route.name, "customer" => request.customer.as_deref(),
-            "endpoint" => &slot.endpoint.id,
-            "software_version" => &slot.endpoint.software_version, "events" => reader.event_count(),
+            "endpoint" => &endpoint.id,
+            "software_version" => &endpoint.software_version, "events" => reader.event_count(),
             "moves" => endpoint_switches, "first_ms" => first_event_ms, "gap_max_ms" => gap_ms_max,
             "document_version" => request.catalog.version(),
             "duration_ms" => request.elapsed_ms());
+        if matches!(end, StreamEnd::Broken(_) | StreamEnd::TimedOut) {
+            // Fails if the client has left too.
+            let _ = body_sender.send(Err(IncompleteBody)).await;
+        }
     }
 }
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -135,7 +135,7 @@
     }
 
     /// Applies the end of the pending continuation.
-    pub(super) async fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
+    pub(super) fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
         let Continuation {
             attempt,
             copy,
@@ -160,7 +160,7 @@
                     };
                     let overlap_ms = attempt.sent_at().map_or(0, elapsed_ms);
                     self.switch_endpoint(stream, copy.is_some(), overlap_ms, &reason);
-                    return self.forward(first).await;
+                    return self.forward(first);
                 }
                 let answered = format!("the endpoint answered {}", parts.status);
                 (AttemptError::Failed(answered), slot)
--- a/crates/gateway/src/relay/suspension.rs
+++ b/crates/gateway/src/relay/suspension.rs
@@ -137,10 +137,7 @@
     }
 
     /// Applies the endpoint's answer to the request to stop.
-    pub(super) async fn apply_suspension_outcome(
-        &mut self,
-        outcome: CopyOutcome,
-    ) -> Option<StreamEnd> {
+    pub(super) fn apply_suspension_outcome(&mut self, outcome: CopyOutcome) -> Option<StreamEnd> {
         info!(self.attempts.gateway.log, "generation suspension answered";
             "request" => self.attempts.request.id(),
             "endpoint" => &self.stream.slot.endpoint.id, "outcome" => ?outcome);
@@ -156,7 +153,7 @@
         let handle = match outcome {
             CopyOutcome::Copied { handle } => Some(handle),
             CopyOutcome::NoRoom => None,
-            CopyOutcome::NoSuchRun if has_stream_ended => return Some(self.complete().await),
+            CopyOutcome::NoSuchRun if has_stream_ended => return self.complete(),
             CopyOutcome::NoSuchRun if !self.is_broken_off => {
                 self.suspension = Some(Suspension::Ended);
                 return None;
@@ -185,13 +182,13 @@
     }
 
     /// Applies the end of the stream of a generation that was asked to stop.
-    pub(super) async fn apply_suspended_end(&mut self) -> Option<StreamEnd> {
+    pub(super) fn apply_suspended_end(&mut self) -> Option<StreamEnd> {
         match &mut self.suspension {
             Some(Suspension::Requested {
                 has_stream_ended, ..
             }) => *has_stream_ended = true,
             Some(Suspension::Stopped { .. }) => {}
-            Some(Suspension::Ended) | None => return Some(self.complete().await),
+            Some(Suspension::Ended) | None => return self.complete(),
         }
         self.is_broken_off = true;
         None
