Free the copies of a generation at each of its ends

What callers saw: less capacity. A KV cache copy occupied a slot and memory at its target for seconds after the client had left or the stream had failed.

Cause: copies were freed only where the stream was complete.

Evidence: a_copy_in_progress_is_freed_if_its_client_leaves failed before (not freed within 2 s) and passes now.

Change: each end of a relay frees the copy in progress and the one in use.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -465,15 +465,12 @@
             ..
         } = self;
         // The endpoints stop now, although a slow client may take long to see the end.
+        migration.free_copy();
         if let Some(suspension) = suspension {
             suspension.free();
         }
-        let used_copy = continuation.and_then(|continuation| continuation.copy);
-        if matches!(end, StreamEnd::Complete) {
-            migration.free_copy();
-            if let Some(copy) = used_copy {
-                copy.free();
-            }
+        if let Some(copy) = continuation.and_then(|continuation| continuation.copy) {
+            copy.free();
         }
         let RelayedStream {
             connection,
