End the overdue attempt of a resumed stream once another one is sent

What callers saw: nothing; a stream that its client resumed could go on at two endpoints until the deadline, if both were silent.

Cause: an attempt beside an overdue one is joined to it without a limit. That is allowed for a request that may run twice, but a stream that goes on after an event must do so at one endpoint.

Evidence: a_stream_that_its_client_resumes_goes_on_at_one_endpoint failed before (2.0 s of work at both, the limit of its measurement) and passes now, with paused_answers, software_versions and silent_endpoints.

Change: if the client resumes a stream, the older attempt is dropped 250 ms after the newer one was sent, so that a rejection of the newer one still leaves the older. An attempt is overdue after twice the target latency, longer than a healthy endpoint is silent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -32,6 +32,11 @@
 /// Time for which a retry waits for capacity, and after which a client may retry it.
 pub(crate) const RETRY_WAIT_MS: u64 = 200;
 
+/// Time after which the endpoint that works on a stream is stopped or left, if the one that was asked to
+/// continue it has sent no event. Two endpoints may work on one stream for 400 ms; the rest is for the
+/// network.
+pub(crate) const OVERLAP_MS_MAX: u64 = 250;
+
 /// Longest response body that is collected before it is forwarded; streams are not collected.
 const RESPONSE_BYTES_MAX: usize = 2 * 1024 * 1024;
 
@@ -433,6 +438,11 @@
 }
 
 impl RoutedRequest {
+    /// Whether the client resumes a stream.
+    pub(crate) fn continues_stream(&self) -> bool {
+        self.client_last_event_id().is_some()
+    }
+
     /// Last event that the client received, if the route allows it to resume a stream.
     fn client_last_event_id(&self) -> Option<u64> {
         let may_resume = self.route.retry_class.is_idempotent();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,13 +2,14 @@
 //!
 //! An idempotent request whose endpoint does not answer in time is sent to another one as well. The
 //! first attempt continues meanwhile: its endpoint may only pause, and the other one may reject the
-//! request or be silent too. The first answer is forwarded, and the other attempts are cancelled.
+//! request or be silent too. The first answer is forwarded, and the other attempts are cancelled. If the
+//! client resumes a stream, the first attempt ends sooner: the stream must not go on at two endpoints.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::select_all;
+use futures::future::{OptionFuture, select_all};
 use hyper::http::response;
 use hyper::{Response, StatusCode, header};
 use placement::PREFILL_TOKENS_PER_MS;
@@ -18,7 +19,7 @@
 use crate::ResponseHead;
 use crate::attempt::{
     AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
-    PendingAttempt, RETRY_WAIT_MS, ResumePoint,
+    OVERLAP_MS_MAX, PendingAttempt, RETRY_WAIT_MS, ResumePoint,
 };
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
@@ -129,6 +130,10 @@
                 self.start_attempt(is_retry);
             }
             let (attempt_at, fallback_at) = (self.next_attempt_at(), self.fallback_at());
+            let goes_on_at_two = self.in_flight.len() > 1 && self.request.continues_stream();
+            let newest = self.in_flight.last();
+            let overlap = Duration::from_millis(OVERLAP_MS_MAX);
+            let overlap_ended = newest.map(|newest| newest.sent_for(overlap));
             let end = tokio::select! {
                 biased;
                 end = next_end(&mut self.in_flight) => end,
@@ -138,6 +143,10 @@
                     }
                     continue;
                 }
+                Some(()) = OptionFuture::from(overlap_ended), if goes_on_at_two => {
+                    self.cancel_older();
+                    continue;
+                }
                 () = sleep_until(fallback_at), if self.fallback.is_some() => {
                     return Err(self.unanswered_error("no better answer came in time"));
                 }
@@ -343,7 +352,14 @@
         !self.in_flight.is_empty() || self.may_run_again()
     }
 
-    /// Drops the attempts that lost to an answer; those that were sent may have run.
+    /// Drops all attempts but the newest.
+    fn cancel_older(&mut self) {
+        let newest = self.in_flight.pop();
+        self.cancel_in_flight();
+        self.in_flight.extend(newest);
+    }
+
+    /// Drops the attempts in flight; those that were sent may have run.
     fn cancel_in_flight(&mut self) {
         for attempt in self.in_flight.drain(..) {
             if let Some(endpoint_id) = attempt.endpoint_id() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,6 +27,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
+use crate::attempt::OVERLAP_MS_MAX;
 use crate::attempts::{Attempts, client_parts, keep_connection};
 use crate::clock::milliseconds;
 use crate::connection::Connection;
@@ -36,7 +37,7 @@
 use crate::{CopyOutcome, EventReader, ResponseHead};
 use continuation::{Continuation, ContinuationStep};
 use migration::{Migration, MigrationStep};
-use suspension::{AwaitedLimit, OVERLAP_MS_MAX, Suspension};
+use suspension::{AwaitedLimit, Suspension};
 
 /// Chunks that are buffered for a slow client.
 const BUFFERED_CHUNKS_MAX: usize = 16;
--- a/crates/gateway/src/relay/suspension.rs
+++ b/crates/gateway/src/relay/suspension.rs
@@ -17,12 +17,9 @@
 use super::migration::{CopyTask, Migration, MigrationSource};
 use super::{Relay, StreamEnd};
 use crate::CopyOutcome;
+use crate::attempt::OVERLAP_MS_MAX;
 use crate::fleet::Slot;
 
-/// Time after which the first endpoint is asked to stop, if the awaited one has sent no event. Two
-/// endpoints may work on one generation for 400 ms; the rest is for the way of the request to stop.
-pub(super) const OVERLAP_MS_MAX: u64 = 250;
-
 /// Silence of the awaited endpoint after which a suspended generation continues at the standby
 /// endpoint. A healthy endpoint is silent for less, and clients wait longer for an event.
 pub(super) const AWAITED_SILENCE_MS_MAX: u64 = 1_800;
