Keep a generation at its source if its migration target answers an error

Cause: every failure of a target ended the generation at both, as the target might work on it. One that has answered with an error does not.

Evidence: a_source_completes_the_answer_if_its_target_answers_an_error fails without the change ("answers lost as the target [answers 500]", then part of a test that had three cases) and passes now.

Change: an error answer of the target leaves the generation at its source, another target is tried.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -65,6 +65,9 @@
 /// Reason why an attempt got no response.
 #[derive(Debug, Error)]
 pub(crate) enum AttemptError {
+    /// The endpoint answered with an error in place of a stream, and no longer works on the request.
+    #[error("the endpoint answered {0}")]
+    Answered(StatusCode),
     /// The request may have run.
     #[error("the endpoint failed: {0}")]
     Failed(String),
@@ -324,7 +327,7 @@
             Err(AttemptError::Failed(_) | AttemptError::TimedOut) => {
                 progress.record_failure(endpoint, now_ms);
             }
-            Ok(_) | Err(AttemptError::Rejected(_)) => {}
+            Ok(_) | Err(AttemptError::Answered(_) | AttemptError::Rejected(_)) => {}
         }
         answered
     }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -302,7 +302,7 @@
         debug!(self.gateway.log, "attempt failed"; "request" => self.request.id(),
             "endpoint" => self.excluded_ids.last(), "reason" => &reason);
         match error {
-            AttemptError::Failed(_) => {
+            AttemptError::Answered(_) | AttemptError::Failed(_) => {
                 self.possible_runs += 1;
                 (!self.may_run_again()).then(|| RequestError::failed(reason))
             }
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -162,8 +162,7 @@
                     self.switch_endpoint(stream, copy.is_some(), overlap_ms, &reason);
                     return self.forward(first);
                 }
-                let answered = format!("the endpoint answered {}", parts.status);
-                (AttemptError::Failed(answered), slot)
+                (AttemptError::Answered(parts.status), slot)
             }
             AttemptOutcome::Failed(error, slot) => (error, slot),
             AttemptOutcome::NotPlaced(error) => {
@@ -177,7 +176,11 @@
     }
 
     fn apply_resumption_failure(&mut self, error: &AttemptError, slot: Slot) -> Option<StreamEnd> {
-        if matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut) {
+        let is_not_run = matches!(
+            error,
+            AttemptError::Rejected(_) | AttemptError::Unreachable(_)
+        );
+        if !is_not_run {
             self.attempts.possible_runs += 1;
             self.attempts.excluded_ids.push(slot.endpoint.id.clone());
         }
@@ -188,19 +191,16 @@
         self.end_if_broken_off(reason)
     }
 
-    /// Keeps the generation at its source if the target certainly does not run it. It cannot
-    /// continue beside a run that the target may have started.
+    /// Keeps the generation at its source if the target certainly does not work on it. It cannot
+    /// continue beside work that the target may have started.
     fn apply_copy_failure(
         &mut self,
         error: &AttemptError,
         copy: UsedCopy,
         slot: Slot,
     ) -> Option<StreamEnd> {
-        let is_not_run = matches!(
-            error,
-            AttemptError::Rejected(_) | AttemptError::Unreachable(_)
-        );
-        if self.suspension.is_some() && (is_not_run || self.is_resumable()) {
+        let may_work = matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut);
+        if self.suspension.is_some() && (!may_work || self.is_resumable()) {
             copy.free();
             return self.continue_suspended(Some(slot), &format!("at the copy: {error}"));
         }
@@ -208,7 +208,9 @@
             return self.resume(&format!("the endpoint broke off, and at the copy: {error}"));
         }
         match error {
-            AttemptError::Rejected(_) | AttemptError::Unreachable(_) => {
+            AttemptError::Answered(_)
+            | AttemptError::Rejected(_)
+            | AttemptError::Unreachable(_) => {
                 info!(self.attempts.gateway.log, "KV cache copy not used";
                     "request" => self.attempts.request.id(),
                     "endpoint" => &slot.endpoint.id, "reason" => %error);
