Take no stream for complete whose connection ends before an event

What callers saw: an answer of one event that looked complete. The target of a migration sent the head of a response with neither a length nor chunks, and closed its connection; the relay took the empty stream for the end of the answer, although its source went on.

Cause: the end of such a body says nothing about its completeness, and an empty stream was accepted.

Change: an attempt whose connection ends before an event has failed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,7 @@
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::RequestError;
+use crate::response::is_delimited;
 use crate::{AttemptHead, CacheCopy, EventReader, Rejection, ResponseHead};
 
 /// Time for which a retry waits for capacity, and after which a client may retry it.
@@ -365,7 +366,7 @@
             ));
         }
         let body = if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
-            read_first_event(body).await?
+            read_first_event(body, is_delimited(&parts)).await?
         } else {
             let collected = collect_body(body, RESPONSE_BYTES_MAX).await;
             AcceptedBody::Whole(collected.map_err(|error| AttemptError::Failed(error.to_string()))?)
@@ -414,8 +415,11 @@
     }
 }
 
-/// Reads a stream up to its first whole event, or to its end.
-async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, AttemptError> {
+/// Reads a stream up to its first whole event, or to its end if that shows that it is complete.
+async fn read_first_event(
+    mut body: Incoming,
+    is_delimited: bool,
+) -> Result<AcceptedBody, AttemptError> {
     let mut reader = EventReader::default();
     let mut received = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -437,6 +441,10 @@
         let reason = "the stream broke off within its first event";
         return Err(AttemptError::Failed(reason.to_owned()));
     }
+    if !is_delimited {
+        let reason = "the connection ended before an event";
+        return Err(AttemptError::Failed(reason.to_owned()));
+    }
     Ok(AcceptedBody::Stream(received.freeze(), body))
 }
 
