Open a connection to the source of a migration ahead of its suspension

Such a document fills the 10 Mbit/s links of the gateways for about a second.

Cause: the request to stop needed a new connection, whose handshake waits behind the document for longer than the connect limit of 300 ms; leaving sources close their connections after each response.

Change: a connection is opened when the copy begins, with a limit of 1 s.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -24,6 +24,9 @@
 /// Time limit for connecting: ten round trips between regions.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
+/// Time limit for opening a connection ahead of its request. A busy link delays it, and no request waits.
+const PREWARM_TIMEOUT_MS: u64 = 1_000;
+
 /// Time for which an idle connection is kept if the endpoint sends no keep-alive time. Its own may
 /// be less than one second, which a header in whole seconds cannot express.
 const IDLE_MS_DEFAULT: u64 = 400;
@@ -237,14 +240,14 @@
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
-        let connection = self.connect().await?;
+        let connection = self.connect(CONNECT_TIMEOUT_MS).await?;
         connection.send(request).await.map_err(|failed| failed.0)
     }
 
     /// Opens an idle connection for a request that is expected soon.
     pub(crate) async fn prewarm(&self) {
         // If this fails, the request opens a connection itself.
-        if let Ok(connection) = self.connect().await {
+        if let Ok(connection) = self.connect(PREWARM_TIMEOUT_MS).await {
             self.put_idle(connection, Some(IDLE_MS_MAX));
         }
     }
@@ -284,11 +287,11 @@
         None
     }
 
-    async fn connect(&self) -> Result<Connection, SendError> {
-        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    async fn connect(&self, limit_ms: u64) -> Result<Connection, SendError> {
+        let limit = Duration::from_millis(limit_ms);
         let stream = timeout(limit, TcpStream::connect(self.address))
             .await
-            .map_err(|_| SendError::NotSent(format!("no answer within {CONNECT_TIMEOUT_MS} ms")))?
+            .map_err(|_| SendError::NotSent(format!("no answer within {limit_ms} ms")))?
             .map_err(|source| SendError::NotSent(source.to_string()))?;
         stream
             .set_nodelay(true)
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -151,8 +151,11 @@
             "tokens" => placement.demand.predicted_tokens,
             "tokens_on_engine" => slot.endpoint.load().predicted_tokens,
             "tokens_left" => remaining_tokens);
-        let pool = Arc::clone(&target.endpoint.pool);
-        tokio::spawn(async move { pool.prewarm().await });
+        for endpoint in [&slot.endpoint, &target.endpoint] {
+            // The source may have to be stopped without the delay of a new connection.
+            let pool = Arc::clone(&endpoint.pool);
+            tokio::spawn(async move { pool.prewarm().await });
+        }
         *self = Self::Copying {
             started_at: Instant::now(),
             copy: source.copy_to(target.endpoint.pool.address(), false),
