Let a suspended generation go on whatever its endpoints answer

Cause: one state, the same as before for everything unexpected: the suspension was forgotten, the awaited endpoint left, and the migration given up. What is known of the source was not kept.

Change: the state of a suspension says what is known. A 503 with a handle has stopped, one without goes on. Without an answer it is unknown whether it stopped: an event of the source shows that it works on, and then the awaited endpoint is left; so does one that comes 100 ms after the request to stop. A slot at an endpoint that rejects early is kept for the copy. A generation that stopped can return to its source, for 2 s after the notice of its leave, so that no new request reaches it once it has left. A copy of a stopped generation may take 5 s. The migration is only paused, and copies are freed. A stream without framing that was asked to stop is only complete if the source had ended it.

Ruled out: closing the source where it does not answer; paused_answers has a paused source beside a replacement that never answers. For a service that cannot copy generations a stalled stream and its replacement still work until one of them sends an event.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,6 +45,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ResumePoint {
     pub(crate) copy: Option<CacheCopy>,
+    /// Whether the endpoint stopped the generation itself, and may be leaving.
+    pub(crate) is_return: bool,
     pub(crate) last_event_id: Option<u64>,
 }
 
@@ -209,8 +211,10 @@
         needs_budget: bool,
     ) -> PendingAttempt {
         let sender = self.clone();
+        let is_return = resume_point.is_return;
         let place = async move {
-            let allowed = sender.check_endpoint(&slot.endpoint).and_then(|()| {
+            let allowed = sender.check_endpoint(&slot.endpoint, is_return);
+            let allowed = allowed.and_then(|()| {
                 if !needs_budget {
                     return Ok(());
                 }
@@ -272,8 +276,10 @@
     }
 
     /// Rejects an attempt whose endpoint began to leave or to pause after capacity was occupied there.
-    fn check_endpoint(&self, endpoint: &Endpoint) -> Result<(), AttemptError> {
-        if endpoint.takes_requests(self.gateway.fleet.now_ms()) {
+    fn check_endpoint(&self, endpoint: &Endpoint, is_return: bool) -> Result<(), AttemptError> {
+        if is_return && endpoint.takes_returns()
+            || endpoint.takes_requests(self.gateway.fleet.now_ms())
+        {
             return Ok(());
         }
         let reason = "the endpoint takes no requests now";
@@ -287,7 +293,7 @@
         resume_point: &ResumePoint,
         progress: &AttemptProgress,
     ) -> AttemptOutcome {
-        if let Err(error) = self.check_endpoint(&slot.endpoint) {
+        if let Err(error) = self.check_endpoint(&slot.endpoint, resume_point.is_return) {
             return AttemptOutcome::Failed(error, slot);
         }
         let endpoint = &slot.endpoint;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -107,9 +107,14 @@
     /// The copy failed for another reason.
     Failed,
     /// The target has no free memory or cannot be reached.
-    NoRoom,
+    NoRoom {
+        /// Handle of the generation that the source has stopped and keeps; `None` if it goes on.
+        handle: Option<String>,
+    },
     /// The source does not run the request.
     NoSuchRun,
+    /// The source did not answer.
+    Unanswered,
 }
 
 impl CopyOutcome {
@@ -119,8 +124,18 @@
             Self::Busy => "busy",
             Self::Copied { .. } => "copied",
             Self::Failed => "failed",
-            Self::NoRoom => "no-room",
+            Self::NoRoom { .. } => "no-room",
             Self::NoSuchRun => "no-such-run",
+            Self::Unanswered => "unanswered",
+        }
+    }
+
+    /// Handle of a copy, or of a generation that the source keeps.
+    pub(crate) fn into_handle(self) -> Option<String> {
+        match self {
+            Self::Copied { handle } => Some(handle),
+            Self::NoRoom { handle } => handle,
+            Self::Busy | Self::Failed | Self::NoSuchRun | Self::Unanswered => None,
         }
     }
 }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -1,12 +1,17 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use placement::Load;
 use registry::{EndpointState, Registration};
 use tokio::sync::watch;
+use tokio::time::{Duration, Instant};
 
 use crate::connection::ConnectionPool;
 use crate::{EndpointHealth, EndpointNotice, EventIntervals};
 
+/// Time after the notice of an endpoint's leave in which a generation may return to it. Endpoints serve
+/// for longer, but expect no new requests three seconds after their notice.
+const RETURN_MS_MAX: u64 = 2_000;
+
 /// One incarnation of an endpoint, with its connections and its statistics at this instance.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -20,6 +25,8 @@
     pub(crate) service: String,
     pub(crate) software_version: String,
     leaving: watch::Sender<bool>,
+    /// Time from which this instance has known that it leaves.
+    leaving_since: OnceLock<Instant>,
     stats: Mutex<EndpointStats>,
 }
 
@@ -57,6 +64,7 @@
             service: registration.service.clone(),
             software_version: registration.software_version.clone(),
             leaving: watch::channel(is_leaving).0,
+            leaving_since: OnceLock::new(),
             stats: Mutex::new(EndpointStats::default()),
         })
     }
@@ -87,6 +95,12 @@
         self.notice().pause_left_ms(now_ms)
     }
 
+    /// Whether a generation that the endpoint has stopped may continue there.
+    pub(crate) fn takes_returns(&self) -> bool {
+        let since = self.leaving_since.get();
+        since.is_none_or(|since| since.elapsed() < Duration::from_millis(RETURN_MS_MAX))
+    }
+
     /// Whether requests may be sent to the endpoint.
     pub(crate) fn takes_requests(&self, now_ms: u64) -> bool {
         !self.is_leaving() && self.pause_left_ms(now_ms) == 0
@@ -98,6 +112,7 @@
 
     pub(crate) fn set_leaving(&self) {
         self.leaving.send_if_modified(|is_leaving| {
+            self.leaving_since.get_or_init(Instant::now);
             let is_changed = !*is_leaving;
             *is_leaving = true;
             is_changed
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -349,6 +349,15 @@
         self.choose_and_occupy(&mut self.lock(), placement)
     }
 
+    /// Occupies a slot at an endpoint that serves the request already, without a choice.
+    pub(crate) fn occupy_again(
+        self: &Arc<Self>,
+        endpoint: &Arc<Endpoint>,
+        demand: &Demand,
+    ) -> Slot {
+        self.occupy(&mut self.lock(), endpoint, demand)
+    }
+
     /// Starts a reservation request; `None` if a new request must wait behind queued ones.
     pub(crate) fn begin_reservation(
         self: &Arc<Self>,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -186,6 +186,7 @@
         let held_until = self.held_until();
         let is_held = held_until > Instant::now();
         let limit = self.awaited_limit();
+        let is_unsuspended = self.suspension.is_none();
         let is_read = !self.is_broken_off && !self.is_complete && !is_held;
         let is_read = is_read && self.unsent.is_empty();
         tokio::select! {
@@ -217,7 +218,7 @@
                 Some(Err(_)) => RelayEvent::BodyFrame(None),
                 None => RelayEvent::BodyEnded,
             },
-            step = self.migration.next_step() => RelayEvent::Migration(step),
+            step = self.migration.next_step(), if is_unsuspended => RelayEvent::Migration(step),
             () = sleep_until(stall_at) => RelayEvent::Stalled,
         }
     }
@@ -229,7 +230,7 @@
                 self.recover("the endpoint broke off within an event")
             }
             RelayEvent::BodyEnded if self.stream.is_delimited => self.complete(),
-            RelayEvent::BodyEnded => self.apply_suspended_end(),
+            RelayEvent::BodyEnded => self.apply_unframed_end(),
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes),
             RelayEvent::BodyFrame(None) => self.recover("the endpoint broke off without its end"),
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
@@ -251,9 +252,7 @@
         if whole_events.is_empty() {
             return self.check_event_length();
         }
-        if self.suspension.is_none() {
-            self.cancel_resumption("the endpoint sent the next event");
-        }
+        self.apply_source_event();
         let gap = self.last_event_at.elapsed();
         let gap_ms = milliseconds(gap);
         self.last_event_at = Instant::now();
@@ -354,9 +353,7 @@
     fn awaited_limit(&self) -> Option<AwaitedLimit> {
         match &self.suspension {
             None => (!self.is_broken_off).then_some(AwaitedLimit::Overlap),
-            Some(suspension) => suspension
-                .has_standby_copy()
-                .then_some(AwaitedLimit::Silence),
+            Some(suspension) => suspension.can_continue().then_some(AwaitedLimit::Silence),
         }
     }
 
@@ -366,7 +363,7 @@
                 self.suspend();
                 None
             }
-            AwaitedLimit::Silence => self.continue_at_standby(),
+            AwaitedLimit::Silence => self.leave_silent_awaited(),
         }
     }
 
@@ -379,7 +376,9 @@
 
     fn stall_at(&self) -> Instant {
         let request = &self.attempts.request;
-        let is_awaiting = self.continuation.is_some() || self.suspension.is_some();
+        let suspension = self.suspension.as_ref();
+        let is_suspended = suspension.is_some_and(Suspension::is_in_effect);
+        let is_awaiting = self.continuation.is_some() || is_suspended;
         if self.is_broken_off || self.is_complete || is_awaiting || !self.may_resume() {
             return request.deadline;
         }
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -67,7 +67,7 @@
         self.is_broken_off = true;
         self.stream.connection.close();
         if self.suspension.is_some() {
-            return self.continue_suspended_unless_awaited(reason);
+            return self.apply_suspended_break(reason);
         }
         if let Some(copy) = self.migration.take_first_copy() {
             self.cancel_resumption(reason);
@@ -200,11 +200,19 @@
         slot: Slot,
     ) -> Option<StreamEnd> {
         let may_work = matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut);
-        if self.suspension.is_some() && (!may_work || self.is_resumable()) {
-            copy.free();
+        let may_continue = !may_work || self.is_resumable();
+        if self.suspension.is_some() && may_continue {
+            self.migration
+                .discard_copy_and_retry(copy, &slot.endpoint.id);
             return self.continue_suspended(Some(slot), &format!("at the copy: {error}"));
         }
+        if may_continue && copy.can_return(&slot) {
+            let copy = copy.at_source(self.source_slot());
+            self.continue_from_copy(copy, format!("at the copy: {error}"), false);
+            return None;
+        }
         if self.is_broken_off {
+            copy.free();
             return self.resume(&format!("the endpoint broke off, and at the copy: {error}"));
         }
         match error {
@@ -253,6 +261,7 @@
         let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
         let resume_point = ResumePoint {
             copy: Some(copy.cache_copy.clone()),
+            is_return: copy.is_at_source(&slot),
             ..self.resume_point()
         };
         self.continuation = Some(Continuation {
@@ -266,6 +275,7 @@
     pub(super) fn resume_point(&self) -> ResumePoint {
         ResumePoint {
             copy: None,
+            is_return: false,
             last_event_id: self.reader.last_event_id(),
         }
     }
--- a/crates/gateway/src/relay/migration.rs
+++ b/crates/gateway/src/relay/migration.rs
@@ -21,6 +21,9 @@
 /// Time limit of one copy; leaving endpoints are gone by then.
 const COPY_TIMEOUT_MS: u64 = 2_500;
 
+/// Time limit of the copy of a stopped generation. Sources keep its memory for about as long.
+const SUSPENSION_TIMEOUT_MS: u64 = 5_000;
+
 /// Longest response to a copy request: a handle and a count.
 const COPY_RESPONSE_BYTES_MAX: usize = 16 * 1024;
 
@@ -76,6 +79,8 @@
 /// KV cache copy from which a target is asked to continue.
 pub(super) struct UsedCopy {
     pub(super) cache_copy: CacheCopy,
+    /// Whether the source has stopped the generation, and keeps its memory.
+    is_of_stopped: bool,
     source: MigrationSource,
 }
 
@@ -85,6 +90,10 @@
         Self::NotStarted(endpoint.subscribe_leaving())
     }
 
+    pub(super) fn is_copying(&self) -> bool {
+        matches!(self, Self::Copying { .. })
+    }
+
     /// Ids of endpoints that had no memory for the copy or did not continue from it.
     pub(super) fn failed_target_ids(&self) -> &[String] {
         match self {
@@ -248,11 +257,11 @@
                 return MigrationStep::CopyComplete(source.into_complete_copy(target, handle));
             }
             CopyOutcome::NoSuchRun => {}
-            CopyOutcome::NoRoom => {
+            CopyOutcome::NoRoom { .. } => {
                 source.failed_target_ids.push(target.endpoint.id.clone());
                 *self = Self::schedule_retry(source.failed_target_ids);
             }
-            CopyOutcome::Busy | CopyOutcome::Failed => {
+            CopyOutcome::Busy | CopyOutcome::Failed | CopyOutcome::Unanswered => {
                 *self = Self::schedule_retry(source.failed_target_ids);
             }
         }
@@ -272,9 +281,31 @@
     pub(super) fn into_parts(self) -> (Slot, UsedCopy) {
         (self.slot, self.copy)
     }
+
+    /// The same copy, of a generation that its source has stopped.
+    pub(super) fn of_stopped(mut self) -> Self {
+        self.copy.is_of_stopped = true;
+        self
+    }
 }
 
 impl UsedCopy {
+    /// Whether a slot is at the endpoint that was copied from.
+    pub(super) fn is_at_source(&self, slot: &Slot) -> bool {
+        self.source.endpoint.id == slot.endpoint.id
+    }
+
+    /// Whether the generation can return to its source, after the endpoint of `failed_slot` has not
+    /// continued it.
+    pub(super) fn can_return(&self, failed_slot: &Slot) -> bool {
+        self.is_of_stopped && self.source.takes_returns() && !self.is_at_source(failed_slot)
+    }
+
+    /// The memory that the source keeps of a stopped generation, with a slot there.
+    pub(super) fn at_source(self, slot: Slot) -> CompleteCopy {
+        CompleteCopy { copy: self, slot }
+    }
+
     /// Frees the copy at the source and the target.
     pub(super) fn free(&self) {
         self.source.free_copy(&self.cache_copy.handle);
@@ -295,6 +326,11 @@
         }
     }
 
+    /// Whether a generation that the source has stopped may continue there.
+    pub(super) fn takes_returns(&self) -> bool {
+        self.endpoint.takes_returns()
+    }
+
     /// Starts a copy; if `is_last`, the source stops the generation first.
     pub(super) fn copy_to(&self, target: SocketAddr, is_last: bool) -> CopyTask {
         let gateway = Arc::clone(&self.gateway);
@@ -311,9 +347,14 @@
                 let body = collected.ok()?;
                 Some(gateway.dialect.parse_copy_response(status, &body))
             };
-            let limit = Duration::from_millis(COPY_TIMEOUT_MS);
+            let limit_ms = if is_last {
+                SUSPENSION_TIMEOUT_MS
+            } else {
+                COPY_TIMEOUT_MS
+            };
+            let limit = Duration::from_millis(limit_ms);
             let outcome = timeout(limit, copied).await.ok().flatten();
-            outcome.unwrap_or(CopyOutcome::Failed)
+            outcome.unwrap_or(CopyOutcome::Unanswered)
         })
     }
 
@@ -321,6 +362,7 @@
         let source = self.endpoint.pool.address();
         let copy = UsedCopy {
             cache_copy: CacheCopy { handle, source },
+            is_of_stopped: false,
             source: self,
         };
         Box::new(CompleteCopy { copy, slot: target })
--- a/crates/gateway/src/relay/suspension.rs
+++ b/crates/gateway/src/relay/suspension.rs
@@ -4,17 +4,18 @@
 //! healthy endpoint may be silent for a second. Two endpoints must not work on one generation for long,
 //! but closing the connection to the first one would lose the answer if the other one rejects it. So the
 //! first one suspends the generation: it stops, keeps its memory, and copies it to a standby endpoint.
-//! If the awaited endpoint rejects the generation or stays silent, it continues from that copy. If the
-//! first endpoint does not suspend it, the awaited one is left instead.
+//! If the awaited endpoint rejects the generation or stays silent, it continues from that copy, or at the
+//! endpoint that stopped it. If the first endpoint goes on, the awaited one is left instead.
 
 use std::future::pending;
 use std::net::SocketAddr;
 
+use placement::Demand;
 use slog::info;
 use tokio::time::{Duration, Instant};
 
 use super::continuation::Continuation;
-use super::migration::{CopyTask, Migration, MigrationSource};
+use super::migration::{CopyTask, MigrationSource};
 use super::{Relay, StreamEnd};
 use crate::CopyOutcome;
 use crate::attempt::OVERLAP_MS_MAX;
@@ -24,6 +25,10 @@
 /// endpoint. A healthy endpoint is silent for less, and clients wait longer for an event.
 pub(super) const AWAITED_SILENCE_MS_MAX: u64 = 1_800;
 
+/// Time in which a generation stops after the request to stop was sent; events that come later show
+/// that it goes on.
+const STOP_MS_MAX: u64 = 100;
+
 /// Generation that was asked to stop at its endpoint.
 pub(super) enum Suspension {
     /// It had ended before; its last events are on their way.
@@ -33,16 +38,20 @@
         copy: CopyTask,
         /// Whether a stream without framing has ended meanwhile, completely or because it stopped.
         has_stream_ended: bool,
+        requested_at: Instant,
         source: MigrationSource,
         standby: Option<Slot>,
     },
-    /// It has stopped.
+    /// It has stopped, and the endpoint keeps its memory.
     Stopped {
-        /// Handle of the copy; `None` if the standby endpoint had no memory for it.
-        handle: Option<String>,
+        handle: String,
+        /// Whether the standby endpoint, or the awaited one if there is none, has a copy.
+        is_copied: bool,
         source: MigrationSource,
         standby: Option<Slot>,
     },
+    /// It may go on: the endpoint cannot stop it, or has not answered.
+    Unknown,
 }
 
 impl Suspension {
@@ -53,6 +62,7 @@
         Self::Requested {
             copy: source.copy_to(standby_address.unwrap_or(awaited), true),
             has_stream_ended: false,
+            requested_at: Instant::now(),
             source,
             standby,
         }
@@ -66,34 +76,33 @@
         }
     }
 
-    /// Whether the generation can continue at a standby endpoint.
-    pub(super) fn has_standby_copy(&self) -> bool {
-        matches!(
-            self,
+    /// Whether the generation has stopped, or will stop unless the endpoint refuses.
+    pub(super) fn is_in_effect(&self) -> bool {
+        matches!(self, Self::Requested { .. } | Self::Stopped { .. })
+    }
+
+    /// Whether the generation has stopped and can continue elsewhere than at the awaited endpoint.
+    pub(super) fn can_continue(&self) -> bool {
+        match self {
             Self::Stopped {
-                handle: Some(_),
-                standby: Some(_),
-                ..
-            }
-        )
+                source, standby, ..
+            } => standby.is_some() || source.takes_returns(),
+            _ => false,
+        }
     }
 
     /// Frees the memory that the endpoint keeps; that of a copy in progress once it is complete.
     pub(super) fn free(self) {
         match self {
-            Self::Ended | Self::Stopped { handle: None, .. } => {}
+            Self::Ended | Self::Unknown => {}
             Self::Requested { copy, source, .. } => {
                 tokio::spawn(async move {
-                    if let CopyOutcome::Copied { handle } = copy.await {
+                    if let Some(handle) = copy.await.into_handle() {
                         source.free_copy(&handle);
                     }
                 });
             }
-            Self::Stopped {
-                handle: Some(handle),
-                source,
-                ..
-            } => source.free_copy(&handle),
+            Self::Stopped { handle, source, .. } => source.free_copy(&handle),
         }
     }
 }
@@ -101,26 +110,28 @@
 impl Relay {
     /// Asks the stream's endpoint to stop, as the awaited one may work since its request was sent.
     pub(super) fn suspend(&mut self) {
-        let attempt = self.continuation.as_ref().map(|pending| &pending.attempt);
-        let Some(awaited) = attempt.and_then(|attempt| attempt.endpoint()).cloned() else {
+        let Some(Continuation { attempt, copy, .. }) = &self.continuation else {
             return;
         };
-        if !self.supports_migration() {
-            self.leave_awaited("the generation cannot be suspended at its endpoint");
+        let (Some(awaited), is_copied) = (attempt.endpoint().cloned(), copy.is_some()) else {
+            return;
+        };
+        let (gateway, request) = (&self.attempts.gateway, &self.attempts.request);
+        if self.migration.is_copying() {
+            self.leave_awaited("its KV cache is being copied");
             return;
         }
-        if !self
-            .attempts
-            .gateway
-            .try_retry(&self.attempts.request.service)
-        {
-            // What is suspended must be able to continue.
-            self.leave_awaited("the budget for repeats is spent");
+        // What is suspended must be able to continue.
+        if !self.supports_migration() || !gateway.try_retry(&request.service) {
+            if is_copied {
+                self.leave_awaited("the budget for repeats is spent");
+            } else {
+                self.suspension = Some(Suspension::Unknown);
+            }
             return;
         }
         let mut placement = self.migration_placement();
         placement.excluded_ids.push(awaited.id.clone());
-        let (gateway, request) = (&self.attempts.gateway, &self.attempts.request);
         let standby = gateway.fleet.try_place(&placement);
         let endpoint = &self.stream.slot.endpoint;
         info!(gateway.log, "generation suspension requested"; "request" => request.id(),
@@ -130,7 +141,6 @@
         let source = MigrationSource::new(gateway, request, endpoint);
         let suspension = Suspension::request(source, standby, awaited.pool.address());
         self.suspension = Some(suspension);
-        std::mem::replace(&mut self.migration, Migration::Disabled).free_copy();
     }
 
     /// Applies the endpoint's answer to the request to stop.
@@ -147,95 +157,169 @@
         else {
             return None;
         };
-        let handle = match outcome {
-            CopyOutcome::Copied { handle } => Some(handle),
-            CopyOutcome::NoRoom => None,
-            CopyOutcome::NoSuchRun if has_stream_ended => return self.complete(),
-            CopyOutcome::NoSuchRun if !self.is_broken_off => {
+        match outcome {
+            CopyOutcome::Copied { handle } => {
+                if let Some(slot) = &mut standby {
+                    slot.complete_copy();
+                }
+                self.suspension = Some(Suspension::Stopped {
+                    handle,
+                    is_copied: true,
+                    source,
+                    standby,
+                });
+                self.continue_suspended_unless_awaited("no other endpoint continued the generation")
+            }
+            CopyOutcome::NoRoom {
+                handle: Some(handle),
+            } => {
+                self.suspension = Some(Suspension::Stopped {
+                    handle,
+                    is_copied: false,
+                    source,
+                    standby: None,
+                });
+                self.continue_suspended_unless_awaited("no other endpoint continued the generation")
+            }
+            CopyOutcome::NoSuchRun if has_stream_ended => self.complete(),
+            _ if self.is_broken_off => self.resume_unless_awaited("the endpoint broke off"),
+            CopyOutcome::NoSuchRun => {
                 self.suspension = Some(Suspension::Ended);
-                return None;
+                None
+            }
+            CopyOutcome::Unanswered => {
+                self.suspension = Some(Suspension::Unknown);
+                None
             }
-            CopyOutcome::Busy | CopyOutcome::Failed if !self.is_broken_off => {
+            CopyOutcome::Busy | CopyOutcome::Failed | CopyOutcome::NoRoom { handle: None } => {
                 self.leave_awaited("the generation was not suspended at its endpoint");
-                return None;
+                None
             }
-            CopyOutcome::Busy | CopyOutcome::Failed | CopyOutcome::NoSuchRun => {
-                let reason = "the endpoint broke off and was not suspended";
-                if self.continuation.is_some() {
-                    return None;
+        }
+    }
+
+    /// Applies an event of the stream's endpoint, which shows whether it works on.
+    pub(super) fn apply_source_event(&mut self) {
+        match &self.suspension {
+            None => self.cancel_resumption("the endpoint sent the next event"),
+            Some(Suspension::Ended | Suspension::Stopped { .. }) => {}
+            Some(Suspension::Requested { requested_at, .. }) => {
+                if requested_at.elapsed() > Duration::from_millis(STOP_MS_MAX) {
+                    self.leave_awaited("the endpoint has not stopped the generation");
                 }
-                return self.resume(reason);
             }
-        };
-        if let Some(slot) = &mut standby {
-            slot.complete_copy();
+            Some(Suspension::Unknown) => {
+                self.suspension = None;
+                self.leave_awaited("the endpoint sent the next event");
+            }
         }
-        self.suspension = Some(Suspension::Stopped {
-            handle,
-            source,
-            standby,
-        });
-        self.continue_suspended_unless_awaited("no other endpoint continued the generation")
     }
 
-    /// Applies the end of the stream of a generation that was asked to stop.
-    pub(super) fn apply_suspended_end(&mut self) -> Option<StreamEnd> {
+    /// Applies the end of a stream that has neither a length nor chunks, so that its end does not show
+    /// whether it is complete.
+    pub(super) fn apply_unframed_end(&mut self) -> Option<StreamEnd> {
         match &mut self.suspension {
+            Some(Suspension::Ended) | None => return self.complete(),
             Some(Suspension::Requested {
                 has_stream_ended, ..
             }) => *has_stream_ended = true,
-            Some(Suspension::Stopped { .. }) => {}
-            Some(Suspension::Ended) | None => return self.complete(),
+            Some(Suspension::Stopped { .. } | Suspension::Unknown) => {}
         }
+        self.apply_suspended_break("the stream of a suspended generation ended")
+    }
+
+    /// Applies the end of a stream that is not complete, after its endpoint was asked to stop.
+    pub(super) fn apply_suspended_break(&mut self, reason: &str) -> Option<StreamEnd> {
         self.is_broken_off = true;
-        None
+        match self.suspension {
+            Some(Suspension::Requested { .. }) => None,
+            Some(Suspension::Stopped { .. }) => self.continue_suspended_unless_awaited(reason),
+            Some(Suspension::Ended | Suspension::Unknown) | None => {
+                self.suspension = None;
+                self.resume_unless_awaited(reason)
+            }
+        }
     }
 
-    /// Continues a suspended generation whose stream was closed, unless another endpoint is awaited.
-    pub(super) fn continue_suspended_unless_awaited(&mut self, reason: &str) -> Option<StreamEnd> {
+    fn continue_suspended_unless_awaited(&mut self, reason: &str) -> Option<StreamEnd> {
         if self.continuation.is_some() {
             return None;
         }
         self.continue_suspended(None, reason)
     }
 
-    /// Continues a suspended generation from its copy, after the awaited endpoint has not continued
-    /// it. `slot` is at that endpoint, which may have been full for a moment; it is used if there is no
-    /// standby endpoint.
+    fn resume_unless_awaited(&mut self, reason: &str) -> Option<StreamEnd> {
+        if self.continuation.is_some() {
+            return None;
+        }
+        self.resume(reason)
+    }
+
+    /// Continues a suspended generation, after the awaited endpoint has not continued it. `awaited`
+    /// is a slot there, which is used if there is no standby endpoint.
     pub(super) fn continue_suspended(
         &mut self,
-        slot: Option<Slot>,
+        awaited: Option<Slot>,
         reason: &str,
     ) -> Option<StreamEnd> {
-        let is_stopped =
-            |suspension: &mut Suspension| matches!(suspension, Suspension::Stopped { .. });
-        let Some(Suspension::Stopped {
-            handle,
-            source,
-            standby,
-        }) = self.suspension.take_if(is_stopped)
-        else {
-            // The answer of the stream's endpoint, or the stream's end, is awaited.
-            return None;
-        };
-        self.is_broken_off = true;
-        self.reader.discard_partial();
-        let (Some(handle), Some(slot)) = (handle, standby.or(slot)) else {
-            return self.resume(reason);
+        match self.suspension.take()? {
+            Suspension::Requested {
+                copy,
+                has_stream_ended,
+                requested_at,
+                source,
+                standby,
+            } => {
+                self.suspension = Some(Suspension::Requested {
+                    copy,
+                    has_stream_ended,
+                    requested_at,
+                    source,
+                    standby: standby.or(awaited),
+                });
+                None
+            }
+            Suspension::Stopped {
+                handle,
+                is_copied,
+                source,
+                standby,
+            } => {
+                self.is_broken_off = true;
+                self.reader.discard_partial();
+                let slot = standby.or(awaited).filter(|_| is_copied);
+                let slot = slot.unwrap_or_else(|| self.source_slot());
+                let copy = source.into_complete_copy(slot, handle);
+                self.continue_from_copy(copy.of_stopped(), reason.to_owned(), false);
+                None
+            }
+            suspension @ (Suspension::Ended | Suspension::Unknown) if !self.is_broken_off => {
+                if matches!(suspension, Suspension::Ended) {
+                    self.suspension = Some(suspension);
+                }
+                self.stall_start_at = Instant::now();
+                None
+            }
+            Suspension::Ended | Suspension::Unknown => self.resume(reason),
+        }
+    }
+
+    /// Slot at the stream's endpoint for a generation that returns there.
+    pub(super) fn source_slot(&self) -> Slot {
+        let demand = Demand {
+            kv_copy_tokens: 0,
+            ..self.migration_placement().demand
         };
-        let copy = source.into_complete_copy(slot, handle);
-        self.continue_from_copy(*copy, reason.to_owned(), false);
-        None
+        let fleet = &self.attempts.gateway.fleet;
+        fleet.occupy_again(&self.stream.slot.endpoint, &demand)
     }
 
-    /// Leaves an awaited endpoint that is silent, for the standby endpoint's copy.
-    pub(super) fn continue_at_standby(&mut self) -> Option<StreamEnd> {
+    /// Leaves an awaited endpoint that is silent, for the copy of the suspended generation.
+    pub(super) fn leave_silent_awaited(&mut self) -> Option<StreamEnd> {
         let reason = "the awaited endpoint was silent";
         let Continuation { attempt, copy, .. } = self.continuation.take()?;
         attempt.mark_overdue(self.attempts.gateway.fleet.now_ms());
-        info!(self.attempts.gateway.log, "awaited endpoint left";
-            "request" => self.attempts.request.id(), "endpoint" => attempt.endpoint_id(),
-            "reason" => reason);
+        self.log_left(attempt.endpoint_id(), reason);
         self.attempts.possible_runs += 1;
         let awaited_id = attempt.endpoint_id().map(str::to_owned);
         self.attempts.excluded_ids.extend(awaited_id);
@@ -247,18 +331,22 @@
 
     /// Leaves an awaited endpoint, so that the stream's endpoint works alone.
     fn leave_awaited(&mut self, reason: &str) {
+        self.stall_start_at = Instant::now();
         let is_copied = |pending: &mut Continuation| pending.copy.is_some();
         let Some(Continuation { attempt, copy, .. }) = self.continuation.take_if(is_copied) else {
             self.cancel_resumption(reason);
             return;
         };
-        info!(self.attempts.gateway.log, "awaited endpoint left";
-            "request" => self.attempts.request.id(), "endpoint" => attempt.endpoint_id(),
-            "reason" => reason);
+        self.log_left(attempt.endpoint_id(), reason);
         if let (Some(copy), Some(awaited_id)) = (copy, attempt.endpoint_id()) {
             self.migration.discard_copy_and_retry(copy, awaited_id);
         }
-        self.stall_start_at = Instant::now();
+    }
+
+    fn log_left(&self, awaited_id: Option<&str>, reason: &str) {
+        info!(self.attempts.gateway.log, "awaited endpoint left";
+            "request" => self.attempts.request.id(), "endpoint" => awaited_id,
+            "reason" => reason);
     }
 }
 
