Read the shared parts of prompts from requests

The platform's requests name the parts of their prompt in order. The gateway needs the ids of the parts that several requests may share to see which of them crash endpoints.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -44,6 +44,8 @@
     pub generation: Option<GenerationSize>,
     /// Last event that the client received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may share, in the prompt's order.
+    pub prompt_parts: Vec<u64>,
     /// Id of the request, as text.
     pub request_id: Option<String>,
     /// Id of the request that began the stream, if the client resumes one.
