Find the parts of prompts that crash endpoints

Requests with one part of a prompt crashed endpoint after endpoint: nothing relates a crash to the prompts that ran. This is the decision, without network or clock: crashes accuse the parts that ran, sound answers clear them. Three crashes of different incarnations at different times, without a sound answer between them, quarantine one part: the one that most of the crashes accuse. A quarantine lasts 20 s, then one request at a time may try the part; each crashed probe makes the next quarantine three times as long, up to 10 min.

Crashes within 250 ms count once, so that endpoints which lose their power together don't end in a quarantine. Parts that only some of the crashes of a quarantined part accuse are cleared with it, so that a sound part beside it is not suspected by what the other part did.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -30,6 +30,7 @@
 mod lease;
 mod load_aggregator;
 mod membership;
+mod part_quarantine;
 mod publisher;
 mod read_index;
 mod registration;
@@ -49,6 +50,9 @@
 pub use lease::Lease;
 pub use load_aggregator::LoadAggregator;
 pub use membership::{GroupMembers, next_voter_change};
+pub use part_quarantine::{
+    Accusation, AccusingEndpoint, PartChange, PartQuarantine, PartReport, PartState, PublishedPart,
+};
 pub use publisher::update_batch_delay;
 pub use registration::{EndpointState, Registration};
 pub use registry::Registry;
--- a/crates/registry/src/part_quarantine.rs
+++ b/crates/registry/src/part_quarantine.rs
@@ -98,17 +98,19 @@
     },
     /// The part was quarantined.
     Quarantined {
+        /// Probes that crashed since the first quarantine.
+        crashed_probes: u32,
         /// Duration of the quarantine.
         duration_ms: u64,
         /// Incarnations of endpoints that crashed since the last sound answer.
         endpoints: usize,
-        /// Whether a probe crashed.
-        is_repeated: bool,
         /// Id of the part.
         part: u64,
     },
-    /// The part answered soundly, and is no longer accused.
+    /// The part is no longer accused: it answered soundly, or another part explains its crashes.
     Released {
+        /// Whether another part explains its crashes.
+        is_explained: bool,
         /// Whether it was quarantined.
         is_quarantined: bool,
         /// Id of the part.
@@ -142,7 +144,7 @@
 /// Quarantine of a part, with the probation after it.
 #[derive(Debug, Clone, Copy)]
 struct Quarantine {
-    duration_ms: u64,
+    crashed_probes: u32,
     ends_at_ms: u64,
     /// Time until which a granted probe keeps others away.
     probe_until_ms: u64,
@@ -151,36 +153,36 @@
 impl PartQuarantine {
     /// Applies a crash, and returns what it changed.
     pub fn accuse(&mut self, now_ms: u64, accusation: &Accusation) -> Vec<PartChange> {
-        let mut parts = accusation.parts.clone();
-        parts.sort_unstable();
-        parts.dedup();
+        let Accusation { endpoint, parts } = accusation;
+        let mut changes = Vec::new();
         let quarantined: Vec<usize> = parts
             .iter()
             .filter_map(|&part| self.find(part).ok())
             .filter(|&at| self.entries[at].quarantine.is_some())
             .collect();
-        if !quarantined.is_empty() {
-            // The crash is explained: the other parts are not to blame for it.
-            let changes = quarantined
-                .into_iter()
-                .filter_map(|at| self.entries[at].extend_quarantine(now_ms));
-            let changes: Vec<PartChange> = changes.collect();
-            self.version += u64::from(!changes.is_empty());
-            return changes;
-        }
-        let mut changes = Vec::new();
-        for &part in &parts {
-            let entry = self.entry(now_ms, part);
-            if entry.count(now_ms, &accusation.endpoint) {
-                changes.push(PartChange::Accused {
-                    accusations: entry.accusations,
-                    part,
-                });
+        if quarantined.is_empty() && !self.is_explained(endpoint) {
+            for &part in parts {
+                let entry = self.entry(now_ms, part);
+                if entry.count(now_ms, endpoint) {
+                    changes.push(PartChange::Accused {
+                        accusations: entry.accusations,
+                        part,
+                    });
+                }
+            }
+            if let Some(at) = self.most_suspect(parts) {
+                let entry = &mut self.entries[at];
+                changes.push(entry.quarantine(now_ms, 0));
+                changes.extend(self.clear_explained(at));
             }
         }
-        if let Some(at) = self.most_suspect(&accusation.parts) {
+        for &at in &quarantined {
             let entry = &mut self.entries[at];
-            changes.push(entry.quarantine(now_ms, QUARANTINE_MS_FIRST, false));
+            entry.remember(endpoint);
+            changes.extend(entry.extend_quarantine(now_ms));
+        }
+        for at in quarantined {
+            changes.extend(self.clear_explained(at));
         }
         self.version += u64::from(!changes.is_empty());
         changes
@@ -194,14 +196,8 @@
         if entry.accusations == 0 {
             return None;
         }
-        entry.accusations = 0;
-        entry.endpoints.clear();
-        let is_quarantined = entry.quarantine.take().is_some();
         self.version += 1;
-        Some(PartChange::Released {
-            is_quarantined,
-            part,
-        })
+        Some(entry.release(false))
     }
 
     /// Grants a request the probe of its parts; `false` if one of them is quarantined or is being
@@ -256,7 +252,9 @@
     /// Entry of a part; a new one may replace the least important entry.
     fn entry(&mut self, now_ms: u64, part: u64) -> &mut Entry {
         let at = self.find(part).unwrap_or_else(|at| {
-            let at = self.make_room().map_or(at, |removed| at - usize::from(removed < at));
+            let at = self
+                .make_room()
+                .map_or(at, |removed| at - usize::from(removed < at));
             self.entries.insert(at, Entry::new(now_ms, part));
             at
         });
@@ -278,6 +276,30 @@
         Some(at)
     }
 
+    /// Whether a quarantined part crashed the endpoint, so that its other parts are not to blame.
+    fn is_explained(&self, endpoint: &AccusingEndpoint) -> bool {
+        let quarantined = self
+            .entries
+            .iter()
+            .filter(|entry| entry.quarantine.is_some());
+        let mut explained = quarantined.flat_map(|entry| &entry.endpoints);
+        explained.any(|known| known == endpoint)
+    }
+
+    /// Clears the parts that only some of the crashes of the quarantined part at `at` accuse. A part
+    /// that all of them accuse may be the one to blame.
+    fn clear_explained(&mut self, at: usize) -> Vec<PartChange> {
+        let endpoints = self.entries[at].endpoints.clone();
+        let is_explained = |entry: &&mut Entry| {
+            let mut accusers = entry.endpoints.iter();
+            entry.accusations > 0
+                && entry.endpoints.len() < endpoints.len()
+                && accusers.all(|endpoint| endpoints.contains(endpoint))
+        };
+        let explained = self.entries.iter_mut().filter(is_explained);
+        explained.map(|entry| entry.release(true)).collect()
+    }
+
     /// Position of the part to quarantine after a crash of a request with these parts.
     ///
     /// A part that crashes endpoints is accused by each crash. Other parts of its requests are
@@ -316,12 +338,9 @@
     /// Applies a crash of an endpoint; returns whether it counts.
     fn count(&mut self, now_ms: u64, endpoint: &AccusingEndpoint) -> bool {
         self.last_accused_ms = now_ms;
-        if self.endpoints.contains(endpoint) {
+        if !self.remember(endpoint) {
             return false;
         }
-        if self.endpoints.len() < ENDPOINTS_MAX {
-            self.endpoints.push(endpoint.clone());
-        }
         if self.accusations > 0 && now_ms < self.counted_at_ms + SAME_EVENT_MS {
             return false;
         }
@@ -330,16 +349,38 @@
         true
     }
 
-    fn quarantine(&mut self, now_ms: u64, duration_ms: u64, is_repeated: bool) -> PartChange {
+    /// Remembers an endpoint that crashed; returns whether it is new.
+    fn remember(&mut self, endpoint: &AccusingEndpoint) -> bool {
+        let is_new = !self.endpoints.contains(endpoint);
+        if is_new && self.endpoints.len() < ENDPOINTS_MAX {
+            self.endpoints.push(endpoint.clone());
+        }
+        is_new
+    }
+
+    fn release(&mut self, is_explained: bool) -> PartChange {
+        self.accusations = 0;
+        self.endpoints.clear();
+        PartChange::Released {
+            is_explained,
+            is_quarantined: self.quarantine.take().is_some(),
+            part: self.part,
+        }
+    }
+
+    fn quarantine(&mut self, now_ms: u64, crashed_probes: u32) -> PartChange {
+        let growth = QUARANTINE_GROWTH.saturating_pow(crashed_probes);
+        let duration_ms = QUARANTINE_MS_FIRST.saturating_mul(growth);
+        let duration_ms = duration_ms.min(QUARANTINE_MS_MAX);
         self.quarantine = Some(Quarantine {
-            duration_ms,
+            crashed_probes,
             ends_at_ms: now_ms + duration_ms,
             probe_until_ms: 0,
         });
         PartChange::Quarantined {
+            crashed_probes,
             duration_ms,
             endpoints: self.endpoints.len(),
-            is_repeated,
             part: self.part,
         }
     }
@@ -352,8 +393,7 @@
         if now_ms < quarantine.ends_at_ms {
             return None;
         }
-        let duration_ms = quarantine.duration_ms * QUARANTINE_GROWTH;
-        Some(self.quarantine(now_ms, duration_ms.min(QUARANTINE_MS_MAX), true))
+        Some(self.quarantine(now_ms, quarantine.crashed_probes.saturating_add(1)))
     }
 
     /// Time of the last accusation, or the end of the quarantine if it is later.
