Let all instances know the prompt parts that crash endpoints

What one instance sees of a crash did not reach the others, while requests with the same part come at any of them. Subscribers report crashes and sound answers to all connected registries. Each registry decides on its own and publishes its accused parts in the answers to polls; the begin and the end of a quarantine wake held polls at once, other changes are batched like those of the directory.

A part is refused while any registry quarantines it. Quarantines of a registry that restarted or is not connected stay for their remaining time, unless another one releases the part. The leading registry grants probes.

Polls carry new fields, so registries and subscribers of builds before this one can't read each other's.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -18,7 +18,8 @@
 //! answer, subscribers choose by that load.
 //!
 //! Registries also remember the service and software version that began each recent stream, so that
-//! a client can resume it through any instance.
+//! a client can resume it through any instance. And they quarantine the parts of prompts that crash
+//! endpoints, by the crashes and sound answers that all subscribers report.
 
 mod boot_clock;
 mod connection;
@@ -31,6 +32,7 @@
 mod load_aggregator;
 mod membership;
 mod part_quarantine;
+mod part_view;
 mod publisher;
 mod read_index;
 mod registration;
@@ -53,6 +55,7 @@
 pub use part_quarantine::{
     Accusation, AccusingEndpoint, PartChange, PartQuarantine, PartReport, PartState, PublishedPart,
 };
+pub use part_view::{PartAdmission, PartView};
 pub use publisher::update_batch_delay;
 pub use registration::{EndpointState, Registration};
 pub use registry::Registry;
--- a/crates/registry/src/part_quarantine.rs
+++ b/crates/registry/src/part_quarantine.rs
@@ -61,6 +61,8 @@
 pub struct PartReport {
     /// Crashes, oldest first.
     pub accusations: Vec<Accusation>,
+    /// Name of the reporting instance.
+    pub instance: String,
     /// Parts of prompts that were answered soundly.
     pub sound_parts: Vec<u64>,
 }
@@ -87,7 +89,7 @@
 }
 
 /// Change of a part, for the log.
-#[derive(Debug, Clone, Copy, Eq, PartialEq)]
+#[derive(Debug, Clone, Eq, PartialEq)]
 pub enum PartChange {
     /// A crash was counted.
     Accused {
@@ -102,8 +104,8 @@
         crashed_probes: u32,
         /// Duration of the quarantine.
         duration_ms: u64,
-        /// Incarnations of endpoints that crashed since the last sound answer.
-        endpoints: usize,
+        /// Names of the endpoints that crashed since the last sound answer, oldest first.
+        endpoint_ids: Vec<String>,
         /// Id of the part.
         part: u64,
     },
@@ -150,6 +152,18 @@
     probe_until_ms: u64,
 }
 
+impl PartChange {
+    /// Whether the change begins or ends a quarantine.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            Self::Accused { .. } => false,
+            Self::Quarantined { .. } => true,
+            Self::Released { is_quarantined, .. } => *is_quarantined,
+        }
+    }
+}
+
 impl PartQuarantine {
     /// Applies a crash, and returns what it changed.
     pub fn accuse(&mut self, now_ms: u64, accusation: &Accusation) -> Vec<PartChange> {
@@ -380,7 +394,11 @@
         PartChange::Quarantined {
             crashed_probes,
             duration_ms,
-            endpoints: self.endpoints.len(),
+            endpoint_ids: self
+                .endpoints
+                .iter()
+                .map(|endpoint| endpoint.id.clone())
+                .collect(),
             part: self.part,
         }
     }
--- a/crates/registry/src/publisher.rs
+++ b/crates/registry/src/publisher.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::group::Group;
 use crate::read_index::ReadIndexBatcher;
 use crate::registry::elapsed_ms;
 use crate::rpc::{PollAnswer, PollRequest};
-use crate::{Directory, EndpointEvent, RecordOutcome};
+use crate::{
+    Accusation, Directory, EndpointEvent, PartChange, PartQuarantine, PublishedPart, RecordOutcome,
+};
 
 /// Time after its last poll in which an instance counts as a subscriber.
 const SUBSCRIBER_TTL_MS: u64 = 2_000;
@@ -33,7 +35,16 @@
 /// Time without a heartbeat after which an endpoint is silent, in tenths of the heartbeat interval.
 const SILENT_AFTER_HEARTBEAT_TENTHS: u64 = 35;
 
-/// State of a registry that subscribers poll: the directory, the document and the members.
+/// Versions of the accused parts of prompts.
+#[derive(Debug, Clone, Copy, Default)]
+struct PartVersions {
+    latest: u64,
+    /// Latest version in which a quarantine began or ended.
+    urgent: u64,
+}
+
+/// State of a registry that subscribers poll: the directory, the document, the accused parts of
+/// prompts and the members.
 pub(crate) struct Publisher {
     directory: Mutex<Directory>,
     directory_changed: watch::Sender<u64>,
@@ -41,6 +52,8 @@
     group: Arc<Group>,
     inner_port: u16,
     opened_at: Instant,
+    part_quarantine: Mutex<PartQuarantine>,
+    parts_changed: watch::Sender<PartVersions>,
     read_index: Arc<ReadIndexBatcher>,
     registries: Mutex<Vec<SocketAddr>>,
     silent_after_ms: u64,
@@ -62,6 +75,8 @@
             group: Arc::clone(group),
             inner_port,
             opened_at: Instant::now(),
+            part_quarantine: Mutex::default(),
+            parts_changed: watch::channel(PartVersions::default()).0,
             read_index: Arc::clone(read_index),
             registries: Mutex::new(Vec::new()),
             silent_after_ms: heartbeat_interval_ms * SILENT_AFTER_HEARTBEAT_TENTHS / 10,
@@ -86,6 +101,42 @@
         outcome
     }
 
+    /// Applies a crash of an endpoint, and wakes the subscribers if it changes an accused part.
+    pub(crate) fn accuse_parts(&self, accusation: &Accusation) -> Vec<PartChange> {
+        let mut quarantine = lock(&self.part_quarantine);
+        let changes = quarantine.accuse(self.now_ms(), accusation);
+        self.publish_parts(&quarantine, changes.iter().any(PartChange::is_urgent));
+        changes
+    }
+
+    /// Applies a sound answer, and wakes the subscribers if it changes an accused part.
+    pub(crate) fn record_sound_part(&self, part: u64) -> Option<PartChange> {
+        let mut quarantine = lock(&self.part_quarantine);
+        let change = quarantine.record_sound(self.now_ms(), part);
+        self.publish_parts(
+            &quarantine,
+            change.as_ref().is_some_and(PartChange::is_urgent),
+        );
+        change
+    }
+
+    /// Whether a request may probe these parts of its prompt.
+    pub(crate) fn grant_probe(&self, parts: &[u64]) -> bool {
+        lock(&self.part_quarantine).grant_probe(self.now_ms(), parts)
+    }
+
+    fn publish_parts(&self, quarantine: &PartQuarantine, is_urgent: bool) {
+        let latest = quarantine.version();
+        self.parts_changed.send_if_modified(|versions| {
+            let is_changed = versions.latest != latest;
+            versions.latest = latest;
+            if is_urgent {
+                versions.urgent = latest;
+            }
+            is_changed
+        });
+    }
+
     /// Inner addresses of all registries.
     pub(crate) fn registries(&self) -> Vec<SocketAddr> {
         lock(&self.registries).clone()
@@ -108,6 +159,13 @@
         } else {
             0
         };
+        let is_new_parts_epoch = request.parts_epoch != self.epoch;
+        let parts_version = if is_new_parts_epoch {
+            0
+        } else {
+            request.parts_version
+        };
+        let mut parts_changed = self.parts_changed.subscribe();
         let is_new = |version: u64| version > request.document_version;
         let batch_delay = update_batch_delay(lock(&self.subscribers).len());
         let directory_update = async {
@@ -116,13 +174,31 @@
             let _ = changed.await.map(drop);
             sleep(batch_delay).await;
         };
+        let parts_update = async {
+            let changed = parts_changed.wait_for(|versions| versions.latest > parts_version);
+            let _ = changed.await.map(drop);
+            let urgent = parts_changed.wait_for(|versions| versions.urgent > parts_version);
+            // A quarantine is published at once; other accusations wait for further changes.
+            let _ = timeout(batch_delay, async { urgent.await.map(drop) }).await;
+        };
         tokio::select! {
             biased;
             () = directory_update => {}
+            () = parts_update => {}
             _ = document.wait_for(|latest| is_new(latest.version)) => {}
             () = sleep_until(deadline) => {}
         }
         let latest = document.borrow().clone();
+        let (parts, parts_version) = {
+            let quarantine = lock(&self.part_quarantine);
+            let version = quarantine.version();
+            let is_newer = is_new_parts_epoch || version > parts_version;
+            let published = || quarantine.published(self.now_ms());
+            let parts = is_newer.then(|| published().collect::<Vec<PublishedPart>>());
+            (parts, version)
+        };
+        let encode_parts =
+            |parts: Vec<PublishedPart>| postcard::to_stdvec(&parts).expect("parts can be encoded");
         let directory = lock(&self.directory);
         PollAnswer {
             directory_cursor: directory.cursor(),
@@ -130,6 +206,8 @@
             document: is_new(latest.version).then_some(latest),
             is_leader: self.group.leader().0,
             is_confirmed,
+            parts: parts.map(encode_parts),
+            parts_version,
             records: postcard::to_stdvec(&directory.changes_since(cursor))
                 .expect("records can be encoded"),
             registries: self.registries(),
@@ -156,6 +234,11 @@
                     self.directory_changed.send_replace(directory.cursor());
                 }
             }
+            {
+                let mut quarantine = lock(&self.part_quarantine);
+                quarantine.expire(now_ms);
+                self.publish_parts(&quarantine, false);
+            }
             lock(&self.subscribers).retain(|entry| now_ms - entry.1 < SUBSCRIBER_TTL_MS);
             let members = self.group.members().await;
             let addresses = members.iter().filter_map(|name| {
--- a/crates/registry/src/rpc.rs
+++ b/crates/registry/src/rpc.rs
@@ -27,6 +27,10 @@
     async fn record_streams(begun: Vec<BegunStreams>);
     /// Returns the origin of the stream that a request began, if it is known.
     async fn find_stream_origin(request_id: String) -> Option<StreamOrigin>;
+    /// Takes a [`PartReport`](crate::PartReport) in postcard's form.
+    async fn report_parts(report: Vec<u8>);
+    /// Returns whether a request may probe these parts of its prompt.
+    async fn grant_probe(parts: Vec<u64>) -> bool;
 }
 
 /// Event of an endpoint, as received by a registry and forwarded to the others.
@@ -65,6 +69,10 @@
     pub hold_ms: u64,
     /// Name of the subscriber.
     pub instance: String,
+    /// Epoch of the registry that `parts_version` belongs to.
+    pub parts_epoch: u64,
+    /// Version of the accused parts that it has.
+    pub parts_version: u64,
     /// Whether it requests a confirmation that the document is the newest.
     pub wants_confirmation: bool,
 }
@@ -82,6 +90,11 @@
     pub is_confirmed: bool,
     /// Whether the registry leads the group.
     pub is_leader: bool,
+    /// Accused parts of prompts if the subscriber's version is older: a list of
+    /// [`PublishedPart`](crate::PublishedPart) encoded by postcard.
+    pub parts: Option<Vec<u8>>,
+    /// Version of the accused parts.
+    pub parts_version: u64,
     /// Changed endpoints: a list of [`EndpointRecord`] encoded by postcard.
     pub records: Vec<u8>,
     /// Inner addresses of all registries.
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -5,7 +5,7 @@
 
 use agreement::Envelope;
 use futures::StreamExt;
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use tarpc::context::Context;
 use tarpc::serde_transport::new;
 use tarpc::server::{BaseChannel, Channel};
@@ -19,8 +19,8 @@
 use crate::read_index::ReadIndexBatcher;
 use crate::rpc::{PollAnswer, PollRequest, RegistryRpc};
 use crate::{
-    BegunStreams, Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator,
-    ReservationAnswer, StreamOrigin, StreamOrigins,
+    BegunStreams, Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator, PartChange,
+    PartReport, ReservationAnswer, StreamOrigin, StreamOrigins,
 };
 
 /// Parts of a registry that remote calls use.
@@ -71,6 +71,43 @@
     }
 }
 
+impl Server {
+    /// Logs a change with the instance that reported its cause, and the endpoint that crashed.
+    fn log_part_change(&self, change: &PartChange, instance: &str, endpoint_id: Option<&str>) {
+        match change {
+            PartChange::Accused { accusations, part } => {
+                info!(self.log, "prompt part accused"; "part" => hex_list(&[*part]),
+                    "accusations" => accusations, "endpoint" => endpoint_id, "from" => instance);
+            }
+            PartChange::Quarantined {
+                crashed_probes,
+                duration_ms,
+                endpoint_ids,
+                part,
+            } => {
+                info!(self.log, "prompt part quarantined"; "part" => hex_list(&[*part]),
+                    "quarantine_ms" => duration_ms, "crashed_probes" => crashed_probes,
+                    "endpoints" => endpoint_ids.join(","), "from" => instance);
+            }
+            PartChange::Released {
+                is_explained,
+                is_quarantined,
+                part,
+            } => {
+                info!(self.log, "prompt part released"; "part" => hex_list(&[*part]),
+                    "is_explained" => is_explained, "was_quarantined" => is_quarantined,
+                    "from" => instance);
+            }
+        }
+    }
+}
+
+/// Ids of prompt parts as requests write them, separated by commas.
+fn hex_list(parts: &[u64]) -> String {
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    parts.join(",")
+}
+
 impl RegistryRpc for Server {
     async fn deliver_messages(self, _context: Context, messages: Vec<Vec<u8>>) {
         for message in messages {
@@ -154,4 +191,32 @@
         let mut origins = origins.unwrap_or_else(PoisonError::into_inner);
         origins.find(now_ms, &request_id)
     }
+
+    async fn report_parts(self, _context: Context, report: Vec<u8>) {
+        let report = match postcard::from_bytes::<PartReport>(&report) {
+            Ok(report) => report,
+            Err(error) => {
+                warn!(self.log, "report of prompt parts not decoded"; "error" => %error);
+                return;
+            }
+        };
+        for accusation in &report.accusations {
+            for change in self.publisher.accuse_parts(accusation) {
+                let endpoint_id = Some(accusation.endpoint.id.as_str());
+                self.log_part_change(&change, &report.instance, endpoint_id);
+            }
+        }
+        for part in report.sound_parts {
+            if let Some(change) = self.publisher.record_sound_part(part) {
+                self.log_part_change(&change, &report.instance, None);
+            }
+        }
+    }
+
+    async fn grant_probe(self, _context: Context, parts: Vec<u64>) -> bool {
+        let is_granted = self.publisher.grant_probe(&parts);
+        info!(self.log, "probe of prompt parts requested"; "parts" => hex_list(&parts),
+            "is_granted" => is_granted);
+        is_granted
+    }
 }
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -1,3 +1,5 @@
+mod parts;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,7 +17,7 @@
 use crate::rpc::{LoadReport, PollAnswer, PollRequest};
 use crate::{
     AggregatedLoads, BegunStreams, CoveredReservations, DirectoryView, Document, EndpointLoad,
-    EndpointRecord, EndpointView, Error, Lease, ReservationAnswer, ReservationOption,
+    EndpointRecord, EndpointView, Error, Lease, PartView, ReservationAnswer, ReservationOption,
     ReservationRequest, ServiceLoad, StreamOrigin, SubscribedEndpoints, SubscriptionSettings,
     time_since_boot_ms,
 };
@@ -81,6 +83,7 @@
     /// Validity of the lease as last logged.
     is_lease_valid: bool,
     lease: Lease,
+    part_view: PartView,
     /// Sorted by address.
     registries: Vec<PolledRegistry>,
     subscriber_count: u32,
@@ -109,6 +112,7 @@
             document_version: 0,
             is_lease_valid: false,
             lease: Lease::new(settings.lease_ms),
+            part_view: PartView::default(),
             registries: Vec::new(),
             subscriber_count: 1,
         };
@@ -375,6 +379,7 @@
     fn poll_request(&self, registry: SocketAddr, now_ms: u64) -> PollRequest {
         let state = self.lock();
         let (directory_epoch, directory_cursor) = state.directory_view.position(registry);
+        let (parts_epoch, parts_version) = state.part_view.position(registry);
         let age_ms = state.lease.age_ms(now_ms);
         PollRequest {
             directory_cursor,
@@ -382,6 +387,8 @@
             document_version: state.document_version,
             hold_ms: POLL_HOLD_MS,
             instance: self.settings.instance.clone(),
+            parts_epoch,
+            parts_version,
             wants_confirmation: age_ms.is_none_or(|age_ms| age_ms >= CONFIRMATION_AGE_MS),
         }
     }
@@ -409,6 +416,7 @@
             polled.is_connected = true;
             polled.is_leader = answer.is_leader;
         }
+        self.apply_parts(&mut state, registry, answer);
         let (epoch, cursor) = (answer.directory_epoch, answer.directory_cursor);
         match postcard::from_bytes::<Vec<EndpointRecord>>(&answer.records) {
             Ok(records) => {
@@ -461,6 +469,7 @@
         warn!(self.log, "registry lost"; "registry" => %registry, "error" => %error);
         polled.is_connected = false;
         state.directory_view.disconnect(registry);
+        state.part_view.disconnect(registry);
         self.publish_endpoints(&state);
     }
 
--- a/crates/registry/tests/parts_that_crash_endpoints_are_quarantined.rs
+++ b/crates/registry/tests/parts_that_crash_endpoints_are_quarantined.rs
@@ -82,7 +82,7 @@
     let quarantined = PartChange::Quarantined {
         crashed_probes: 0,
         duration_ms: QUARANTINE_MS,
-        endpoints: 3,
+        endpoint_ids: ["e1", "e2", "e3"].map(str::to_owned).to_vec(),
         part: BAD,
     };
     assert!(changes.contains(&quarantined));
--- a/crates/registry/tests/support/mod.rs
+++ b/crates/registry/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Group of registries on loopback addresses with one port. The data folder of a registry outlives
 //! it, so that the registry can be restarted.
 
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -62,6 +64,11 @@
         self.open(number, false).await
     }
 
+    /// Addresses of the registries that bootstrap the group.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        (1..=SEED_COUNT).map(|seed| self.address(seed)).collect()
+    }
+
     pub fn name(&self, number: u8) -> InstanceName {
         InstanceName::new(&self.address(number).ip().to_string()).unwrap()
     }
@@ -83,7 +90,7 @@
                 inner_listen: None,
                 is_bootstrapping,
                 log: Logger::root(Discard, o!()),
-                seeds: (1..=SEED_COUNT).map(|seed| self.address(seed)).collect(),
+                seeds: self.seeds(),
                 voters_wanted: 3,
             };
             Registry::open(settings).await.ok()
