Refuse requests whose prompts crash endpoints

What callers saw: requests with one part of a prompt crashed endpoint after endpoint, new ones and repeats at any instance, and with them the sound requests that ran there.

Cause: a placement asks where capacity is, never whether the request itself ends its endpoints.

Change: a request whose connection fails after it was sent accuses the parts of its prompt, unless it has proved sound: by a complete answer, or by an event at least 1 s after the first one of its endpoint. This holds for first tries, repeats, attempts beside overdue ones, resumptions and migrations. Requests with a quarantined part are refused with 503 and Retry-After when they are routed, and again right before each sending. A relayed stream is not stopped, and a request that has proved sound may go on elsewhere.

An answer without length or chunks that ends at an event may be a crash too. It proves its parts sound only if the endpoint still accepts connections a moment later; that is asked only if one of the parts is accused.

Not counted as a crash: timeouts, our own closes, and bytes that are no response.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::elapsed_ms;
-use crate::connection::{Connection, EndpointResponse, SendError, collect_body};
+use crate::connection::{
+    BodyError, Connection, EndpointResponse, SendError, collect_body, is_connection_lost,
+};
 use crate::endpoint::Endpoint;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
@@ -73,6 +75,14 @@
     Unreachable(String),
 }
 
+/// Reason why an exchange gave no response, before its crash is reported.
+#[derive(Debug)]
+enum ExchangeError {
+    /// The endpoint ended the connection after the request was sent.
+    BrokenOff(String),
+    Other(AttemptError),
+}
+
 /// Result of an attempt that was placed, or the reason why it was not.
 pub(crate) enum AttemptOutcome {
     Accepted(Box<AcceptedResponse>, Slot),
@@ -250,17 +260,31 @@
         if let Err(error) = self.check_endpoint(&slot.endpoint) {
             return AttemptOutcome::Failed(error, slot);
         }
+        let is_probe = match self.gateway.take_probe(&self.request) {
+            Ok(is_probe) => is_probe,
+            Err(refused) if resume_point.copy.is_some() => {
+                return AttemptOutcome::Failed(AttemptError::Rejected(refused.reason), slot);
+            }
+            Err(refused) => return AttemptOutcome::NotPlaced(refused),
+        };
         let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
         let (endpoint, _) = progress.sent_to.get_or_init(sent_to);
         if resume_point.last_event_id.is_none() {
             self.gateway.report_stream(&self.request, endpoint);
         }
-        match self
-            .request_response(endpoint, resume_point, progress)
-            .await
-        {
+        let answered = self.request_response(endpoint, resume_point, progress);
+        match answered.await {
             Ok(accepted) => AttemptOutcome::Accepted(Box::new(accepted), slot),
-            Err(error) => AttemptOutcome::Failed(error, slot),
+            Err(error) => {
+                let is_not_run = matches!(
+                    error,
+                    AttemptError::Rejected(_) | AttemptError::Unreachable(_)
+                );
+                if is_probe && is_not_run {
+                    self.request.part_evidence.return_probe();
+                }
+                AttemptOutcome::Failed(error, slot)
+            }
         }
     }
 
@@ -275,11 +299,20 @@
         let may_reuse = is_copied || self.request.route.retry_class.is_idempotent();
         let answered = async {
             let sent = self.gateway.send(endpoint, request, may_reuse).await;
-            let (response, head) = sent.map_err(AttemptError::from)?;
+            let (response, head) = sent.map_err(ExchangeError::from)?;
             self.accept(endpoint, response, head).await
         };
+        let sent_at = Instant::now();
         let answered = timeout_at(self.request.deadline, answered).await;
-        let answered = answered.unwrap_or(Err(AttemptError::TimedOut));
+        let answered = answered.unwrap_or(Err(ExchangeError::Other(AttemptError::TimedOut)));
+        let answered = answered.map_err(|error| match error {
+            ExchangeError::BrokenOff(reason) => {
+                let gateway = &self.gateway;
+                gateway.report_crash(&self.request, endpoint, sent_at, &reason);
+                AttemptError::Failed(reason)
+            }
+            ExchangeError::Other(error) => error,
+        });
         let now_ms = self.gateway.fleet.now_ms();
         match &answered {
             Err(AttemptError::Unreachable(_)) => {
@@ -299,7 +332,7 @@
         endpoint: &Endpoint,
         response: EndpointResponse,
         head: ResponseHead,
-    ) -> Result<AcceptedResponse, AttemptError> {
+    ) -> Result<AcceptedResponse, ExchangeError> {
         let EndpointResponse {
             body,
             connection,
@@ -309,27 +342,24 @@
         match head.rejection {
             Some(Rejection::Misdirected) => {
                 endpoint.set_leaving();
-                return Err(AttemptError::Rejected(
-                    "another endpoint has the address".to_owned(),
-                ));
+                let reason = "another endpoint has the address".to_owned();
+                return Err(AttemptError::Rejected(reason).into());
             }
             Some(Rejection::NotRun) => {
-                return Err(AttemptError::Rejected(format!(
-                    "the endpoint answered {status}"
-                )));
+                let reason = format!("the endpoint answered {status}");
+                return Err(AttemptError::Rejected(reason).into());
             }
             None => {}
         }
         if head.request_id.as_deref() != self.request.head.request_id.as_deref() {
-            return Err(AttemptError::Failed(
-                "the answer is another request's".to_owned(),
-            ));
+            let reason = "the answer is another request's".to_owned();
+            return Err(AttemptError::Failed(reason).into());
         }
         let body = if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
             read_first_event(body).await?
         } else {
             let collected = collect_body(body, RESPONSE_BYTES_MAX).await;
-            AcceptedBody::Whole(collected.map_err(|error| AttemptError::Failed(error.to_string()))?)
+            AcceptedBody::Whole(collected?)
         };
         Ok(AcceptedResponse {
             body,
@@ -366,22 +396,45 @@
     }
 }
 
-impl From<SendError> for AttemptError {
+impl From<AttemptError> for ExchangeError {
+    fn from(error: AttemptError) -> Self {
+        Self::Other(error)
+    }
+}
+
+impl From<SendError> for ExchangeError {
     fn from(error: SendError) -> Self {
         match error {
-            SendError::MayHaveRun(reason) => Self::Failed(reason),
-            SendError::NotSent(reason) => Self::Unreachable(reason),
+            SendError::BrokenOff(reason) => Self::BrokenOff(reason),
+            SendError::MayHaveRun(reason) => Self::Other(AttemptError::Failed(reason)),
+            SendError::NotSent(reason) => Self::Other(AttemptError::Unreachable(reason)),
+        }
+    }
+}
+
+impl From<BodyError> for ExchangeError {
+    fn from(error: BodyError) -> Self {
+        match &error {
+            BodyError::BrokenOff(cause) if is_connection_lost(cause) => {
+                Self::BrokenOff(error.to_string())
+            }
+            _ => Self::Other(AttemptError::Failed(error.to_string())),
         }
     }
 }
 
 /// Reads a stream up to its first whole event, or to its end.
-async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, AttemptError> {
+async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, ExchangeError> {
     let mut reader = EventReader::default();
     let mut received = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
-            AttemptError::Failed(format!("the stream broke off before an event: {error}"))
+            let reason = format!("the stream broke off before an event: {error}");
+            if is_connection_lost(&error) {
+                ExchangeError::BrokenOff(reason)
+            } else {
+                ExchangeError::Other(AttemptError::Failed(reason))
+            }
         })?;
         let Ok(bytes) = frame.into_data() else {
             continue;
@@ -391,12 +444,12 @@
             return Ok(AcceptedBody::Stream(received.freeze(), body));
         }
         if reader.is_partial_too_long() {
-            return Err(AttemptError::Failed("an event is too long".to_owned()));
+            return Err(AttemptError::Failed("an event is too long".to_owned()).into());
         }
     }
     if reader.has_partial_event() {
         let reason = "the stream broke off within its first event";
-        return Err(AttemptError::Failed(reason.to_owned()));
+        return Err(ExchangeError::BrokenOff(reason.to_owned()));
     }
     Ok(AcceptedBody::Stream(received.freeze(), body))
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -25,6 +25,7 @@
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::{Outcome, RequestError};
+use crate::part_evidence::{StreamRun, has_marked_end};
 use crate::relay::{Relay, RelayedStream};
 use crate::response::{ResponseBody, full_body, strip_hop_by_hop_headers};
 
@@ -228,6 +229,7 @@
                     body: rest,
                     connection,
                     head,
+                    run: StreamRun::new(&parts.headers),
                     slot,
                 };
                 return Some(Ok(Relay::spawn(self, stream, parts, first)));
@@ -241,6 +243,12 @@
         } else {
             endpoint.stats().health.record_success(now_ms);
         }
+        if status.is_success() && has_marked_end(&parts.headers) {
+            self.gateway.report_sound(&self.request);
+        } else if status.is_success() {
+            self.gateway
+                .report_sound_if_reachable(&self.request, &endpoint);
+        }
         keep_connection(connection, &head, &slot);
         if NOT_RUN_STATUSES.contains(&status) {
             self.excluded_ids.push(endpoint.id.clone());
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! HTTP connections to one endpoint, kept open for further requests.
 
+use std::error::Error as _;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -102,7 +103,10 @@
 /// Reason why a request got no response head.
 #[derive(Debug, Error)]
 pub(crate) enum SendError {
-    /// The endpoint may have run the request.
+    /// The connection ended; the endpoint may have run the request.
+    #[error("the connection failed after the request was sent: {0}")]
+    BrokenOff(String),
+    /// The endpoint did not answer properly; it may have run the request.
     #[error("the connection failed after the request was sent: {0}")]
     MayHaveRun(String),
     /// No byte of the request was sent.
@@ -249,6 +253,11 @@
         }
     }
 
+    /// Whether the endpoint accepts connections.
+    pub(crate) async fn is_reachable(&self) -> bool {
+        self.connect().await.is_ok()
+    }
+
     /// Keeps a connection for reuse after its last response has ended.
     pub(crate) fn put_idle(&self, connection: Connection, keep_alive_ms: Option<u64>) {
         let keep_alive_ms = keep_alive_ms.map(|time_ms| time_ms * KEEP_ALIVE_PERCENT / 100);
@@ -339,6 +348,9 @@
                     let error = SendError::NotSent(failed.error().to_string());
                     Err((error, Some(unsent)))
                 }
+                None if is_connection_lost(failed.error()) => {
+                    Err((SendError::BrokenOff(failed.error().to_string()), None))
+                }
                 None => Err((SendError::MayHaveRun(failed.error().to_string()), None)),
             },
         }
@@ -354,6 +366,18 @@
     }
 }
 
+/// Whether the endpoint ended the connection, other than by bytes that are no response.
+pub(crate) fn is_connection_lost(error: &hyper::Error) -> bool {
+    let source = error.source();
+    match source.and_then(|source| source.downcast_ref::<io::Error>()) {
+        Some(error) => !matches!(
+            error.kind(),
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput | io::ErrorKind::Other
+        ),
+        None => error.is_incomplete_message() || error.is_closed() || error.is_canceled(),
+    }
+}
+
 /// Collects a body of at most `bytes_max`. Copies the chunks: each one would keep the whole read
 /// buffer that it was received in.
 pub(crate) async fn collect_body(mut body: Incoming, bytes_max: usize) -> Result<Bytes, BodyError> {
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -19,6 +19,8 @@
     pub(crate) rank: u64,
     pub(crate) service: String,
     pub(crate) software_version: String,
+    /// Start of the incarnation, in ms since the Unix epoch.
+    pub(crate) started_at_ms: u64,
     leaving: watch::Sender<bool>,
     stats: Mutex<EndpointStats>,
 }
@@ -56,6 +58,7 @@
             rank: rank(&registration.id),
             service: registration.service.clone(),
             software_version: registration.software_version.clone(),
+            started_at_ms: registration.started_at_ms,
             leaving: watch::channel(is_leaving).0,
             stats: Mutex::new(EndpointStats::default()),
         })
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::fleet::Fleet;
 use crate::gateway_state::{ActiveCatalog, GatewayState};
 use crate::ingress::Ingress;
+use crate::part_evidence::{PartReporter, report_parts};
 use crate::settings::GatewaySettings;
 use crate::stream_origin::{StreamReporter, report_streams};
 
@@ -81,6 +82,7 @@
         let active_catalog = ActiveCatalog::new(&dialect, &fleet, &log);
         let subscription = Subscription::spawn(subscription, active_catalog.clone());
         let (stream_reporter, begun_streams) = StreamReporter::new();
+        let (part_reporter, part_reports) = PartReporter::new();
         let state = Arc::new(GatewayState {
             active_catalog,
             budgets: Mutex::new(Vec::new()),
@@ -90,6 +92,7 @@
             fleet,
             log,
             metrics,
+            part_reporter,
             reservations_paused_until_ms: AtomicU64::new(0),
             retry_limits,
             stream_reporter,
@@ -99,6 +102,7 @@
         tokio::spawn(watch_endpoints(Arc::clone(&state)));
         tokio::spawn(exchange_loads(Arc::clone(&state)));
         tokio::spawn(report_streams(Arc::clone(&state), begun_streams));
+        tokio::spawn(report_parts(Arc::clone(&state), part_reports));
         Ok(Self { ingress, state })
     }
 
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Fleet;
 use crate::handler::RoutedRequest;
 use crate::outcome::Outcome;
+use crate::part_evidence::PartReporter;
 use crate::stream_origin::StreamReporter;
 use crate::{Dialect, RequestCounts, ResponseHead, RetryBudget, RetryLimits};
 
@@ -34,6 +35,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<GatewayMetrics>,
+    pub(crate) part_reporter: PartReporter,
     /// Time until which no reservation requests are sent, on the clock of [`Fleet::now_ms`].
     pub(crate) reservations_paused_until_ms: AtomicU64,
     pub(crate) retry_limits: RetryLimits,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -17,6 +17,7 @@
 use crate::clock::{elapsed_ms, milliseconds};
 use crate::gateway_state::GatewayState;
 use crate::outcome::{Outcome, RequestError};
+use crate::part_evidence::PartEvidence;
 use crate::request_body::RequestBody;
 use crate::response::{ResponseBody, error_response, strip_hop_by_hop_headers};
 use crate::{GenerationSize, RequestHead};
@@ -47,6 +48,7 @@
     pub(crate) head: RequestHead,
     pub(crate) headers: HeaderMap,
     pub(crate) method: Method,
+    pub(crate) part_evidence: PartEvidence,
     pub(crate) path: PathAndQuery,
     pub(crate) priority: u32,
     pub(crate) route: Route,
@@ -119,7 +121,11 @@
         Ok(request) => {
             let request = Arc::new(request);
             let attempts = Attempts::new(Arc::clone(gateway), Arc::clone(&request));
-            match attempts.run().await {
+            let answered = match gateway.check_parts(&request).await {
+                Ok(()) => attempts.run().await,
+                Err(error) => Err(error),
+            };
+            match answered {
                 Ok(response) => {
                     guard.disarm();
                     return response;
@@ -258,6 +264,7 @@
         head: std::mem::take(head),
         headers,
         method,
+        part_evidence: PartEvidence::default(),
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         priority,
         route,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod ingress;
 mod migration_policy;
 mod outcome;
+mod part_evidence;
 mod relay;
 mod request_body;
 mod response;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::outcome::Outcome;
+use crate::part_evidence::StreamRun;
 use crate::response::{IncompleteBody, ResponseBody, channel_body};
 use crate::{EventReader, ResponseHead};
 use continuation::Continuation;
@@ -61,6 +62,7 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) head: ResponseHead,
+    pub(crate) run: StreamRun,
     pub(crate) slot: Slot,
 }
 
@@ -191,11 +193,13 @@
     async fn react(&mut self, event: RelayEvent) -> Option<StreamEnd> {
         match event {
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
-                self.recover("the endpoint broke off within an event")
+                self.recover_from_crash("the endpoint broke off within an event")
             }
             RelayEvent::BodyEnded => Some(self.complete().await),
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
-            RelayEvent::BodyFrame(None) => self.recover("the endpoint broke off without its end"),
+            RelayEvent::BodyFrame(None) => {
+                self.recover_from_crash("the endpoint broke off without its end")
+            }
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
             RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
             RelayEvent::Migration(step) => self.continue_migration(step).await,
@@ -213,11 +217,15 @@
             return self.check_event_length();
         }
         self.cancel_resumption("the endpoint sent the next event");
+        let new_events = self.reader.event_count() - previous_count;
+        if self.stream.run.record_events(new_events) {
+            self.attempts.gateway.report_sound(&self.attempts.request);
+        }
         let gap = self.last_event_at.elapsed();
         let gap_ms = milliseconds(gap);
         self.last_event_at = Instant::now();
         if self.first_event_ms.is_some() {
-            let events = (self.reader.event_count() - previous_count).max(1);
+            let events = new_events.max(1);
             let interval_us = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX) / events;
             let now_ms = self.attempts.gateway.fleet.now_ms();
             self.stream
@@ -243,6 +251,16 @@
         self.check_event_length()
     }
 
+    /// Accuses the parts of the prompt, and continues elsewhere.
+    fn recover_from_crash(&mut self, reason: &str) -> Option<StreamEnd> {
+        let RelayedStream { run, slot, .. } = &self.stream;
+        let Attempts {
+            gateway, request, ..
+        } = &self.attempts;
+        gateway.report_stream_crash(request, &slot.endpoint, run, reason);
+        self.recover(reason)
+    }
+
     /// Leaves an endpoint that sends bytes without completing an event.
     fn check_event_length(&mut self) -> Option<StreamEnd> {
         if !self.reader.is_partial_too_long() {
@@ -385,6 +403,7 @@
         let RelayedStream {
             connection,
             head,
+            run,
             slot,
             ..
         } = stream;
@@ -403,6 +422,11 @@
                     copy.free();
                 }
                 slot.endpoint.stats().health.record_success(now_ms);
+                if run.has_marked_end() {
+                    gateway.report_sound(request);
+                } else {
+                    gateway.report_sound_if_reachable(request, &slot.endpoint);
+                }
                 keep_connection(connection, &head, &slot);
             }
             StreamEnd::Broken(_) | StreamEnd::TimedOut => {
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -12,6 +12,7 @@
     PendingAttempt, ResumePoint,
 };
 use crate::fleet::{PlacementRequest, Slot};
+use crate::part_evidence::StreamRun;
 
 /// Time for which a resumed stream waits for capacity.
 const RESUME_WAIT_MS: u64 = 300;
@@ -129,6 +130,7 @@
                         body: rest,
                         connection,
                         head,
+                        run: StreamRun::new(&parts.headers),
                         slot,
                     };
                     self.switch_endpoint(stream, copy.is_some(), &reason);
--- a/crates/telemetry/src/gateway_metrics.rs
+++ b/crates/telemetry/src/gateway_metrics.rs
@@ -20,6 +20,7 @@
     lease_age: Gauge<u64>,
     longest_gap: Histogram<f64>,
     migration_steps: Counter<u64>,
+    quarantine_refusals: Counter<u64>,
     request_duration: Histogram<f64>,
     requests: Counter<u64>,
     reservations: Counter<u64>,
@@ -65,6 +66,7 @@
             lease_age: meter.u64_gauge("lease_age").with_unit("ms").build(),
             longest_gap: histogram("longest_pause"),
             migration_steps: meter.u64_counter("moves").build(),
+            quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             request_duration: histogram("request_duration"),
             requests: meter.u64_counter("requests").build(),
             reservations: meter.u64_counter("reservations").build(),
@@ -116,6 +118,11 @@
         self.retries.add(1, &attributes);
     }
 
+    /// Counts a refusal of a request because of a quarantined part of its prompt.
+    pub fn record_quarantine_refusal(&self) {
+        self.quarantine_refusals.add(1, &[]);
+    }
+
     /// Counts a reservation request by its outcome.
     pub fn record_reservation(&self, outcome: &'static str) {
         self.reservations
