Say in a refusal which part of the prompt is quarantined

From the log line of a refused request the part leads to the registries' lines about its accusations, and those to the gateways' suspected crashes.

--- a/crates/gateway/src/part_evidence.rs
+++ b/crates/gateway/src/part_evidence.rs
@@ -112,15 +112,17 @@
         }
         match self.subscription.part_admission(parts) {
             PartAdmission::Admitted => Ok(()),
-            PartAdmission::NeedsProbe if self.subscription.request_probe(parts).await => {
+            PartAdmission::NeedsProbe { .. } if self.subscription.request_probe(parts).await => {
                 info!(self.log, "prompt parts probed"; "request" => request.id(),
                     "parts" => hex_list(parts));
                 let evidence = &request.part_evidence;
                 evidence.holds_probe.store(true, Ordering::Relaxed);
                 Ok(())
             }
-            PartAdmission::NeedsProbe => Err(self.refuse_part(PROBE_RETRY_AFTER_MS)),
-            PartAdmission::Refused { remaining_ms } => Err(self.refuse_part(remaining_ms)),
+            PartAdmission::NeedsProbe { part } => Err(self.refuse_part(part, PROBE_RETRY_AFTER_MS)),
+            PartAdmission::Refused { part, remaining_ms } => {
+                Err(self.refuse_part(part, remaining_ms))
+            }
         }
     }
 
@@ -134,18 +136,22 @@
         }
         match self.subscription.part_admission(parts) {
             PartAdmission::Admitted => Ok(false),
-            PartAdmission::NeedsProbe if evidence.holds_probe.swap(false, Ordering::Relaxed) => {
+            PartAdmission::NeedsProbe { .. }
+                if evidence.holds_probe.swap(false, Ordering::Relaxed) =>
+            {
                 Ok(true)
             }
-            PartAdmission::NeedsProbe => Err(self.refuse_part(PROBE_RETRY_AFTER_MS)),
-            PartAdmission::Refused { remaining_ms } => Err(self.refuse_part(remaining_ms)),
+            PartAdmission::NeedsProbe { part } => Err(self.refuse_part(part, PROBE_RETRY_AFTER_MS)),
+            PartAdmission::Refused { part, remaining_ms } => {
+                Err(self.refuse_part(part, remaining_ms))
+            }
         }
     }
 
-    fn refuse_part(&self, remaining_ms: u64) -> RequestError {
+    fn refuse_part(&self, part: u64, remaining_ms: u64) -> RequestError {
         self.metrics.record_quarantine_refusal();
         RequestError::not_run(
-            "a part of the prompt has crashed endpoints",
+            format!("a part of the prompt has crashed endpoints: {part:x}"),
             remaining_ms.min(RETRY_AFTER_MS_MAX),
         )
     }
--- a/crates/registry/src/part_view.rs
+++ b/crates/registry/src/part_view.rs
@@ -39,10 +39,15 @@
     /// No part is quarantined.
     Admitted,
     /// A quarantine has ended, and a registry has to grant the request a probe.
-    NeedsProbe,
+    NeedsProbe {
+        /// Part whose quarantine has ended.
+        part: u64,
+    },
     /// A part is quarantined.
     Refused {
-        /// Longest remaining time of a quarantine.
+        /// Part that is quarantined for the longest.
+        part: u64,
+        /// Remaining time of its quarantine.
         remaining_ms: u64,
     },
 }
@@ -111,7 +116,7 @@
     #[must_use]
     pub fn admission(&self, now_ms: u64, parts: &[u64]) -> PartAdmission {
         let mut admission = PartAdmission::Admitted;
-        let mut remaining_ms = 0;
+        let mut longest = (0, 0);
         let listed = self.registries.iter().flat_map(|registry| {
             let found = parts.iter().filter_map(|part| registry.find(*part));
             found.map(|viewed| (viewed, registry.is_connected))
@@ -122,13 +127,15 @@
             let Some(ends_at_ms) = viewed.quarantine_ends_at_ms else {
                 continue;
             };
+            let part = viewed.part;
             if is_connected {
-                admission = PartAdmission::NeedsProbe;
+                admission = PartAdmission::NeedsProbe { part };
             }
-            remaining_ms = remaining_ms.max(ends_at_ms.saturating_sub(now_ms));
+            longest = longest.max((ends_at_ms.saturating_sub(now_ms), part));
         }
+        let (remaining_ms, part) = longest;
         if remaining_ms > 0 {
-            return PartAdmission::Refused { remaining_ms };
+            return PartAdmission::Refused { part, remaining_ms };
         }
         admission
     }
