Forward events that arrive together with the break of a stream

What callers saw: a stream without chunks whose last events arrive together with its end within an event lost these events; the client got the head alone.

Cause: hyper drops what it has buffered when a body fails, and the error was returned right behind the chunk, before hyper wrote it. The error now waits until the body was pending once.

--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,4 +1,5 @@
 use std::convert::Infallible;
+use std::task::Poll;
 
 use bytes::Bytes;
 use futures::stream::poll_fn;
@@ -37,13 +38,28 @@
 }
 
 /// Body that streams the chunks of a channel until it closes or sends an error.
+///
+/// hyper drops what it has buffered when a body fails. So an error right behind a chunk waits until
+/// the body was pending once, where hyper writes the chunk.
 pub(crate) fn channel_body(
     mut chunks: mpsc::Receiver<Result<Bytes, IncompleteBody>>,
 ) -> ResponseBody {
+    let mut is_buffered = false;
+    let mut held_error = None;
     let frames = poll_fn(move |context| {
-        chunks
-            .poll_recv(context)
-            .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+        if let Some(error) = held_error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        let polled = chunks.poll_recv(context);
+        let was_buffered = std::mem::replace(&mut is_buffered, polled.is_ready());
+        match polled {
+            Poll::Ready(Some(Err(error))) if was_buffered => {
+                held_error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+        }
     });
     BodyExt::boxed(StreamBody::new(frames))
 }
