--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,8 +8,8 @@
 //! come: with the whole body, or with the first event of a stream.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -17,7 +17,8 @@
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::SetOnce;
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
 use crate::clock::elapsed_ms;
 use crate::connection::{
@@ -33,6 +34,11 @@
 /// Time for which a retry waits for capacity, and after which a client may retry it.
 pub(crate) const RETRY_WAIT_MS: u64 = 200;
 
+/// Time after which the endpoint that works on a stream is stopped or left, if the one that was asked to
+/// continue it has sent no event. Two endpoints may work on one stream for 400 ms; the rest is for the
+/// network.
+pub(crate) const OVERLAP_MS_MAX: u64 = 250;
+
 /// Longest response body that is collected before it is forwarded; streams are not collected.
 const RESPONSE_BYTES_MAX: usize = 2 * 1024 * 1024;
 
@@ -61,6 +67,9 @@
 /// Reason why an attempt got no response.
 #[derive(Debug, Error)]
 pub(crate) enum AttemptError {
+    /// The endpoint answered with an error in place of a stream, and no longer works on the request.
+    #[error("the endpoint answered {0}")]
+    Answered(StatusCode),
     /// The request may have run.
     #[error("the endpoint failed: {0}")]
     Failed(String),
@@ -107,7 +116,7 @@
 #[derive(Debug, Default)]
 struct AttemptProgress {
     /// Endpoint that the request is sent to, and since when; set once capacity is occupied.
-    sent_to: OnceLock<(Arc<Endpoint>, Instant)>,
+    sent_to: SetOnce<(Arc<Endpoint>, Instant)>,
     /// Whether the endpoint's delay has been counted as a failure.
     is_overdue: AtomicBool,
 }
@@ -125,10 +134,24 @@
         &mut self.end
     }
 
+    /// Endpoint that the request is sent to; `None` while it waits for capacity.
+    pub(crate) fn endpoint(&self) -> Option<&Arc<Endpoint>> {
+        let (endpoint, _) = self.progress.sent_to.get()?;
+        Some(endpoint)
+    }
+
     /// Id of the endpoint that the request is sent to; `None` while it waits for capacity.
     pub(crate) fn endpoint_id(&self) -> Option<&str> {
-        let (endpoint, _) = self.progress.sent_to.get()?;
-        Some(&endpoint.id)
+        Some(&self.endpoint()?.id)
+    }
+
+    /// Waits until the request was sent a time ago.
+    pub(crate) fn sent_for(&self, time: Duration) -> impl Future<Output = ()> + Send + use<> {
+        let progress = Arc::clone(&self.progress);
+        async move {
+            let (_, sent_at) = progress.sent_to.wait().await;
+            sleep_until(*sent_at + time).await;
+        }
     }
 
     /// Time from which the request was sent; `None` while it waits for capacity.
@@ -146,6 +169,14 @@
 }
 
 impl AttemptProgress {
+    /// Records that the request is sent now; an attempt sends it once.
+    fn record_sent(&self, endpoint: &Arc<Endpoint>) {
+        let sent_to = (Arc::clone(endpoint), Instant::now());
+        self.sent_to
+            .set(sent_to)
+            .expect("an attempt sends its request once");
+    }
+
     /// Counts a failure of the endpoint unless one was counted; returns whether it was not.
     fn record_failure(&self, endpoint: &Endpoint, now_ms: u64) -> bool {
         let is_first = !self.is_overdue.swap(true, Ordering::Relaxed);
@@ -179,11 +210,19 @@
         self.start(place, resume_point)
     }
 
-    /// Starts an attempt at an occupied slot, if the retry budget allows it.
-    pub(crate) fn retry_at(&self, slot: Slot, resume_point: ResumePoint) -> PendingAttempt {
+    /// Starts an attempt at an occupied slot; if it `needs_budget`, the retry budget must allow it.
+    pub(crate) fn retry_at(
+        &self,
+        slot: Slot,
+        resume_point: ResumePoint,
+        needs_budget: bool,
+    ) -> PendingAttempt {
         let sender = self.clone();
         let place = async move {
             let allowed = sender.check_endpoint(&slot.endpoint).and_then(|()| {
+                if !needs_budget {
+                    return Ok(());
+                }
                 let taken = sender.take_from_budget();
                 taken.map_err(|error| AttemptError::Rejected(error.reason))
             });
@@ -267,8 +306,8 @@
             }
             Err(refused) => return AttemptOutcome::NotPlaced(refused),
         };
-        let sent_to = || (Arc::clone(&slot.endpoint), Instant::now());
-        let (endpoint, _) = progress.sent_to.get_or_init(sent_to);
+        let endpoint = &slot.endpoint;
+        progress.record_sent(endpoint);
         if resume_point.last_event_id.is_none() {
             self.gateway.report_stream(&self.request, endpoint);
         }
@@ -321,7 +360,7 @@
             Err(AttemptError::Failed(_) | AttemptError::TimedOut) => {
                 progress.record_failure(endpoint, now_ms);
             }
-            Ok(_) | Err(AttemptError::Rejected(_)) => {}
+            Ok(_) | Err(AttemptError::Answered(_) | AttemptError::Rejected(_)) => {}
         }
         answered
     }
@@ -455,6 +494,11 @@
 }
 
 impl RoutedRequest {
+    /// Whether the client resumes a stream.
+    pub(crate) fn continues_stream(&self) -> bool {
+        self.client_last_event_id().is_some()
+    }
+
     /// Last event that the client received, if the route allows it to resume a stream.
     fn client_last_event_id(&self) -> Option<u64> {
         let may_resume = self.route.retry_class.is_idempotent();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,13 +2,14 @@
 //!
 //! An idempotent request whose endpoint does not answer in time is sent to another one as well. The
 //! first attempt continues meanwhile: its endpoint may only pause, and the other one may reject the
-//! request or be silent too. The first answer is forwarded, and the other attempts are cancelled.
+//! request or be silent too. The first answer is forwarded, and the other attempts are cancelled. If the
+//! client resumes a stream, the first attempt ends sooner: the stream must not go on at two endpoints.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::select_all;
+use futures::future::{OptionFuture, select_all};
 use hyper::http::response;
 use hyper::{Response, StatusCode, header};
 use placement::PREFILL_TOKENS_PER_MS;
@@ -18,16 +19,16 @@
 use crate::ResponseHead;
 use crate::attempt::{
     AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
-    PendingAttempt, RETRY_WAIT_MS, ResumePoint,
+    OVERLAP_MS_MAX, PendingAttempt, RETRY_WAIT_MS, ResumePoint,
 };
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::{Outcome, RequestError};
-use crate::part_evidence::{StreamRun, has_marked_end};
+use crate::part_evidence::StreamRun;
 use crate::relay::{Relay, RelayedStream};
-use crate::response::{ResponseBody, full_body, strip_hop_by_hop_headers};
+use crate::response::{ResponseBody, full_body, is_delimited, strip_hop_by_hop_headers};
 
 /// Least remaining time for which an attempt is made.
 const REMAINING_MS_MIN: u64 = 20;
@@ -130,6 +131,10 @@
                 self.start_attempt(is_retry);
             }
             let (attempt_at, fallback_at) = (self.next_attempt_at(), self.fallback_at());
+            let goes_on_at_two = self.in_flight.len() > 1 && self.request.continues_stream();
+            let newest = self.in_flight.last();
+            let overlap = Duration::from_millis(OVERLAP_MS_MAX);
+            let overlap_ended = newest.map(|newest| newest.sent_for(overlap));
             let end = tokio::select! {
                 biased;
                 end = next_end(&mut self.in_flight) => end,
@@ -139,6 +144,10 @@
                     }
                     continue;
                 }
+                Some(()) = OptionFuture::from(overlap_ended), if goes_on_at_two => {
+                    self.cancel_older();
+                    continue;
+                }
                 () = sleep_until(fallback_at), if self.fallback.is_some() => {
                     return Err(self.unanswered_error("no better answer came in time"));
                 }
@@ -229,7 +238,8 @@
                     body: rest,
                     connection,
                     head,
-                    run: StreamRun::new(&parts.headers),
+                    is_delimited: is_delimited(&parts),
+                    run: StreamRun::default(),
                     slot,
                 };
                 return Some(Ok(Relay::spawn(self, stream, parts, first)));
@@ -243,7 +253,7 @@
         } else {
             endpoint.stats().health.record_success(now_ms);
         }
-        if status.is_success() && has_marked_end(&parts.headers) {
+        if status.is_success() && is_delimited(&parts) {
             self.gateway.report_sound(&self.request);
         } else if status.is_success() {
             self.gateway
@@ -300,7 +310,7 @@
         debug!(self.gateway.log, "attempt failed"; "request" => self.request.id(),
             "endpoint" => self.excluded_ids.last(), "reason" => &reason);
         match error {
-            AttemptError::Failed(_) => {
+            AttemptError::Answered(_) | AttemptError::Failed(_) => {
                 self.possible_runs += 1;
                 (!self.may_run_again()).then(|| RequestError::failed(reason))
             }
@@ -350,7 +360,14 @@
         !self.in_flight.is_empty() || self.may_run_again()
     }
 
-    /// Drops the attempts that lost to an answer; those that were sent may have run.
+    /// Drops all attempts but the newest.
+    fn cancel_older(&mut self) {
+        let newest = self.in_flight.pop();
+        self.cancel_in_flight();
+        self.in_flight.extend(newest);
+    }
+
+    /// Drops the attempts in flight; those that were sent may have run.
     fn cancel_in_flight(&mut self) {
         for attempt in self.in_flight.drain(..) {
             if let Some(endpoint_id) = attempt.endpoint_id() {
--- a/crates/gateway/src/part_evidence.rs
+++ b/crates/gateway/src/part_evidence.rs
@@ -9,7 +9,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hyper::{HeaderMap, header};
 use registry::{Accusation, AccusingEndpoint, PartAdmission};
 use slog::{info, warn};
 use tokio::sync::mpsc;
@@ -33,9 +32,9 @@
 /// Crashes and sound answers that wait for a report.
 const QUEUED_REPORTS_MAX: usize = 4_096;
 
-/// Time after an answer without a marked end after which its endpoint must still be there; one that
-/// crashes closes its listener with its connections.
-const UNMARKED_END_CHECK_MS: u64 = 200;
+/// Time after an answer that ended with its connection after which its endpoint must still be there;
+/// one that crashes closes its listener with its connections.
+const CONNECTION_END_CHECK_MS: u64 = 200;
 
 /// Time after which a client may retry if the probe of its prompt is not granted; probes take as
 /// long as an answer takes to begin.
@@ -50,11 +49,10 @@
 }
 
 /// Progress of a stream at one endpoint.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct StreamRun {
     begun_at: Option<Instant>,
     events: u64,
-    has_marked_end: bool,
 }
 
 /// Report of one request.
@@ -76,14 +74,6 @@
 }
 
 impl StreamRun {
-    pub(crate) fn new(headers: &HeaderMap) -> Self {
-        Self {
-            begun_at: None,
-            events: 0,
-            has_marked_end: has_marked_end(headers),
-        }
-    }
-
     /// Counts events that arrive together; returns whether the stream has gone on for long enough
     /// to prove its parts sound.
     pub(crate) fn record_events(&mut self, events: u64) -> bool {
@@ -91,16 +81,6 @@
         let begun_at = *self.begun_at.get_or_insert_with(Instant::now);
         begun_at.elapsed() >= Duration::from_millis(SOUND_STREAM_MS)
     }
-
-    pub(crate) fn has_marked_end(&self) -> bool {
-        self.has_marked_end
-    }
-}
-
-/// Whether the response says where its body ends. Any other body ends with its connection, as that
-/// of an endpoint that crashes may too.
-pub(crate) fn has_marked_end(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
 impl GatewayState {
@@ -228,7 +208,7 @@
         let (gateway, request) = (Arc::clone(self), Arc::clone(request));
         let endpoint = Arc::clone(endpoint);
         tokio::spawn(async move {
-            sleep(Duration::from_millis(UNMARKED_END_CHECK_MS)).await;
+            sleep(Duration::from_millis(CONNECTION_END_CHECK_MS)).await;
             if endpoint.pool.is_reachable().await {
                 gateway.report_sound(&request);
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,11 +6,14 @@
 //! Any other interrupted stream is aborted, so that the client does not take it for complete.
 //!
 //! A stream leaves its endpoint only once another one has sent an event. Until then its events are
-//! forwarded, and if no other endpoint answers, it stays. Silence alone never ends a stream.
+//! forwarded, and if no other endpoint answers, it stays. Silence alone never ends a stream. But two
+//! endpoints work on it only briefly: if the other one takes long, the first one suspends it.
 
 mod continuation;
 mod migration;
+mod suspension;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +27,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use crate::attempt::AttemptEnd;
+use crate::attempt::OVERLAP_MS_MAX;
 use crate::attempts::{Attempts, client_parts, keep_connection};
 use crate::clock::milliseconds;
 use crate::connection::Connection;
@@ -32,9 +35,10 @@
 use crate::outcome::Outcome;
 use crate::part_evidence::StreamRun;
 use crate::response::{IncompleteBody, ResponseBody, channel_body};
-use crate::{EventReader, ResponseHead};
-use continuation::Continuation;
+use crate::{CopyOutcome, EventReader, ResponseHead};
+use continuation::{Continuation, ContinuationStep};
 use migration::{Migration, MigrationStep};
+use suspension::{AwaitedLimit, Suspension};
 
 /// Chunks that are buffered for a slow client.
 const BUFFERED_CHUNKS_MAX: usize = 16;
@@ -62,6 +66,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) head: ResponseHead,
+    /// Whether its end can be told from that of its connection.
+    pub(crate) is_delimited: bool,
     pub(crate) run: StreamRun,
     pub(crate) slot: Slot,
 }
@@ -78,6 +84,8 @@
     held_from: Instant,
     /// Whether the endpoint broke off the stream, so that only a continuation can complete it.
     is_broken_off: bool,
+    /// Whether the stream has ended completely, and only has to be forwarded.
+    is_complete: bool,
     last_event_at: Instant,
     migration: Migration,
     /// Predicted tokens in memory at the end of the generation.
@@ -86,6 +94,10 @@
     stream: RelayedStream,
     /// Time from which a pause of the stream counts, if there was no later event.
     stall_start_at: Instant,
+    /// State of the generation at the stream's endpoint, if that was asked to stop it.
+    suspension: Option<Suspension>,
+    /// Whole events that the client has not taken; the endpoint is not read meanwhile.
+    unsent: VecDeque<Bytes>,
 }
 
 /// Event that a relay reacts to.
@@ -94,13 +106,16 @@
     /// Data of the body; `None` after an error.
     BodyFrame(Option<Bytes>),
     ClientLeft,
-    ContinuationEnded(AttemptEnd),
+    Continuation(ContinuationStep),
+    /// The client has taken events.
+    Forwarded,
     Migration(MigrationStep),
     /// The source is read again.
     SourceReleased,
     Stalled,
     /// This instance stops.
     StopsSoon,
+    SuspensionAnswered(CopyOutcome),
     TimedOut,
     /// Trailers of the body, which are not forwarded.
     Trailers,
@@ -143,19 +158,22 @@
             gap_ms_max: 0,
             held_from: Instant::now(),
             is_broken_off: false,
+            is_complete: false,
             last_event_at: Instant::now(),
             migration: Migration::watch(&stream.slot.endpoint),
             predicted_tokens,
             reader: EventReader::default(),
             stream,
             stall_start_at: Instant::now(),
+            suspension: None,
+            unsent: VecDeque::new(),
         };
         tokio::spawn(relay.run(first));
         Response::from_parts(parts, channel_body(body_receiver))
     }
 
     async fn run(mut self, first: Bytes) {
-        let mut end = self.forward(first).await;
+        let mut end = self.forward(first);
         while end.is_none() {
             let event = self.next_event().await;
             end = self.react(event).await;
@@ -169,14 +187,31 @@
         let stall_at = self.stall_at();
         let held_until = self.held_until();
         let is_held = held_until > Instant::now();
+        let limit = self.awaited_limit();
+        let is_read = !self.is_broken_off && !self.is_complete && !is_held;
+        let is_read = is_read && self.unsent.is_empty();
         tokio::select! {
             biased;
             () = self.body_sender.closed() => RelayEvent::ClientLeft,
             () = self.attempts.gateway.stops_soon() => RelayEvent::StopsSoon,
             () = sleep_until(self.attempts.request.deadline) => RelayEvent::TimedOut,
-            end = Continuation::end(&mut self.continuation) => RelayEvent::ContinuationEnded(end),
+            step = Continuation::next_step(&mut self.continuation, limit) => {
+                RelayEvent::Continuation(step)
+            }
+            outcome = Suspension::outcome(&mut self.suspension) => {
+                RelayEvent::SuspensionAnswered(outcome)
+            }
             () = sleep_until(held_until), if is_held => RelayEvent::SourceReleased,
-            frame = self.stream.body.frame(), if !self.is_broken_off && !is_held => match frame {
+            permit = self.body_sender.reserve(), if !self.unsent.is_empty() => match permit {
+                Ok(permit) => {
+                    if let Some(events) = self.unsent.pop_front() {
+                        permit.send(Ok(events));
+                    }
+                    RelayEvent::Forwarded
+                }
+                Err(_) => RelayEvent::ClientLeft,
+            },
+            frame = self.stream.body.frame(), if is_read => match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => RelayEvent::BodyFrame(Some(bytes)),
                     Err(_) => RelayEvent::Trailers,
@@ -195,32 +230,38 @@
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
                 self.recover_from_crash("the endpoint broke off within an event")
             }
-            RelayEvent::BodyEnded => Some(self.complete().await),
-            RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes).await,
+            RelayEvent::BodyEnded if self.stream.is_delimited => self.complete(),
+            RelayEvent::BodyEnded => self.apply_suspended_end(),
+            RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes),
             RelayEvent::BodyFrame(None) => {
                 self.recover_from_crash("the endpoint broke off without its end")
             }
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
-            RelayEvent::ContinuationEnded(end) => self.apply_continuation(end).await,
+            RelayEvent::Continuation(ContinuationStep::Ended(end)) => self.apply_continuation(end),
+            RelayEvent::Continuation(ContinuationStep::LimitReached) => self.limit_awaited(),
+            RelayEvent::Forwarded => self.end_if_forwarded(),
             RelayEvent::Migration(step) => self.continue_migration(step).await,
             RelayEvent::SourceReleased | RelayEvent::Trailers => None,
             RelayEvent::Stalled => self.resume("no event came in time"),
+            RelayEvent::SuspensionAnswered(outcome) => self.apply_suspension_outcome(outcome),
             RelayEvent::StopsSoon => Some(StreamEnd::Broken("this instance stops".to_owned())),
             RelayEvent::TimedOut => Some(StreamEnd::TimedOut),
         }
     }
 
-    async fn forward(&mut self, bytes: Bytes) -> Option<StreamEnd> {
+    fn forward(&mut self, bytes: Bytes) -> Option<StreamEnd> {
         let previous_count = self.reader.event_count();
         let whole_events = self.reader.push_until_event(bytes);
         if whole_events.is_empty() {
             return self.check_event_length();
         }
-        self.cancel_resumption("the endpoint sent the next event");
         let new_events = self.reader.event_count() - previous_count;
         if self.stream.run.record_events(new_events) {
             self.attempts.gateway.report_sound(&self.attempts.request);
         }
+        if self.suspension.is_none() {
+            self.cancel_resumption("the endpoint sent the next event");
+        }
         let gap = self.last_event_at.elapsed();
         let gap_ms = milliseconds(gap);
         self.last_event_at = Instant::now();
@@ -245,9 +286,7 @@
             }
         }
         self.update_prediction();
-        if self.body_sender.send(Ok(whole_events)).await.is_err() {
-            return Some(StreamEnd::ClientLeft);
-        }
+        self.unsent.push_back(whole_events);
         self.check_event_length()
     }
 
@@ -257,7 +296,10 @@
         let Attempts {
             gateway, request, ..
         } = &self.attempts;
-        gateway.report_stream_crash(request, &slot.endpoint, run, reason);
+        // An endpoint that was asked to suspend the generation may end its stream.
+        if self.suspension.is_none() {
+            gateway.report_stream_crash(request, &slot.endpoint, run, reason);
+        }
         self.recover(reason)
     }
 
@@ -269,13 +311,23 @@
         self.recover("an event is too long")
     }
 
-    /// Forwards what follows the last event.
-    async fn complete(&mut self) -> StreamEnd {
+    /// Leaves an awaited endpoint, and forwards what follows the last event.
+    fn complete(&mut self) -> Option<StreamEnd> {
+        if let Some(copy) = self.continuation.take().and_then(|pending| pending.copy) {
+            copy.free();
+        }
+        std::mem::replace(&mut self.migration, Migration::Disabled).free_copy();
+        self.is_complete = true;
         let rest = self.reader.take_held();
-        if !rest.is_empty() && self.body_sender.send(Ok(rest)).await.is_err() {
-            return StreamEnd::ClientLeft;
+        if !rest.is_empty() {
+            self.unsent.push_back(rest);
         }
-        StreamEnd::Complete
+        self.end_if_forwarded()
+    }
+
+    /// Ends a complete stream once the client has taken all of it.
+    fn end_if_forwarded(&self) -> Option<StreamEnd> {
+        (self.is_complete && self.unsent.is_empty()).then_some(StreamEnd::Complete)
     }
 
     fn update_prediction(&mut self) {
@@ -314,13 +366,42 @@
             return self.last_event_at;
         }
         let gap_target_ms = self.attempts.request.route.event_gap_target_ms;
-        let held = Duration::from_millis(gap_target_ms * HELD_GAP_PERCENT / 100);
+        let held_ms = (gap_target_ms * HELD_GAP_PERCENT / 100).min(OVERLAP_MS_MAX);
+        let held = Duration::from_millis(held_ms);
         self.held_from + held
     }
 
+    /// Limit of the time for which an endpoint is awaited without an event.
+    fn awaited_limit(&self) -> Option<AwaitedLimit> {
+        match &self.suspension {
+            None => (!self.is_broken_off).then_some(AwaitedLimit::Overlap),
+            Some(suspension) => suspension
+                .has_standby_copy()
+                .then_some(AwaitedLimit::Silence),
+        }
+    }
+
+    fn limit_awaited(&mut self) -> Option<StreamEnd> {
+        match self.awaited_limit()? {
+            AwaitedLimit::Overlap => {
+                self.suspend();
+                None
+            }
+            AwaitedLimit::Silence => self.continue_at_standby(),
+        }
+    }
+
+    fn supports_migration(&self) -> bool {
+        let request = &self.attempts.request;
+        let service = request.catalog.service(&request.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_some_and(|engine| engine.supports_migration)
+    }
+
     fn stall_at(&self) -> Instant {
         let request = &self.attempts.request;
-        if self.is_broken_off || self.continuation.is_some() || !self.may_resume() {
+        let is_awaiting = self.continuation.is_some() || self.suspension.is_some();
+        if self.is_broken_off || self.is_complete || is_awaiting || !self.may_resume() {
             return request.deadline;
         }
         let stall_ms = request.route.event_gap_target_ms * STALL_GAP_TARGETS;
@@ -332,7 +413,7 @@
         match step {
             MigrationStep::CopyComplete(copy) => {
                 self.cancel_resumption("its KV cache copy is complete");
-                self.continue_from_copy(*copy, "the endpoint leaves".to_owned());
+                self.continue_from_copy(*copy, "the endpoint leaves".to_owned(), true);
             }
             MigrationStep::StartDue => self.start_migration().await,
             MigrationStep::Unchanged => {}
@@ -343,12 +424,7 @@
     async fn start_migration(&mut self) {
         let request = Arc::clone(&self.attempts.request);
         let gateway = Arc::clone(&self.attempts.gateway);
-        let service = request.catalog.service(&request.service);
-        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-            self.migration = Migration::Disabled;
-            return;
-        };
-        if !engine.supports_migration || self.is_resumable() && self.reader.event_count() == 0 {
+        if !self.supports_migration() || self.is_resumable() && self.reader.event_count() == 0 {
             self.migration = Migration::Disabled;
             return;
         }
@@ -359,11 +435,29 @@
         let remaining_tokens = predicted_output_tokens
             .saturating_sub(output_tokens)
             .max(output_tokens / REMAINING_OUTPUT_DIVISOR);
+        let placement = self.migration_placement();
+        self.migration
+            .start(
+                &gateway,
+                &request,
+                &self.stream.slot,
+                remaining_tokens,
+                &placement,
+            )
+            .await;
+    }
+
+    /// Placement of the generation at a target that its KV cache can be copied to.
+    fn migration_placement(&self) -> PlacementRequest {
+        let request = &self.attempts.request;
+        let generation = request.head.generation.as_ref();
+        let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
+        let endpoint = &self.stream.slot.endpoint;
         let mut excluded_ids = self.migration.failed_target_ids().to_vec();
-        excluded_ids.push(self.stream.slot.endpoint.id.clone());
-        let placement = PlacementRequest {
+        excluded_ids.push(endpoint.id.clone());
+        PlacementRequest {
             demand: Demand {
-                kv_copy_tokens: prompt_tokens + output_tokens,
+                kv_copy_tokens: prompt_tokens + self.output_tokens(),
                 is_migration: true,
                 prefill_tokens: 0,
                 prefill_ms_max: u64::MAX,
@@ -372,19 +466,10 @@
             excluded_ids,
             priority: request.priority,
             service: request.service.clone(),
-            software_version: Some(self.stream.slot.endpoint.software_version.clone()),
-            source_data_centre: Some(self.stream.slot.endpoint.data_centre.clone()),
+            software_version: Some(endpoint.software_version.clone()),
+            source_data_centre: Some(endpoint.data_centre.clone()),
             wait_ms_max: 0,
-        };
-        self.migration
-            .start(
-                &gateway,
-                &request,
-                &self.stream.slot,
-                remaining_tokens,
-                &placement,
-            )
-            .await;
+        }
     }
 
     async fn finish(self, end: StreamEnd) {
@@ -398,15 +483,25 @@
             migration,
             reader,
             stream,
+            suspension,
             ..
         } = self;
+        // The endpoints stop now, although a slow client may take long to see the end.
+        migration.free_copy();
+        if let Some(suspension) = suspension {
+            suspension.free();
+        }
+        if let Some(copy) = continuation.and_then(|continuation| continuation.copy) {
+            copy.free();
+        }
         let RelayedStream {
             connection,
             head,
-            run,
+            is_delimited,
             slot,
             ..
         } = stream;
+        let endpoint = Arc::clone(&slot.endpoint);
         let (gateway, request) = (&attempts.gateway, &attempts.request);
         let now_ms = gateway.fleet.now_ms();
         let outcome = match &end {
@@ -417,24 +512,19 @@
         };
         match &end {
             StreamEnd::Complete => {
-                migration.free_copy();
-                if let Some(copy) = continuation.and_then(|continuation| continuation.copy) {
-                    copy.free();
-                }
-                slot.endpoint.stats().health.record_success(now_ms);
-                if run.has_marked_end() {
+                endpoint.stats().health.record_success(now_ms);
+                if is_delimited {
                     gateway.report_sound(request);
                 } else {
-                    gateway.report_sound_if_reachable(request, &slot.endpoint);
+                    gateway.report_sound_if_reachable(request, &endpoint);
                 }
                 keep_connection(connection, &head, &slot);
             }
-            StreamEnd::Broken(_) | StreamEnd::TimedOut => {
-                // Fails if the client has left too.
-                let _ = body_sender.send(Err(IncompleteBody)).await;
+            StreamEnd::Broken(_) | StreamEnd::ClientLeft | StreamEnd::TimedOut => {
+                drop(connection);
             }
-            StreamEnd::ClientLeft => {}
         }
+        drop(slot);
         let reason = match &end {
             StreamEnd::Broken(reason) => Some(reason.as_str()),
             StreamEnd::ClientLeft => Some("the client left within the answer"),
@@ -456,10 +546,14 @@
         info!(gateway.log, "request ended"; "request" => request.id(), "outcome" => ?outcome,
             "status" => 200, "reason" => reason, "waited_ms" => attempts.waited_ms,
             "route" => &request.route.name, "customer" => request.customer.as_deref(),
-            "endpoint" => &slot.endpoint.id,
-            "software_version" => &slot.endpoint.software_version, "events" => reader.event_count(),
+            "endpoint" => &endpoint.id,
+            "software_version" => &endpoint.software_version, "events" => reader.event_count(),
             "moves" => endpoint_switches, "first_ms" => first_event_ms, "gap_max_ms" => gap_ms_max,
             "document_version" => request.catalog.version(),
             "duration_ms" => request.elapsed_ms());
+        if matches!(end, StreamEnd::Broken(_) | StreamEnd::TimedOut) {
+            // Fails if the client has left too.
+            let _ = body_sender.send(Err(IncompleteBody)).await;
+        }
     }
 }
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -6,13 +6,16 @@
 use tokio::time::{Duration, Instant};
 
 use super::migration::{CompleteCopy, Migration, UsedCopy};
+use super::suspension::AwaitedLimit;
 use super::{Relay, RelayedStream, STALL_MS_MIN, StreamEnd};
 use crate::attempt::{
     AcceptedBody, AcceptedResponse, AttemptEnd, AttemptError, AttemptOutcome, AttemptSender,
     PendingAttempt, ResumePoint,
 };
+use crate::clock::elapsed_ms;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::part_evidence::StreamRun;
+use crate::response::is_delimited;
 
 /// Time for which a resumed stream waits for capacity.
 const RESUME_WAIT_MS: u64 = 300;
@@ -27,15 +30,31 @@
 }
 
 impl Continuation {
-    /// Waits for the end of a pending attempt. The future may be dropped and requested again.
-    pub(super) async fn end(pending_continuation: &mut Option<Self>) -> AttemptEnd {
-        match pending_continuation {
-            Some(continuation) => continuation.attempt.end().await,
-            None => pending().await,
+    /// Waits for the end of a pending attempt, or for a limit of the time without an event. The future
+    /// may be dropped and requested again.
+    pub(super) async fn next_step(
+        pending_continuation: &mut Option<Self>,
+        limit: Option<AwaitedLimit>,
+    ) -> ContinuationStep {
+        let Some(continuation) = pending_continuation else {
+            return pending().await;
+        };
+        let limit_time = limit.map_or(Duration::ZERO, AwaitedLimit::time);
+        let sent_for_limit = continuation.attempt.sent_for(limit_time);
+        tokio::select! {
+            biased;
+            end = continuation.attempt.end() => ContinuationStep::Ended(end),
+            () = sent_for_limit, if limit.is_some() => ContinuationStep::LimitReached,
         }
     }
 }
 
+/// Change of a pending continuation that its relay reacts to.
+pub(super) enum ContinuationStep {
+    Ended(AttemptEnd),
+    LimitReached,
+}
+
 impl Relay {
     pub(super) fn may_resume(&self) -> bool {
         self.is_resumable()
@@ -48,9 +67,12 @@
         self.reader.discard_partial();
         self.is_broken_off = true;
         self.stream.connection.close();
+        if self.suspension.is_some() {
+            return self.continue_suspended_unless_awaited(reason);
+        }
         if let Some(copy) = self.migration.take_first_copy() {
             self.cancel_resumption(reason);
-            self.continue_from_copy(*copy, reason.to_owned());
+            self.continue_from_copy(*copy, reason.to_owned(), true);
             return None;
         }
         let pending = self.continuation.as_ref();
@@ -114,8 +136,12 @@
     }
 
     /// Applies the end of the pending continuation.
-    pub(super) async fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
-        let Continuation { copy, reason, .. } = self.continuation.take()?;
+    pub(super) fn apply_continuation(&mut self, end: AttemptEnd) -> Option<StreamEnd> {
+        let Continuation {
+            attempt,
+            copy,
+            reason,
+        } = self.continuation.take()?;
         self.stall_start_at = Instant::now();
         let (error, slot) = match end.outcome {
             AttemptOutcome::Accepted(accepted, slot) => {
@@ -130,14 +156,15 @@
                         body: rest,
                         connection,
                         head,
-                        run: StreamRun::new(&parts.headers),
+                        is_delimited: is_delimited(&parts),
+                        run: StreamRun::default(),
                         slot,
                     };
-                    self.switch_endpoint(stream, copy.is_some(), &reason);
-                    return self.forward(first).await;
+                    let overlap_ms = attempt.sent_at().map_or(0, elapsed_ms);
+                    self.switch_endpoint(stream, copy.is_some(), overlap_ms, &reason);
+                    return self.forward(first);
                 }
-                let answered = format!("the endpoint answered {}", parts.status);
-                (AttemptError::Failed(answered), slot)
+                (AttemptError::Answered(parts.status), slot)
             }
             AttemptOutcome::Failed(error, slot) => (error, slot),
             AttemptOutcome::NotPlaced(error) => {
@@ -145,36 +172,52 @@
             }
         };
         match copy {
-            Some(copy) => self.apply_copy_failure(&error, copy, &slot),
-            None => self.apply_resumption_failure(&error, &slot),
+            Some(copy) => self.apply_copy_failure(&error, copy, slot),
+            None => self.apply_resumption_failure(&error, slot),
         }
     }
 
-    fn apply_resumption_failure(&mut self, error: &AttemptError, slot: &Slot) -> Option<StreamEnd> {
-        if matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut) {
+    fn apply_resumption_failure(&mut self, error: &AttemptError, slot: Slot) -> Option<StreamEnd> {
+        let is_not_run = matches!(
+            error,
+            AttemptError::Rejected(_) | AttemptError::Unreachable(_)
+        );
+        if !is_not_run {
             self.attempts.possible_runs += 1;
             self.attempts.excluded_ids.push(slot.endpoint.id.clone());
         }
-        self.end_if_broken_off(format!("the stream did not go on: {error}"))
+        let reason = format!("the stream did not go on: {error}");
+        if self.suspension.is_some() {
+            return self.continue_suspended(Some(slot), &reason);
+        }
+        self.end_if_broken_off(reason)
     }
 
-    /// Keeps the generation at its source if the target certainly does not run it. It cannot
-    /// continue beside a run that the target may have started.
+    /// Keeps the generation at its source if the target certainly does not work on it. It cannot
+    /// continue beside work that the target may have started.
     fn apply_copy_failure(
         &mut self,
         error: &AttemptError,
         copy: UsedCopy,
-        slot: &Slot,
+        slot: Slot,
     ) -> Option<StreamEnd> {
+        let may_work = matches!(error, AttemptError::Failed(_) | AttemptError::TimedOut);
+        if self.suspension.is_some() && (!may_work || self.is_resumable()) {
+            copy.free();
+            return self.continue_suspended(Some(slot), &format!("at the copy: {error}"));
+        }
         if self.is_broken_off {
             return self.resume(&format!("the endpoint broke off, and at the copy: {error}"));
         }
         match error {
-            AttemptError::Rejected(_) | AttemptError::Unreachable(_) => {
+            AttemptError::Answered(_)
+            | AttemptError::Rejected(_)
+            | AttemptError::Unreachable(_) => {
                 info!(self.attempts.gateway.log, "KV cache copy not used";
                     "request" => self.attempts.request.id(),
                     "endpoint" => &slot.endpoint.id, "reason" => %error);
-                self.migration.discard_copy_and_retry(copy, slot);
+                self.migration
+                    .discard_copy_and_retry(copy, &slot.endpoint.id);
                 None
             }
             AttemptError::Failed(_) | AttemptError::TimedOut => Some(StreamEnd::Broken(format!(
@@ -196,17 +239,26 @@
     }
 
     /// Requests the generation at the target of its copy. It continues at the source until the
-    /// target answers, and ends there when the connection closes.
-    pub(super) fn continue_from_copy(&mut self, copy: CompleteCopy, reason: String) {
+    /// target answers or is late, and ends there when the connection closes.
+    pub(super) fn continue_from_copy(
+        &mut self,
+        copy: CompleteCopy,
+        reason: String,
+        needs_budget: bool,
+    ) {
         let (slot, copy) = copy.into_parts();
         self.held_from = self.last_event_at;
+        info!(self.attempts.gateway.log, "migration target asked";
+            "request" => self.attempts.request.id(), "from" => &self.stream.slot.endpoint.id,
+            "to" => &slot.endpoint.id, "last_event" => self.reader.last_event_id(),
+            "reason" => &reason);
         let sender = AttemptSender::new(&self.attempts.gateway, &self.attempts.request);
         let resume_point = ResumePoint {
             copy: Some(copy.cache_copy.clone()),
             ..self.resume_point()
         };
         self.continuation = Some(Continuation {
-            attempt: sender.retry_at(slot, resume_point),
+            attempt: sender.retry_at(slot, resume_point, needs_budget),
             copy: Some(copy),
             reason,
         });
@@ -220,15 +272,27 @@
         }
     }
 
-    fn switch_endpoint(&mut self, mut stream: RelayedStream, is_copied: bool, reason: &str) {
+    /// Leaves the source for a target whose first event came `overlap_ms` after it was asked.
+    fn switch_endpoint(
+        &mut self,
+        mut stream: RelayedStream,
+        is_copied: bool,
+        overlap_ms: u64,
+        reason: &str,
+    ) {
         let request = &self.attempts.request;
         let source_id = &self.stream.slot.endpoint.id;
         info!(self.attempts.gateway.log, "stream switched endpoint"; "request" => request.id(),
             "from" => source_id, "to" => &stream.slot.endpoint.id,
             "from_version" => &self.stream.slot.endpoint.software_version,
             "to_version" => &stream.slot.endpoint.software_version,
-            "is_copied" => is_copied, "last_event" => self.reader.last_event_id(),
+            "is_copied" => is_copied, "is_broken_off" => self.is_broken_off,
+            "last_event" => self.reader.last_event_id(), "overlap_ms" => overlap_ms,
             "reason" => reason);
+        if !self.is_broken_off {
+            let metrics = &self.attempts.gateway.metrics;
+            metrics.record_endpoint_switch(is_copied, overlap_ms);
+        }
         if !is_copied {
             self.attempts.possible_runs += 1;
             self.attempts.excluded_ids.push(source_id.clone());
@@ -239,6 +303,9 @@
         self.is_broken_off = false;
         let migration = Migration::watch(&stream.slot.endpoint);
         std::mem::replace(&mut self.migration, migration).free_copy();
+        if let Some(suspension) = self.suspension.take() {
+            suspension.free();
+        }
         self.stall_start_at = Instant::now();
         stream.slot.complete_prefill();
         self.stream = stream;
