--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::RequestError;
+use crate::response::is_delimited;
 use crate::{AttemptHead, CacheCopy, EventReader, Rejection, ResponseHead};
 
 /// Time for which a retry waits for capacity, and after which a client may retry it.
@@ -46,6 +47,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ResumePoint {
     pub(crate) copy: Option<CacheCopy>,
+    /// Whether the endpoint stopped the generation itself, and may be leaving.
+    pub(crate) is_return: bool,
     pub(crate) last_event_id: Option<u64>,
 }
 
@@ -218,8 +221,10 @@
         needs_budget: bool,
     ) -> PendingAttempt {
         let sender = self.clone();
+        let is_return = resume_point.is_return;
         let place = async move {
-            let allowed = sender.check_endpoint(&slot.endpoint).and_then(|()| {
+            let allowed = sender.check_endpoint(&slot.endpoint, is_return);
+            let allowed = allowed.and_then(|()| {
                 if !needs_budget {
                     return Ok(());
                 }
@@ -281,8 +286,10 @@
     }
 
     /// Rejects an attempt whose endpoint began to leave or to pause after capacity was occupied there.
-    fn check_endpoint(&self, endpoint: &Endpoint) -> Result<(), AttemptError> {
-        if endpoint.takes_requests(self.gateway.fleet.now_ms()) {
+    fn check_endpoint(&self, endpoint: &Endpoint, is_return: bool) -> Result<(), AttemptError> {
+        if is_return && endpoint.takes_returns()
+            || endpoint.takes_requests(self.gateway.fleet.now_ms())
+        {
             return Ok(());
         }
         let reason = "the endpoint takes no requests now";
@@ -296,7 +303,7 @@
         resume_point: &ResumePoint,
         progress: &AttemptProgress,
     ) -> AttemptOutcome {
-        if let Err(error) = self.check_endpoint(&slot.endpoint) {
+        if let Err(error) = self.check_endpoint(&slot.endpoint, resume_point.is_return) {
             return AttemptOutcome::Failed(error, slot);
         }
         let is_probe = match self.gateway.take_probe(&self.request) {
@@ -395,7 +402,7 @@
             return Err(AttemptError::Failed(reason).into());
         }
         let body = if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
-            read_first_event(body).await?
+            read_first_event(body, is_delimited(&parts)).await?
         } else {
             let collected = collect_body(body, RESPONSE_BYTES_MAX).await;
             AcceptedBody::Whole(collected?)
@@ -462,8 +469,11 @@
     }
 }
 
-/// Reads a stream up to its first whole event, or to its end.
-async fn read_first_event(mut body: Incoming) -> Result<AcceptedBody, ExchangeError> {
+/// Reads a stream up to its first whole event, or to its end if that shows that it is complete.
+async fn read_first_event(
+    mut body: Incoming,
+    is_delimited: bool,
+) -> Result<AcceptedBody, ExchangeError> {
     let mut reader = EventReader::default();
     let mut received = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -490,6 +500,10 @@
         let reason = "the stream broke off within its first event";
         return Err(ExchangeError::BrokenOff(reason.to_owned()));
     }
+    if !is_delimited {
+        let reason = "the connection ended before an event";
+        return Err(ExchangeError::BrokenOff(reason.to_owned()));
+    }
     Ok(AcceptedBody::Stream(received.freeze(), body))
 }
 
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -1,12 +1,17 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use placement::Load;
 use registry::{EndpointState, Registration};
 use tokio::sync::watch;
+use tokio::time::{Duration, Instant};
 
 use crate::connection::ConnectionPool;
 use crate::{EndpointHealth, EndpointNotice, EventIntervals};
 
+/// Time after the notice of an endpoint's leave in which a generation may return to it. Endpoints serve
+/// for longer, but expect no new requests three seconds after their notice.
+const RETURN_MS_MAX: u64 = 2_000;
+
 /// One incarnation of an endpoint, with its connections and its statistics at this instance.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -22,6 +27,8 @@
     /// Start of the incarnation, in ms since the Unix epoch.
     pub(crate) started_at_ms: u64,
     leaving: watch::Sender<bool>,
+    /// Time from which this instance has known that it leaves.
+    leaving_since: OnceLock<Instant>,
     stats: Mutex<EndpointStats>,
 }
 
@@ -60,6 +67,7 @@
             software_version: registration.software_version.clone(),
             started_at_ms: registration.started_at_ms,
             leaving: watch::channel(is_leaving).0,
+            leaving_since: OnceLock::new(),
             stats: Mutex::new(EndpointStats::default()),
         })
     }
@@ -90,6 +98,12 @@
         self.notice().pause_left_ms(now_ms)
     }
 
+    /// Whether a generation that the endpoint has stopped may continue there.
+    pub(crate) fn takes_returns(&self) -> bool {
+        let since = self.leaving_since.get();
+        since.is_none_or(|since| since.elapsed() < Duration::from_millis(RETURN_MS_MAX))
+    }
+
     /// Whether requests may be sent to the endpoint.
     pub(crate) fn takes_requests(&self, now_ms: u64) -> bool {
         !self.is_leaving() && self.pause_left_ms(now_ms) == 0
@@ -101,6 +115,7 @@
 
     pub(crate) fn set_leaving(&self) {
         self.leaving.send_if_modified(|is_leaving| {
+            self.leaving_since.get_or_init(Instant::now);
             let is_changed = !*is_leaving;
             *is_leaving = true;
             is_changed
