--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,9 @@
 use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
 use crate::clock::elapsed_ms;
-use crate::connection::{Connection, EndpointResponse, SendError, collect_body};
+use crate::connection::{
+    BodyError, Connection, EndpointResponse, SendError, collect_body, is_connection_lost,
+};
 use crate::endpoint::Endpoint;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::gateway_state::GatewayState;
@@ -85,6 +87,14 @@
     Unreachable(String),
 }
 
+/// Reason why an exchange gave no response, before its crash is reported.
+#[derive(Debug)]
+enum ExchangeError {
+    /// The endpoint ended the connection after the request was sent.
+    BrokenOff(String),
+    Other(AttemptError),
+}
+
 /// Result of an attempt that was placed, or the reason why it was not.
 pub(crate) enum AttemptOutcome {
     Accepted(Box<AcceptedResponse>, Slot),
@@ -296,17 +306,31 @@
         if let Err(error) = self.check_endpoint(&slot.endpoint, resume_point.is_return) {
             return AttemptOutcome::Failed(error, slot);
         }
+        let is_probe = match self.gateway.take_probe(&self.request) {
+            Ok(is_probe) => is_probe,
+            Err(refused) if resume_point.copy.is_some() => {
+                return AttemptOutcome::Failed(AttemptError::Rejected(refused.reason), slot);
+            }
+            Err(refused) => return AttemptOutcome::NotPlaced(refused),
+        };
         let endpoint = &slot.endpoint;
         progress.record_sent(endpoint);
         if resume_point.last_event_id.is_none() {
             self.gateway.report_stream(&self.request, endpoint);
         }
-        match self
-            .request_response(endpoint, resume_point, progress)
-            .await
-        {
+        let answered = self.request_response(endpoint, resume_point, progress);
+        match answered.await {
             Ok(accepted) => AttemptOutcome::Accepted(Box::new(accepted), slot),
-            Err(error) => AttemptOutcome::Failed(error, slot),
+            Err(error) => {
+                let is_not_run = matches!(
+                    error,
+                    AttemptError::Rejected(_) | AttemptError::Unreachable(_)
+                );
+                if is_probe && is_not_run {
+                    self.request.part_evidence.return_probe();
+                }
+                AttemptOutcome::Failed(error, slot)
+            }
         }
     }
 
@@ -321,11 +345,20 @@
         let may_reuse = is_copied || self.request.route.retry_class.is_idempotent();
         let answered = async {
             let sent = self.gateway.send(endpoint, request, may_reuse).await;
-            let (response, head) = sent.map_err(AttemptError::from)?;
+            let (response, head) = sent.map_err(ExchangeError::from)?;
             self.accept(endpoint, response, head).await
         };
+        let sent_at = Instant::now();
         let answered = timeout_at(self.request.deadline, answered).await;
-        let answered = answered.unwrap_or(Err(AttemptError::TimedOut));
+        let answered = answered.unwrap_or(Err(ExchangeError::Other(AttemptError::TimedOut)));
+        let answered = answered.map_err(|error| match error {
+            ExchangeError::BrokenOff(reason) => {
+                let gateway = &self.gateway;
+                gateway.report_crash(&self.request, endpoint, sent_at, &reason);
+                AttemptError::Failed(reason)
+            }
+            ExchangeError::Other(error) => error,
+        });
         let now_ms = self.gateway.fleet.now_ms();
         match &answered {
             Err(AttemptError::Unreachable(_)) => {
@@ -345,7 +378,7 @@
         endpoint: &Endpoint,
         response: EndpointResponse,
         head: ResponseHead,
-    ) -> Result<AcceptedResponse, AttemptError> {
+    ) -> Result<AcceptedResponse, ExchangeError> {
         let EndpointResponse {
             body,
             connection,
@@ -355,27 +388,24 @@
         match head.rejection {
             Some(Rejection::Misdirected) => {
                 endpoint.set_leaving();
-                return Err(AttemptError::Rejected(
-                    "another endpoint has the address".to_owned(),
-                ));
+                let reason = "another endpoint has the address".to_owned();
+                return Err(AttemptError::Rejected(reason).into());
             }
             Some(Rejection::NotRun) => {
-                return Err(AttemptError::Rejected(format!(
-                    "the endpoint answered {status}"
-                )));
+                let reason = format!("the endpoint answered {status}");
+                return Err(AttemptError::Rejected(reason).into());
             }
             None => {}
         }
         if head.request_id.as_deref() != self.request.head.request_id.as_deref() {
-            return Err(AttemptError::Failed(
-                "the answer is another request's".to_owned(),
-            ));
+            let reason = "the answer is another request's".to_owned();
+            return Err(AttemptError::Failed(reason).into());
         }
         let body = if status == StatusCode::OK && self.request.route.retry_class.is_stream() {
             read_first_event(body, is_delimited(&parts)).await?
         } else {
             let collected = collect_body(body, RESPONSE_BYTES_MAX).await;
-            AcceptedBody::Whole(collected.map_err(|error| AttemptError::Failed(error.to_string()))?)
+            AcceptedBody::Whole(collected?)
         };
         Ok(AcceptedResponse {
             body,
@@ -412,11 +442,29 @@
     }
 }
 
-impl From<SendError> for AttemptError {
+impl From<AttemptError> for ExchangeError {
+    fn from(error: AttemptError) -> Self {
+        Self::Other(error)
+    }
+}
+
+impl From<SendError> for ExchangeError {
     fn from(error: SendError) -> Self {
         match error {
-            SendError::MayHaveRun(reason) => Self::Failed(reason),
-            SendError::NotSent(reason) => Self::Unreachable(reason),
+            SendError::BrokenOff(reason) => Self::BrokenOff(reason),
+            SendError::MayHaveRun(reason) => Self::Other(AttemptError::Failed(reason)),
+            SendError::NotSent(reason) => Self::Other(AttemptError::Unreachable(reason)),
+        }
+    }
+}
+
+impl From<BodyError> for ExchangeError {
+    fn from(error: BodyError) -> Self {
+        match &error {
+            BodyError::BrokenOff(cause) if is_connection_lost(cause) => {
+                Self::BrokenOff(error.to_string())
+            }
+            _ => Self::Other(AttemptError::Failed(error.to_string())),
         }
     }
 }
@@ -425,12 +473,17 @@
 async fn read_first_event(
     mut body: Incoming,
     is_delimited: bool,
-) -> Result<AcceptedBody, AttemptError> {
+) -> Result<AcceptedBody, ExchangeError> {
     let mut reader = EventReader::default();
     let mut received = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
-            AttemptError::Failed(format!("the stream broke off before an event: {error}"))
+            let reason = format!("the stream broke off before an event: {error}");
+            if is_connection_lost(&error) {
+                ExchangeError::BrokenOff(reason)
+            } else {
+                ExchangeError::Other(AttemptError::Failed(reason))
+            }
         })?;
         let Ok(bytes) = frame.into_data() else {
             continue;
@@ -440,16 +493,16 @@
             return Ok(AcceptedBody::Stream(received.freeze(), body));
         }
         if reader.is_partial_too_long() {
-            return Err(AttemptError::Failed("an event is too long".to_owned()));
+            return Err(AttemptError::Failed("an event is too long".to_owned()).into());
         }
     }
     if reader.has_partial_event() {
         let reason = "the stream broke off within its first event";
-        return Err(AttemptError::Failed(reason.to_owned()));
+        return Err(ExchangeError::BrokenOff(reason.to_owned()));
     }
     if !is_delimited {
         let reason = "the connection ended before an event";
-        return Err(AttemptError::Failed(reason.to_owned()));
+        return Err(ExchangeError::BrokenOff(reason.to_owned()));
     }
     Ok(AcceptedBody::Stream(received.freeze(), body))
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -26,6 +26,7 @@
 use crate::gateway_state::GatewayState;
 use crate::handler::RoutedRequest;
 use crate::outcome::{Outcome, RequestError};
+use crate::part_evidence::StreamRun;
 use crate::relay::{Relay, RelayedStream};
 use crate::response::{ResponseBody, full_body, is_delimited, strip_hop_by_hop_headers};
 
@@ -238,6 +239,7 @@
                     connection,
                     head,
                     is_delimited: is_delimited(&parts),
+                    run: StreamRun::default(),
                     slot,
                 };
                 return Some(Ok(Relay::spawn(self, stream, parts, first)));
@@ -251,6 +253,12 @@
         } else {
             endpoint.stats().health.record_success(now_ms);
         }
+        if status.is_success() && is_delimited(&parts) {
+            self.gateway.report_sound(&self.request);
+        } else if status.is_success() {
+            self.gateway
+                .report_sound_if_reachable(&self.request, &endpoint);
+        }
         keep_connection(connection, &head, &slot);
         if NOT_RUN_STATUSES.contains(&status) {
             self.excluded_ids.push(endpoint.id.clone());
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -24,6 +24,8 @@
     pub(crate) rank: u64,
     pub(crate) service: String,
     pub(crate) software_version: String,
+    /// Start of the incarnation, in ms since the Unix epoch.
+    pub(crate) started_at_ms: u64,
     leaving: watch::Sender<bool>,
     /// Time from which this instance has known that it leaves.
     leaving_since: OnceLock<Instant>,
@@ -63,6 +65,7 @@
             rank: rank(&registration.id),
             service: registration.service.clone(),
             software_version: registration.software_version.clone(),
+            started_at_ms: registration.started_at_ms,
             leaving: watch::channel(is_leaving).0,
             leaving_since: OnceLock::new(),
             stats: Mutex::new(EndpointStats::default()),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,7 @@
 use crate::connection::Connection;
 use crate::fleet::{PlacementRequest, Slot};
 use crate::outcome::Outcome;
+use crate::part_evidence::StreamRun;
 use crate::response::{IncompleteBody, ResponseBody, channel_body};
 use crate::{CopyOutcome, EventReader, ResponseHead};
 use continuation::{Continuation, ContinuationStep};
@@ -67,6 +68,7 @@
     pub(crate) head: ResponseHead,
     /// Whether its end can be told from that of its connection.
     pub(crate) is_delimited: bool,
+    pub(crate) run: StreamRun,
     pub(crate) slot: Slot,
 }
 
@@ -227,12 +229,14 @@
     async fn react(&mut self, event: RelayEvent) -> Option<StreamEnd> {
         match event {
             RelayEvent::BodyEnded if self.reader.has_partial_event() => {
-                self.recover("the endpoint broke off within an event")
+                self.recover_from_crash("the endpoint broke off within an event")
             }
             RelayEvent::BodyEnded if self.stream.is_delimited => self.complete(),
             RelayEvent::BodyEnded => self.apply_unframed_end(),
             RelayEvent::BodyFrame(Some(bytes)) => self.forward(bytes),
-            RelayEvent::BodyFrame(None) => self.recover("the endpoint broke off without its end"),
+            RelayEvent::BodyFrame(None) => {
+                self.recover_from_crash("the endpoint broke off without its end")
+            }
             RelayEvent::ClientLeft => Some(StreamEnd::ClientLeft),
             RelayEvent::Continuation(ContinuationStep::Ended(end)) => self.apply_continuation(end),
             RelayEvent::Continuation(ContinuationStep::LimitReached) => self.limit_awaited(),
@@ -252,12 +256,16 @@
         if whole_events.is_empty() {
             return self.check_event_length();
         }
+        let new_events = self.reader.event_count() - previous_count;
+        if self.stream.run.record_events(new_events) {
+            self.attempts.gateway.report_sound(&self.attempts.request);
+        }
         self.apply_source_event();
         let gap = self.last_event_at.elapsed();
         let gap_ms = milliseconds(gap);
         self.last_event_at = Instant::now();
         if self.first_event_ms.is_some() {
-            let events = (self.reader.event_count() - previous_count).max(1);
+            let events = new_events.max(1);
             let interval_us = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX) / events;
             let now_ms = self.attempts.gateway.fleet.now_ms();
             self.stream
@@ -281,6 +289,19 @@
         self.check_event_length()
     }
 
+    /// Accuses the parts of the prompt, and continues elsewhere.
+    fn recover_from_crash(&mut self, reason: &str) -> Option<StreamEnd> {
+        let RelayedStream { run, slot, .. } = &self.stream;
+        let Attempts {
+            gateway, request, ..
+        } = &self.attempts;
+        // An endpoint that was asked to suspend the generation may end its stream.
+        if self.suspension.is_none() {
+            gateway.report_stream_crash(request, &slot.endpoint, run, reason);
+        }
+        self.recover(reason)
+    }
+
     /// Leaves an endpoint that sends bytes without completing an event.
     fn check_event_length(&mut self) -> Option<StreamEnd> {
         if !self.reader.is_partial_too_long() {
@@ -475,6 +496,7 @@
         let RelayedStream {
             connection,
             head,
+            is_delimited,
             slot,
             ..
         } = stream;
@@ -490,6 +512,11 @@
         match &end {
             StreamEnd::Complete => {
                 endpoint.stats().health.record_success(now_ms);
+                if is_delimited {
+                    gateway.report_sound(request);
+                } else {
+                    gateway.report_sound_if_reachable(request, &endpoint);
+                }
                 keep_connection(connection, &head, &slot);
             }
             StreamEnd::Broken(_) | StreamEnd::ClientLeft | StreamEnd::TimedOut => {
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -14,6 +14,7 @@
 };
 use crate::clock::elapsed_ms;
 use crate::fleet::{PlacementRequest, Slot};
+use crate::part_evidence::StreamRun;
 use crate::response::is_delimited;
 
 /// Time for which a resumed stream waits for capacity.
@@ -156,6 +157,7 @@
                         connection,
                         head,
                         is_delimited: is_delimited(&parts),
+                        run: StreamRun::default(),
                         slot,
                     };
                     let overlap_ms = attempt.sent_at().map_or(0, elapsed_ms);
