Test that one registry sends a changed document to a subscriber

Three registries stand behind forwarders that count their answers and can hold them back, close or silence a registry. Today several registries send a subscriber the same changed document: 1,201,468 bytes arrive for a document of 600,000, so a_changed_document_is_sent_by_one_registry fails. The other three tests pass and guard what a fix must keep: a registry that closes or falls silent with a half-sent document holds it up for less than two seconds, a lease ends while the newer document has not arrived, and a subscriber that starts has its document within a second.

--- /dev/null
+++ b/crates/registry/tests/documents_are_sent_once.rs
@@ -0,0 +1,199 @@
+//! A subscriber of several registries receives a changed document from one of them, from another
+//! one if that one fails, and holds no lease while the document has not arrived.
+
+mod support;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use registry::{
+    Document, DocumentSink, Registry, RegistrySettings, Subscription, SubscriptionSettings,
+};
+use slog::{Discard, Logger, o};
+use support::forwarder::{Forwarding, spawn_forwarder};
+use support::{TestGroup, poll_until};
+use tokio::time::sleep;
+
+const DOCUMENT_BYTES: usize = 600_000;
+const LEASE_MS: u64 = 1_500;
+
+/// Time in which every held poll has been answered and the next one has begun.
+const TWO_POLLS_MS: u64 = 1_200;
+
+/// Time in which a document arrives although the first registry falls silent, on a loaded machine.
+const LATE_MS: u128 = 2_000;
+
+/// Time in which a subscriber that starts has its first document, on a loaded machine.
+const FIRST_DOCUMENT_MS: u128 = 1_000;
+
+#[derive(Default)]
+struct Installed {
+    bytes: Mutex<Vec<u8>>,
+    version: AtomicU64,
+}
+
+impl DocumentSink for Installed {
+    fn install(&self, document: &Document) -> bool {
+        self.bytes.lock().unwrap().clone_from(&document.bytes);
+        self.version.store(document.version, Ordering::Relaxed);
+        true
+    }
+}
+
+struct Fixture {
+    forwarding: Arc<Forwarding>,
+    group: TestGroup,
+    registries: Vec<Registry>,
+}
+
+impl Fixture {
+    /// Starts three registries behind forwarders, with a first document.
+    async fn new() -> Self {
+        let group = TestGroup::new().await;
+        let forwarding = Arc::<Forwarding>::default();
+        let mut registries = Vec::new();
+        for number in 1..=3 {
+            let settings = RegistrySettings {
+                inner_listen: Some(group.listen_address(number)),
+                ..group.settings(number, true)
+            };
+            let (address, listen) = (settings.inner_address, group.listen_address(number));
+            spawn_forwarder(address, listen, &forwarding).await;
+            registries.push(Registry::open(settings).await.unwrap());
+        }
+        let fixture = Self {
+            forwarding,
+            group,
+            registries,
+        };
+        fixture.replicate(1, 100).await;
+        fixture
+    }
+
+    async fn replicate(&self, version: u64, length: usize) {
+        poll_until(async || {
+            let document = document(version, length);
+            self.registries[0].replicate_document(document).await.ok()
+        })
+        .await;
+    }
+
+    fn subscribe(&self) -> (Subscription, Arc<Installed>) {
+        let installed = Arc::<Installed>::default();
+        let settings = SubscriptionSettings {
+            instance: "x".to_owned(),
+            lease_ms: LEASE_MS,
+            log: Logger::root(Discard, o!()),
+            seeds: self.group.seeds(),
+        };
+        (
+            Subscription::spawn(settings, Arc::clone(&installed) as _),
+            installed,
+        )
+    }
+
+    /// Subscribes, and waits until polls are pending at all registries.
+    async fn subscribe_to_all(&self) -> (Subscription, Arc<Installed>) {
+        let (subscription, installed) = self.subscribe();
+        installed_version(&installed, 1).await;
+        poll_until(async || subscription.is_lease_valid().then_some(())).await;
+        sleep(Duration::from_millis(TWO_POLLS_MS)).await;
+        (subscription, installed)
+    }
+}
+
+fn document(version: u64, length: usize) -> Document {
+    let bytes = (0..=250).cycle().take(length).collect();
+    Document { bytes, version }
+}
+
+async fn installed_version(installed: &Installed, version: u64) {
+    poll_until(async || (installed.version.load(Ordering::Relaxed) >= version).then_some(())).await;
+}
+
+/// Guards against a copy of a changed document from each registry, which fills slow links.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_changed_document_is_sent_by_one_registry() {
+    let fixture = Fixture::new().await;
+    let (_subscription, installed) = fixture.subscribe_to_all().await;
+    let answer_bytes = || fixture.forwarding.answer_bytes.load(Ordering::Relaxed);
+    let bytes_before = answer_bytes();
+    fixture.replicate(2, DOCUMENT_BYTES).await;
+    installed_version(&installed, 2).await;
+    assert_eq!(
+        *installed.bytes.lock().unwrap(),
+        document(2, DOCUMENT_BYTES).bytes
+    );
+    sleep(Duration::from_millis(TWO_POLLS_MS)).await;
+    let sent_bytes = answer_bytes() - bytes_before;
+    assert!(
+        sent_bytes < DOCUMENT_BYTES as u64 * 3 / 2,
+        "{sent_bytes} bytes for a document of {DOCUMENT_BYTES}"
+    );
+}
+
+/// Guards against a subscriber that waits for a registry which answers no more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_registry_that_fails_does_not_hold_up_a_document() {
+    for is_silent in [true, false] {
+        let fixture = Fixture::new().await;
+        let (_subscription, installed) = fixture.subscribe_to_all().await;
+        let forwarding = &fixture.forwarding;
+        forwarding
+            .silences_first
+            .store(is_silent, Ordering::Relaxed);
+        forwarding.closes_first.store(!is_silent, Ordering::Relaxed);
+        let replicated_at = Instant::now();
+        // The call does not return if the silent registry leads.
+        tokio::select! {
+            () = fixture.replicate(2, DOCUMENT_BYTES) => installed_version(&installed, 2).await,
+            () = installed_version(&installed, 2) => {}
+        }
+        let duration_ms = replicated_at.elapsed().as_millis();
+        assert!(duration_ms < LATE_MS, "{duration_ms} ms, {is_silent}");
+        assert_eq!(
+            *installed.bytes.lock().unwrap(),
+            document(2, DOCUMENT_BYTES).bytes
+        );
+    }
+}
+
+/// Guards against a lease on a document that registries have already replaced.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_version_without_its_document_renews_no_lease() {
+    let fixture = Fixture::new().await;
+    let (subscription, installed) = fixture.subscribe_to_all().await;
+    assert!(subscription.is_lease_valid());
+    fixture
+        .forwarding
+        .holds_large
+        .store(true, Ordering::Relaxed);
+    fixture.replicate(2, DOCUMENT_BYTES).await;
+    sleep(Duration::from_millis(LEASE_MS)).await;
+    let held_at = Instant::now();
+    while held_at.elapsed() < Duration::from_millis(TWO_POLLS_MS) {
+        assert!(!subscription.is_lease_valid());
+        assert_eq!(installed.version.load(Ordering::Relaxed), 1);
+        sleep(Duration::from_millis(10)).await;
+    }
+    fixture
+        .forwarding
+        .holds_large
+        .store(false, Ordering::Relaxed);
+    installed_version(&installed, 2).await;
+    poll_until(async || subscription.is_lease_valid().then_some(())).await;
+}
+
+/// Guards against a subscriber that starts and waits a whole poll for its first document.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_first_document_arrives_at_once() {
+    let fixture = Fixture::new().await;
+    fixture.replicate(2, DOCUMENT_BYTES).await;
+    let started_at = Instant::now();
+    let (subscription, installed) = fixture.subscribe();
+    installed_version(&installed, 2).await;
+    poll_until(async || subscription.is_lease_valid().then_some(())).await;
+    let duration_ms = started_at.elapsed().as_millis();
+    assert!(duration_ms < FIRST_DOCUMENT_MS, "{duration_ms} ms");
+}
--- a/crates/registry/tests/support/mod.rs
+++ b/crates/registry/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod forwarder;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -81,18 +83,27 @@
         std::fs::remove_dir_all(self.data_folder(number)).unwrap();
     }
 
+    pub fn settings(&self, number: u8, is_bootstrapping: bool) -> RegistrySettings {
+        RegistrySettings {
+            data_folder: self.data_folder(number),
+            heartbeat_interval_ms: 1_200,
+            inner_address: self.address(number),
+            inner_listen: None,
+            is_bootstrapping,
+            log: Logger::root(Discard, o!()),
+            seeds: self.seeds(),
+            voters_wanted: 3,
+        }
+    }
+
+    /// Address on which a registry behind a forwarder listens.
+    pub fn listen_address(&self, number: u8) -> SocketAddr {
+        self.address(number + 100)
+    }
+
     async fn open(&self, number: u8, is_bootstrapping: bool) -> Registry {
         poll_until(async || {
-            let settings = RegistrySettings {
-                data_folder: self.data_folder(number),
-                heartbeat_interval_ms: 1_200,
-                inner_address: self.address(number),
-                inner_listen: None,
-                is_bootstrapping,
-                log: Logger::root(Discard, o!()),
-                seeds: self.seeds(),
-                voters_wanted: 3,
-            };
+            let settings = self.settings(number, is_bootstrapping);
             Registry::open(settings).await.ok()
         })
         .await
