Read a changed document from one registry

Callers saw two endpoints work on one generation after a migration, and many failed requests, when a large document was put in force on sites whose gateways have links of 10 Mbit/s.

Cause: a gateway keeps a poll pending at every registry, and each registry answered with the whole changed document. With five registries, five copies of a document with 1,400 more routes filled the link for about a second. Events of migration targets waited behind them, polls missed their deadline, the connections were dropped ("registry lost"), and the document was requested again.

Change: an answer to a poll tells only the version, still at once. The first answer that tells a newer one starts to read the document from that registry, in chunks of 128 KiB on a connection of its own. A chunk may take 600 ms, twice as long after each failure, up to 4.8 s; then, or when the connection fails, another registry continues from the byte reached. A poll repeats the version that the registry told, so it is held while the document is on its way. An answer renews the lease only if the document in force is at least as new as the version told. A confirmation of a version that has not arrived counts, from the time of its request, once that version is in force.

Ruled out: a longer deadline of polls alone keeps the registries but not the five copies. A document in the poll of one preferred registry would delay the directory changes on that connection, and a silent registry would be noticed only after a time that grows with the document.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,7 +7,8 @@
 //! it has all committed entries, and replaces a voter that no longer responds.
 //!
 //! Every other instance runs a [`Subscription`], which long-polls each registry. An answer carries
-//! changes of the directory, a newer document, and a confirmation that the document is the newest.
+//! changes of the directory, the version of the document, and a confirmation that it is the newest.
+//! A newer document is read from one registry, so that it crosses a subscriber's link once.
 //! A confirmation renews a [`Lease`]. Without a valid lease no new request is admitted, so an
 //! accepted document is in force everywhere at most one lease later, even on instances that are
 //! partitioned.
--- a/crates/registry/src/publisher.rs
+++ b/crates/registry/src/publisher.rs
@@ -1,4 +1,5 @@
-//! Answers the polls of subscribers with directory changes, newer documents and confirmations.
+//! Answers the polls of subscribers with directory changes, versions of documents and
+//! confirmations, and lets them read the documents.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,7 +11,7 @@
 use crate::group::Group;
 use crate::read_index::ReadIndexBatcher;
 use crate::registry::elapsed_ms;
-use crate::rpc::{PollAnswer, PollRequest};
+use crate::rpc::{DocumentChunk, PollAnswer, PollRequest};
 use crate::{
     Accusation, Directory, EndpointEvent, PartChange, PartQuarantine, PublishedPart, RecordOutcome,
 };
@@ -29,6 +30,9 @@
 /// Longest time for which a poll without updates is held.
 const POLL_HOLD_MS_MAX: u64 = 2_000;
 
+/// Largest chunk of a document: 105 ms on a link of 10 Mbit/s.
+const DOCUMENT_CHUNK_BYTES: usize = 128 * 1024;
+
 /// Time between two checks of the directory, the subscribers and the members of the group.
 const MAINTENANCE_INTERVAL_MS: u64 = 250;
 
@@ -188,7 +192,7 @@
             _ = document.wait_for(|latest| is_new(latest.version)) => {}
             () = sleep_until(deadline) => {}
         }
-        let latest = document.borrow().clone();
+        let document_version = document.borrow().version;
         let (parts, parts_version) = {
             let quarantine = lock(&self.part_quarantine);
             let version = quarantine.version();
@@ -203,7 +207,7 @@
         PollAnswer {
             directory_cursor: directory.cursor(),
             directory_epoch: self.epoch,
-            document: is_new(latest.version).then_some(latest),
+            document_version,
             is_leader: self.group.leader().0,
             is_confirmed,
             parts: parts.map(encode_parts),
@@ -215,6 +219,23 @@
         }
     }
 
+    /// Chunk of the document from a byte on if it has this version, or else from its beginning.
+    pub(crate) fn read_document(&self, version: u64, first_byte: u64) -> DocumentChunk {
+        let document = self.group.document();
+        let document = document.borrow();
+        let first_byte = match usize::try_from(first_byte) {
+            Ok(first_byte) if document.version == version => first_byte.min(document.bytes.len()),
+            _ => 0,
+        };
+        let rest = &document.bytes[first_byte..];
+        DocumentChunk {
+            bytes: rest[..rest.len().min(DOCUMENT_CHUNK_BYTES)].to_vec(),
+            document_bytes: document.bytes.len() as u64,
+            first_byte: first_byte as u64,
+            version: document.version,
+        }
+    }
+
     fn record_subscriber(&self, instance: &str) {
         let now_ms = self.now_ms();
         let mut subscribers = lock(&self.subscribers);
--- a/crates/registry/src/rpc.rs
+++ b/crates/registry/src/rpc.rs
@@ -17,6 +17,9 @@
     async fn exchange_loads(report: Vec<u8>) -> Vec<u8>;
     /// Waits until there are updates for the subscriber, or the hold time is over.
     async fn poll(request: PollRequest) -> PollAnswer;
+    /// Returns the registry's document from a byte on if it has this version, or else from its
+    /// beginning; at most a chunk of it.
+    async fn read_document(version: u64, first_byte: u64) -> DocumentChunk;
     /// Replicates a document; returns whether it is committed.
     async fn propose_document(document: Document) -> bool;
     /// Takes a [`ReservationRequest`] and returns a [`ReservationAnswer`], both in postcard's form.
@@ -63,7 +66,8 @@
     pub directory_cursor: u64,
     /// Epoch of the registry that the number belongs to.
     pub directory_epoch: u64,
-    /// Version of its document.
+    /// Latest version that it has, or that this registry has told it; a newer one is answered at
+    /// once.
     pub document_version: u64,
     /// Longest time to wait for updates.
     pub hold_ms: u64,
@@ -84,8 +88,8 @@
     pub directory_cursor: u64,
     /// Epoch of the registry; if it is not the requested one, `records` holds the whole directory.
     pub directory_epoch: u64,
-    /// Document, if it is newer than the subscriber's.
-    pub document: Option<Document>,
+    /// Version of the registry's document; 0 if it has none.
+    pub document_version: u64,
     /// Whether the registry's document was the newest at some time after the poll arrived.
     pub is_confirmed: bool,
     /// Whether the registry leads the group.
@@ -103,6 +107,19 @@
     pub subscriber_count: u32,
 }
 
+/// Consecutive bytes of a document.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub(crate) struct DocumentChunk {
+    /// The bytes.
+    pub(crate) bytes: Vec<u8>,
+    /// Length of the whole document.
+    pub(crate) document_bytes: u64,
+    /// Position of the first of the bytes.
+    pub(crate) first_byte: u64,
+    /// Version of the document.
+    pub(crate) version: u64,
+}
+
 /// Load and recent results of one endpoint, of one instance or aggregated over all.
 #[derive(Debug, Clone, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndpointLoad {
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -1,3 +1,4 @@
+mod documents;
 mod parts;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use self::documents::EarlyConfirmation;
 use crate::connection::{RpcConnection, call_context};
 use crate::rpc::{LoadReport, PollAnswer, PollRequest};
 use crate::{
@@ -80,8 +82,12 @@
 struct SubscriberState {
     directory_view: DirectoryView,
     document_version: u64,
+    /// Confirmation of the newest document that has not arrived.
+    early_confirmation: Option<EarlyConfirmation>,
     /// Validity of the lease as last logged.
     is_lease_valid: bool,
+    /// Whether a task reads newer documents.
+    is_reading_document: bool,
     lease: Lease,
     part_view: PartView,
     /// Sorted by address.
@@ -92,6 +98,8 @@
 /// Registry that a task polls.
 struct PolledRegistry {
     connection: Arc<RpcConnection>,
+    /// Version that the registry told; 0 while it is not connected.
+    document_version: u64,
     is_connected: bool,
     is_leader: bool,
     is_member: bool,
@@ -110,7 +118,9 @@
         let state = SubscriberState {
             directory_view: DirectoryView::default(),
             document_version: 0,
+            early_confirmation: None,
             is_lease_valid: false,
+            is_reading_document: false,
             lease: Lease::new(settings.lease_ms),
             part_view: PartView::default(),
             registries: Vec::new(),
@@ -335,6 +345,7 @@
                     let connection = Arc::new(RpcConnection::new(address));
                     let registry = PolledRegistry {
                         connection: Arc::clone(&connection),
+                        document_version: 0,
                         is_connected: false,
                         is_leader: false,
                         is_member: are_members,
@@ -377,14 +388,16 @@
     }
 
     fn poll_request(&self, registry: SocketAddr, now_ms: u64) -> PollRequest {
-        let state = self.lock();
+        let mut state = self.lock();
+        let told_version = find_registry(&mut state.registries, registry)
+            .map_or(0, |polled| polled.document_version);
         let (directory_epoch, directory_cursor) = state.directory_view.position(registry);
         let (parts_epoch, parts_version) = state.part_view.position(registry);
         let age_ms = state.lease.age_ms(now_ms);
         PollRequest {
             directory_cursor,
             directory_epoch,
-            document_version: state.document_version,
+            document_version: told_version.max(state.document_version),
             hold_ms: POLL_HOLD_MS,
             instance: self.settings.instance.clone(),
             parts_epoch,
@@ -399,14 +412,8 @@
         requested_at_ms: u64,
         answer: &PollAnswer,
     ) {
-        let is_installed = match &answer.document {
-            Some(document) => self.install(document),
-            None => true,
-        };
         let mut state = self.lock();
-        if answer.is_confirmed && is_installed && state.document_version > 0 {
-            state.lease.renew(requested_at_ms);
-        }
+        self.apply_document_version(&mut state, registry, requested_at_ms, answer);
         self.log_lease_change(&mut state);
         state.subscriber_count = answer.subscriber_count;
         if let Some(polled) = find_registry(&mut state.registries, registry) {
@@ -414,6 +421,7 @@
                 info!(self.log, "registry reached"; "registry" => %registry);
             }
             polled.is_connected = true;
+            polled.document_version = answer.document_version;
             polled.is_leader = answer.is_leader;
         }
         self.apply_parts(&mut state, registry, answer);
@@ -438,21 +446,6 @@
         self.add_registries(&answer.registries, true);
     }
 
-    fn install(&self, document: &Document) -> bool {
-        let mut state = self.lock();
-        if document.version <= state.document_version {
-            return true;
-        }
-        let is_installed = self.sink.install(document);
-        if is_installed {
-            state.document_version = document.version;
-            info!(self.log, "document in force"; "version" => document.version);
-        } else {
-            warn!(self.log, "document not installed"; "version" => document.version);
-        }
-        is_installed
-    }
-
     fn record_failure(&self, connection: &RpcConnection, consecutive_failures: u32, error: &Error) {
         let registry = connection.address();
         let mut state = self.lock();
@@ -461,6 +454,7 @@
             return;
         };
         polled.is_leader = false;
+        polled.document_version = 0;
         if !polled.is_connected {
             debug!(self.log, "registry not reached"; "registry" => %registry,
                 "failures" => consecutive_failures, "error" => %error);
--- /dev/null
+++ b/crates/registry/src/subscription/documents.rs
@@ -0,0 +1,237 @@
+//! Reads a newer document, from one registry at a time.
+//!
+//! The answers to polls tell only the version of the registry's document. The first one that tells
+//! a newer version starts to read it, in chunks, so that a registry which no longer answers is
+//! noticed within the time of one chunk. The next registry continues where the one before ended.
+//! A connection of its own carries the chunks, so polls are answered while a slow link transfers
+//! them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{debug, info, warn};
+use tokio::time::sleep;
+
+use super::{RETRY_DELAY_MS, Subscriber, SubscriberState};
+use crate::connection::{RpcConnection, call_context};
+use crate::rpc::{DocumentChunk, PollAnswer};
+use crate::{Document, Error};
+
+/// Time limit for one chunk: it takes 105 ms on an idle link of 10 Mbit/s, but others use it too.
+const CHUNK_TIMEOUT_MS: u64 = 600;
+
+/// Consecutive failures after each of which the time limit is doubled, for links that are slower.
+const TIMEOUT_DOUBLINGS_MAX: u32 = 3;
+
+/// Part of a document that has been read.
+#[derive(Debug, Default)]
+struct PartialDocument {
+    bytes: Vec<u8>,
+    /// Length of the whole document.
+    document_bytes: u64,
+    version: u64,
+}
+
+/// Confirmation of a document that had not arrived yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EarlyConfirmation {
+    requested_at_ms: u64,
+    version: u64,
+}
+
+impl PartialDocument {
+    /// Appends a chunk, or begins with it if it belongs to another version; returns whether it
+    /// brings anything.
+    fn append(&mut self, chunk: &DocumentChunk) -> bool {
+        if chunk.version != self.version {
+            *self = Self {
+                bytes: Vec::new(),
+                document_bytes: chunk.document_bytes,
+                version: chunk.version,
+            };
+        }
+        let is_next = chunk.first_byte == self.position();
+        if is_next {
+            self.bytes.extend_from_slice(&chunk.bytes);
+        }
+        is_next && (self.is_complete() || !chunk.bytes.is_empty())
+    }
+
+    fn is_complete(&self) -> bool {
+        self.position() >= self.document_bytes
+    }
+
+    fn position(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+}
+
+impl Subscriber {
+    /// Applies what an answer says of the registry's document: renews the lease if it confirms that
+    /// the document in force is the newest, and starts to read a newer one.
+    pub(super) fn apply_document_version(
+        self: &Arc<Self>,
+        state: &mut SubscriberState,
+        registry: SocketAddr,
+        requested_at_ms: u64,
+        answer: &PollAnswer,
+    ) {
+        let version = answer.document_version;
+        if version > state.document_version {
+            if answer.is_confirmed {
+                let early = state.early_confirmation;
+                let is_latest = early.is_none_or(|early| {
+                    (version, requested_at_ms) > (early.version, early.requested_at_ms)
+                });
+                if is_latest {
+                    state.early_confirmation = Some(EarlyConfirmation {
+                        requested_at_ms,
+                        version,
+                    });
+                }
+            }
+            if !state.is_reading_document {
+                state.is_reading_document = true;
+                tokio::spawn(Arc::clone(self).read_newer_documents(registry));
+            }
+        } else if answer.is_confirmed && state.document_version > 0 {
+            state.lease.renew(requested_at_ms);
+        }
+    }
+
+    /// Reads documents until no connected registry tells a newer one.
+    async fn read_newer_documents(self: Arc<Self>, first: SocketAddr) {
+        let mut partial = PartialDocument::default();
+        let mut consecutive_failures = 0;
+        let mut failed = Vec::new();
+        let mut preferred = Some(first);
+        while let Some(registry) = self.document_source(preferred, &mut failed) {
+            let connection = RpcConnection::new(registry);
+            let timeout_ms = CHUNK_TIMEOUT_MS << consecutive_failures.min(TIMEOUT_DOUBLINGS_MAX);
+            let mut is_read = false;
+            match self
+                .read_document(&connection, timeout_ms, &mut partial)
+                .await
+            {
+                Ok(()) => is_read = self.install(&mut partial),
+                Err(error) => {
+                    info!(self.log, "document not received"; "registry" => %registry,
+                        "version" => partial.version, "bytes" => partial.position(),
+                        "error" => %error);
+                }
+            }
+            if is_read {
+                consecutive_failures = 0;
+                failed.clear();
+                preferred = Some(registry);
+                continue;
+            }
+            consecutive_failures += 1;
+            preferred = None;
+            failed.push(registry);
+            if self.is_last_source(&failed) {
+                sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+            }
+        }
+    }
+
+    /// Reads the rest of a document from one registry.
+    async fn read_document(
+        &self,
+        connection: &RpcConnection,
+        timeout_ms: u64,
+        partial: &mut PartialDocument,
+    ) -> Result<(), Error> {
+        let client = connection.connect().await?;
+        loop {
+            let context = call_context(timeout_ms);
+            let chunk = client.read_document(context, partial.version, partial.position());
+            let chunk = chunk
+                .await
+                .map_err(|error| connection.disconnect_after(&error))?;
+            // A registry that has just restarted may have an older document than it told.
+            let is_newer = chunk.version > self.lock().document_version;
+            if !is_newer || !partial.append(&chunk) {
+                return Err(Error::Connect {
+                    address: connection.address(),
+                    reason: "the chunk does not continue a newer document".to_owned(),
+                });
+            }
+            if partial.is_complete() {
+                debug!(self.log, "document read"; "registry" => %connection.address(),
+                    "version" => partial.version, "bytes" => partial.position());
+                return Ok(());
+            }
+        }
+    }
+
+    /// Registry to read a newer document from: the preferred one, or else one that has not failed.
+    /// If there is none, reading ends.
+    fn document_source(
+        &self,
+        preferred: Option<SocketAddr>,
+        failed: &mut Vec<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        let mut state = self.lock();
+        let mut sources = newer_sources(&state);
+        if !sources.is_empty() {
+            // After a failure, the instances turn to different registries.
+            let first = self.registry_offset % sources.len();
+            sources.rotate_left(first);
+        }
+        if !sources.is_empty() && sources.iter().all(|source| failed.contains(source)) {
+            failed.clear();
+        }
+        let preferred = preferred.filter(|preferred| sources.contains(preferred));
+        let mut rest = sources
+            .into_iter()
+            .filter(|source| !failed.contains(source));
+        let source = preferred.or_else(|| rest.next());
+        state.is_reading_document = source.is_some();
+        source
+    }
+
+    /// Whether all registries that tell a newer version have failed.
+    fn is_last_source(&self, failed: &[SocketAddr]) -> bool {
+        let sources = newer_sources(&self.lock());
+        sources.iter().all(|source| failed.contains(source))
+    }
+
+    /// Puts a document that was read in force, with the lease that a registry confirmed for it.
+    fn install(&self, partial: &mut PartialDocument) -> bool {
+        let partial = std::mem::take(partial);
+        let document = Document {
+            bytes: partial.bytes,
+            version: partial.version,
+        };
+        let mut state = self.lock();
+        if document.version <= state.document_version {
+            return true;
+        }
+        let is_installed = self.sink.install(&document);
+        if !is_installed {
+            warn!(self.log, "document not installed"; "version" => document.version);
+            return false;
+        }
+        state.document_version = document.version;
+        info!(self.log, "document in force"; "version" => document.version);
+        let early = state.early_confirmation;
+        if let Some(early) = early.filter(|early| early.version <= document.version) {
+            state.early_confirmation = None;
+            state.lease.renew(early.requested_at_ms);
+            self.log_lease_change(&mut state);
+        }
+        true
+    }
+}
+
+/// Connected registries that tell a newer version than the one in force.
+fn newer_sources(state: &SubscriberState) -> Vec<SocketAddr> {
+    let newer = state.registries.iter().filter(|registry| {
+        registry.is_connected && registry.document_version > state.document_version
+    });
+    newer
+        .map(|registry| registry.connection.address())
+        .collect()
+}
