Test that probes which crash accuse their other parts

If a shared part is suspected by mistake, every request with it is a probe or refused. A probe that also holds the part that crashes endpoints lengthens the quarantine of the shared one, and the other part is not even watched: PartQuarantine::accuse counts other parts only if none of the request's parts is quarantined.

--- /dev/null
+++ b/crates/registry/tests/wrong_suspicions_end.rs
@@ -0,0 +1,48 @@
+//! A sound part that was suspected is not kept out by what happens after it.
+
+use registry::{Accusation, AccusingEndpoint, PartQuarantine, PartState};
+
+const BAD: u64 = 0xbad;
+const FIRST: u64 = 0xa;
+
+/// Time after which another crash is an event of its own.
+const EVENT_MS: u64 = 250;
+
+/// Duration of a first quarantine.
+const QUARANTINE_MS: u64 = 20_000;
+
+fn accuse(quarantine: &mut PartQuarantine, now_ms: u64, parts: &[u64]) {
+    let accusation = Accusation {
+        endpoint: AccusingEndpoint {
+            id: format!("e{now_ms}"),
+            started_at_ms: 7,
+        },
+        parts: parts.to_vec(),
+    };
+    quarantine.accuse(now_ms, &accusation);
+}
+
+fn state(quarantine: &PartQuarantine, now_ms: u64, part: u64) -> Option<PartState> {
+    let mut published = quarantine.published(now_ms);
+    let found = published.find(|published| published.part == part);
+    found.map(|published| published.state)
+}
+
+/// Guards against a shared part that is refused for minutes, because each probe of it holds another
+/// part, which crashes endpoints and is never accused.
+#[test]
+fn probes_that_crash_accuse_their_other_parts() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now_ms = 0;
+    for _ in 0..3 {
+        now_ms += EVENT_MS;
+        accuse(&mut quarantine, now_ms, &[FIRST]);
+    }
+    for duration_ms in [QUARANTINE_MS, 3 * QUARANTINE_MS, 9 * QUARANTINE_MS] {
+        now_ms += duration_ms;
+        assert!(quarantine.grant_probe(now_ms, &[FIRST, BAD]));
+        accuse(&mut quarantine, now_ms, &[FIRST, BAD]);
+    }
+    let states = [BAD, FIRST].map(|part| state(&quarantine, now_ms, part));
+    assert_ne!(states[0], None, "three probes crashed: {states:?}");
+}
