Test that a release ends the quarantines of lost registries after all

A registry that releases a part and sees it accused again before a subscriber's next poll publishes it as watched. PartView::apply_releases takes only parts that are not listed at all as released, so the quarantine that another registry published before it restarted stays for its whole remaining time. No request with the part runs meanwhile, so no sound answer can clear it.

The test fails: left: Refused { part: 10, remaining_ms: 599998 }, right: Admitted.

--- a/crates/registry/tests/wrong_suspicions_end.rs
+++ b/crates/registry/tests/wrong_suspicions_end.rs
@@ -1,6 +1,10 @@
 //! A sound part that was suspected is not kept out by what happens after it.
 
-use registry::{Accusation, AccusingEndpoint, PartQuarantine, PartState};
+use std::net::SocketAddr;
+
+use registry::{
+    Accusation, AccusingEndpoint, PartAdmission, PartQuarantine, PartState, PartView, PublishedPart,
+};
 
 const BAD: u64 = 0xbad;
 const FIRST: u64 = 0xa;
@@ -46,3 +50,20 @@
     let states = [BAD, FIRST].map(|part| state(&quarantine, now_ms, part));
     assert_ne!(states[0], None, "three probes crashed: {states:?}");
 }
+
+/// Guards against a quarantine of a registry that restarted, which outlives its part's release if
+/// the part is accused once more before the next poll.
+#[test]
+fn a_release_that_is_followed_by_an_accusation_ends_quarantines_of_lost_registries() {
+    let registry = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let published = |state| [PublishedPart { part: FIRST, state }];
+    let quarantined = published(PartState::Quarantined {
+        remaining_ms: 600_000,
+    });
+    let mut view = PartView::default();
+    view.update(0, registry(1), (5, 1), &quarantined);
+    view.update(0, registry(2), (6, 1), &quarantined);
+    view.update(1, registry(1), (9, 0), &[]);
+    view.update(2, registry(2), (6, 3), &published(PartState::Watched));
+    assert_eq!(view.admission(2, &[FIRST]), PartAdmission::Admitted);
+}
