Grant one probe of a part that a restarted registry has forgotten

Cause: a registry granted each probe of a part that it does not know.

Change: grants of unknown parts are remembered for as long as others; their number is bounded.

--- a/crates/registry/src/part_quarantine.rs
+++ b/crates/registry/src/part_quarantine.rs
@@ -125,6 +125,9 @@
 pub struct PartQuarantine {
     /// Sorted by part.
     entries: Vec<Entry>,
+    /// Parts that are probed although nothing is known of them, with the end of the probe; another
+    /// registry has them in quarantine.
+    unknown_probes: Vec<(u64, u64)>,
     /// Increases with every change of the published parts.
     version: u64,
 }
@@ -219,6 +222,12 @@
     pub fn grant_probe(&mut self, now_ms: u64, parts: &[u64]) -> bool {
         let known = parts.iter().filter_map(|&part| self.find(part).ok());
         let known: Vec<usize> = known.collect();
+        let is_forgotten = known
+            .iter()
+            .all(|&at| self.entries[at].quarantine.is_none());
+        if is_forgotten {
+            return self.grant_unknown_probe(now_ms, parts);
+        }
         let is_allowed = |at: &usize| {
             let quarantine = self.entries[*at].quarantine.as_ref();
             quarantine.is_none_or(|quarantine| {
@@ -236,6 +245,18 @@
         true
     }
 
+    /// Grants a probe of parts that only other registries have in quarantine.
+    fn grant_unknown_probe(&mut self, now_ms: u64, parts: &[u64]) -> bool {
+        self.unknown_probes.retain(|probe| probe.1 > now_ms);
+        let is_probed = |part: &u64| self.unknown_probes.iter().any(|probe| probe.0 == *part);
+        if parts.iter().any(is_probed) || self.unknown_probes.len() + parts.len() > PARTS_MAX {
+            return false;
+        }
+        let probes = parts.iter().map(|&part| (part, now_ms + PROBE_MS));
+        self.unknown_probes.extend(probes);
+        true
+    }
+
     /// Forgets parts that were not accused for long.
     pub fn expire(&mut self, now_ms: u64) {
         let published_count = self.published(now_ms).count();
