Report soundness as long as a stream goes on

What callers saw: a little-used part of a prompt refused for 20 s after three ordinary crashes, although a stream with it ran through all of them and ended well.

Cause: a stream reported its parts once, a second after its first event, and only those accused then.

--- a/crates/gateway/src/part_evidence.rs
+++ b/crates/gateway/src/part_evidence.rs
@@ -183,12 +183,11 @@
         }));
     }
 
-    /// Reports those parts of a soundly answered request that are accused.
+    /// Reports those parts of a soundly answered request that are accused. Called again while a stream
+    /// goes on, as they may be accused meanwhile.
     pub(crate) fn report_sound(&self, request: &RoutedRequest) {
-        let is_known = &request.part_evidence.is_sound;
-        if is_known.swap(true, Ordering::Relaxed) {
-            return;
-        }
+        let is_sound = &request.part_evidence.is_sound;
+        is_sound.store(true, Ordering::Relaxed);
         let accused = self.accused_parts(request);
         if !accused.is_empty() {
             self.queue_report(RunReport::Sound(accused));
