Accuse the parts of an answer whose endpoint is gone with it

What callers saw: endpoints that crashed one after the other, where their answers have neither a length nor chunks (BUDGET): the end of such an answer looks like that of a complete one.

Cause: an endpoint that was gone after such an answer kept it from counting as sound, but accused nothing.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -256,8 +256,7 @@
         if status.is_success() && is_delimited(&parts) {
             self.gateway.report_sound(&self.request);
         } else if status.is_success() {
-            self.gateway
-                .report_sound_if_reachable(&self.request, &endpoint);
+            self.gateway.report_unframed_end(&self.request, &endpoint);
         }
         keep_connection(connection, &head, &slot);
         if NOT_RUN_STATUSES.contains(&status) {
--- a/crates/gateway/src/part_evidence.rs
+++ b/crates/gateway/src/part_evidence.rs
@@ -194,22 +194,26 @@
         }
     }
 
-    /// Reports the parts of a request whose answer ended with its connection, if its endpoint is
-    /// still there.
-    pub(crate) fn report_sound_if_reachable(
+    /// Reports what the answer of a request shows that ended with its connection: its endpoint is
+    /// still there, or has crashed with the answer.
+    pub(crate) fn report_unframed_end(
         self: &Arc<Self>,
         request: &Arc<RoutedRequest>,
         endpoint: &Arc<Endpoint>,
     ) {
-        if self.accused_parts(request).is_empty() {
+        if request.head.prompt_parts.is_empty() {
             return;
         }
+        let ended_at = Instant::now();
         let (gateway, request) = (Arc::clone(self), Arc::clone(request));
         let endpoint = Arc::clone(endpoint);
         tokio::spawn(async move {
             sleep(Duration::from_millis(CONNECTION_END_CHECK_MS)).await;
             if endpoint.pool.is_reachable().await {
                 gateway.report_sound(&request);
+            } else if !endpoint.is_leaving() {
+                let reason = "the endpoint is gone after an answer that ended with its connection";
+                gateway.report_crash(&request, &endpoint, ended_at, reason);
             }
         });
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -515,7 +515,7 @@
                 if is_delimited {
                     gateway.report_sound(request);
                 } else {
-                    gateway.report_sound_if_reachable(request, &endpoint);
+                    gateway.report_unframed_end(request, &endpoint);
                 }
                 keep_connection(connection, &head, &slot);
             }
