End the quarantine of a lost registry if a part is released and accused again

What callers saw: requests with a sound part refused for up to ten minutes after a registry had restarted.

Cause: the release of a part was only seen if it had gone from a registry's list; one that was accused once more between two polls stayed in it, without its quarantine.

Change: a part is released if it is listed no more, or without a quarantine.

--- a/crates/registry/src/part_view.rs
+++ b/crates/registry/src/part_view.rs
@@ -154,9 +154,10 @@
     /// `at` has released.
     fn apply_releases(&mut self, old_parts: &[ViewedPart], at: usize) {
         let new = &self.registries[at];
+        let is_quarantined = |viewed: &ViewedPart| viewed.quarantine_ends_at_ms.is_some();
         let released: Vec<u64> = old_parts
             .iter()
-            .filter(|old| old.quarantine_ends_at_ms.is_some() && new.find(old.part).is_none())
+            .filter(|old| is_quarantined(old) && !new.find(old.part).is_some_and(is_quarantined))
             .map(|old| old.part)
             .collect();
         let is_kept = |viewed: &ViewedPart| !released.contains(&viewed.part);
