Obey a document that is known to be outdated only until a newer one applies

Callers were served as an outdated document says, or refused with 404, for up to 4.2 s after a newer one had been acknowledged; requests still reached endpoints that had announced their leave (CONFIG, DRAIN).

Cause: the lease of a gateway follows revoke_ms alone (84 % of 5 s). A gateway that cannot tell whether there is a newer document may serve so long. But one that had been told of a newer document and could not read it served as long by the one it had. Class of fault: one time limit for two states of knowledge.

A version stays known when its registry is lost.

Ruled out: a lease of 2.1 s for all. A gateway that is cut off, or whose registries have no leader, would refuse work that is sound for 2 s longer.

--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -36,6 +36,8 @@
     pub instance: String,
     /// Duration of the [`Lease`](crate::Lease).
     pub lease_ms: u64,
+    /// Duration of the lease while a newer document than the one in force is known.
+    pub lease_outdated_ms: u64,
     /// Logger of the subscription.
     pub log: Logger,
     /// Inner addresses of the registries to contact first.
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -90,6 +90,8 @@
     is_lease_valid: bool,
     /// Whether a task reads newer documents.
     is_reading_document: bool,
+    /// Newest version that a registry told; it may not be in force yet.
+    latest_version: u64,
     lease: Lease,
     part_view: PartView,
     /// Sorted by address.
@@ -123,7 +125,8 @@
             early_confirmation: None,
             is_lease_valid: false,
             is_reading_document: false,
-            lease: Lease::new(settings.lease_ms),
+            latest_version: 0,
+            lease: Lease::new(settings.lease_ms, settings.lease_outdated_ms),
             part_view: PartView::default(),
             registries: Vec::new(),
             subscriber_count: 1,
--- a/crates/registry/src/subscription/documents.rs
+++ b/crates/registry/src/subscription/documents.rs
@@ -96,6 +96,8 @@
         answer: &PollAnswer,
     ) {
         let version = answer.document_version;
+        state.latest_version = state.latest_version.max(version);
+        state.update_outdated();
         if version > state.document_version() {
             if answer.is_confirmed {
                 let early = state.early_confirmation;
@@ -239,6 +241,7 @@
         };
         self.sink.install(&catalog);
         state.catalog = Some(catalog);
+        state.update_outdated();
         info!(self.log, "document in force"; "version" => partial.version,
             "base_version" => partial.base_version, "bytes" => partial.length());
         let early = state.early_confirmation;
@@ -251,6 +254,15 @@
     }
 }
 
+impl SubscriberState {
+    /// Shortens the lease while the document in force is outdated. That holds without a connection too,
+    /// as a newer document stays accepted.
+    fn update_outdated(&mut self) {
+        let is_outdated = self.latest_version > self.document_version();
+        self.lease.set_outdated(is_outdated);
+    }
+}
+
 fn decode_change(bytes: &[u8]) -> Result<CatalogChange, String> {
     postcard::from_bytes(bytes).map_err(|error| error.to_string())
 }
--- a/crates/registry/tests/a_lease_counts_from_the_request.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_request.rs
@@ -12,15 +12,16 @@
 use tokio::sync::watch;
 
 const LEASE_MS: u64 = 4_200;
+const LEASE_OUTDATED_MS: u64 = 2_100;
 
 #[test]
 fn a_lease_without_a_confirmation_is_not_valid() {
-    assert!(!Lease::new(LEASE_MS).is_valid(0));
+    assert!(!Lease::new(LEASE_MS, LEASE_OUTDATED_MS).is_valid(0));
 }
 
 #[test]
 fn a_lease_ends_one_duration_after_the_request() {
-    let mut lease = Lease::new(LEASE_MS);
+    let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
     lease.renew(1_000);
     assert!(lease.is_valid(1_000 + LEASE_MS - 1));
     assert!(!lease.is_valid(1_000 + LEASE_MS));
@@ -28,12 +29,24 @@
 
 #[test]
 fn a_late_older_confirmation_does_not_shorten_the_lease() {
-    let mut lease = Lease::new(LEASE_MS);
+    let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
     lease.renew(2_000);
     lease.renew(1_000);
     assert_eq!(lease.age_ms(2_500), Some(500));
 }
 
+/// Guards against an outdated document that is obeyed for as long as one that may be the newest.
+#[test]
+fn a_lease_is_shorter_while_a_newer_document_is_known() {
+    let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
+    lease.renew(1_000);
+    lease.set_outdated(true);
+    assert!(lease.is_valid(1_000 + LEASE_OUTDATED_MS - 1));
+    assert!(!lease.is_valid(1_000 + LEASE_OUTDATED_MS));
+    lease.set_outdated(false);
+    assert!(lease.is_valid(1_000 + LEASE_MS - 1));
+}
+
 #[test]
 fn the_document_with_the_highest_version_is_kept() {
     #[allow(
--- a/crates/registry/tests/documents_are_sent_once.rs
+++ b/crates/registry/tests/documents_are_sent_once.rs
@@ -96,6 +96,7 @@
         let settings = SubscriptionSettings {
             instance: "x".to_owned(),
             lease_ms: LEASE_MS,
+            lease_outdated_ms: LEASE_MS,
             log: Logger::root(Discard, o!()),
             seeds: self.group.seeds(),
         };
--- a/crates/registry/tests/probes_after_a_restart.rs
+++ b/crates/registry/tests/probes_after_a_restart.rs
@@ -36,6 +36,7 @@
     let settings = SubscriptionSettings {
         instance: "x".to_owned(),
         lease_ms: 4_200,
+        lease_outdated_ms: 2_100,
         log: Logger::root(Discard, o!()),
         seeds: group.seeds(),
     };
--- a/crates/registry/tests/quarantines_reach_all_subscribers.rs
+++ b/crates/registry/tests/quarantines_reach_all_subscribers.rs
@@ -35,6 +35,7 @@
     let settings = SubscriptionSettings {
         instance: instance.to_owned(),
         lease_ms: 4_200,
+        lease_outdated_ms: 2_100,
         log: Logger::root(Discard, o!()),
         seeds: group.seeds(),
     };
