Keep the lease of a gateway that is always one document behind

Callers were refused with 503 while documents came quickly, although their gateway put each one in force in time.

Cause: the confirmation of a document that has not arrived was kept in one place, and that of the next document replaced it (EarlyConfirmation). A gateway that learns of a document before the one ahead of it is in force never renewed its lease. Class of fault: knowledge about one version overwritten by that of another.

--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -15,7 +15,6 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use self::documents::EarlyConfirmation;
 use crate::connection::{RpcConnection, call_context};
 use crate::rpc::{LoadReport, PollAnswer, PollRequest};
 use crate::{
@@ -84,14 +83,10 @@
     /// Catalog in force.
     catalog: Option<Arc<Catalog>>,
     directory_view: DirectoryView,
-    /// Confirmation of the newest document that has not arrived.
-    early_confirmation: Option<EarlyConfirmation>,
     /// Validity of the lease as last logged.
     is_lease_valid: bool,
     /// Whether a task reads newer documents.
     is_reading_document: bool,
-    /// Newest version that a registry told; it may not be in force yet.
-    latest_version: u64,
     lease: Lease,
     part_view: PartView,
     /// Sorted by address.
@@ -122,10 +117,8 @@
         let state = SubscriberState {
             catalog: None,
             directory_view: DirectoryView::default(),
-            early_confirmation: None,
             is_lease_valid: false,
             is_reading_document: false,
-            latest_version: 0,
             lease: Lease::new(settings.lease_ms, settings.lease_outdated_ms),
             part_view: PartView::default(),
             registries: Vec::new(),
--- a/crates/registry/src/subscription/documents.rs
+++ b/crates/registry/src/subscription/documents.rs
@@ -36,13 +36,6 @@
     version: u64,
 }
 
-/// Confirmation of a document that had not arrived yet.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct EarlyConfirmation {
-    requested_at_ms: u64,
-    version: u64,
-}
-
 impl PartialChange {
     /// Appends a chunk, or begins with it if it belongs to another change; returns whether it brings
     /// anything.
@@ -96,27 +89,14 @@
         answer: &PollAnswer,
     ) {
         let version = answer.document_version;
-        state.latest_version = state.latest_version.max(version);
-        state.update_outdated();
-        if version > state.document_version() {
-            if answer.is_confirmed {
-                let early = state.early_confirmation;
-                let is_latest = early.is_none_or(|early| {
-                    (version, requested_at_ms) > (early.version, early.requested_at_ms)
-                });
-                if is_latest {
-                    state.early_confirmation = Some(EarlyConfirmation {
-                        requested_at_ms,
-                        version,
-                    });
-                }
-            }
-            if !state.is_reading_document {
-                state.is_reading_document = true;
-                tokio::spawn(Arc::clone(self).read_newer_documents(registry));
-            }
-        } else if answer.is_confirmed && state.catalog.is_some() {
-            state.lease.renew(requested_at_ms);
+        state.lease.record_version(version);
+        // Registries without a document confirm that there is none.
+        if answer.is_confirmed && version > 0 {
+            state.lease.confirm(requested_at_ms, version);
+        }
+        if version > state.document_version() && !state.is_reading_document {
+            state.is_reading_document = true;
+            tokio::spawn(Arc::clone(self).read_newer_documents(registry));
         }
     }
 
@@ -241,28 +221,14 @@
         };
         self.sink.install(&catalog);
         state.catalog = Some(catalog);
-        state.update_outdated();
+        state.lease.put_in_force(partial.version);
         info!(self.log, "document in force"; "version" => partial.version,
             "base_version" => partial.base_version, "bytes" => partial.length());
-        let early = state.early_confirmation;
-        if let Some(early) = early.filter(|early| early.version <= partial.version) {
-            state.early_confirmation = None;
-            state.lease.renew(early.requested_at_ms);
-            self.log_lease_change(&mut state);
-        }
+        self.log_lease_change(&mut state);
         true
     }
 }
 
-impl SubscriberState {
-    /// Shortens the lease while the document in force is outdated. That holds without a connection too,
-    /// as a newer document stays accepted.
-    fn update_outdated(&mut self) {
-        let is_outdated = self.latest_version > self.document_version();
-        self.lease.set_outdated(is_outdated);
-    }
-}
-
 fn decode_change(bytes: &[u8]) -> Result<CatalogChange, String> {
     postcard::from_bytes(bytes).map_err(|error| error.to_string())
 }
--- a/crates/registry/tests/a_lease_counts_from_the_request.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_request.rs
@@ -22,7 +22,8 @@
 #[test]
 fn a_lease_ends_one_duration_after_the_request() {
     let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
-    lease.renew(1_000);
+    lease.confirm(1_000, 1);
+    lease.put_in_force(1);
     assert!(lease.is_valid(1_000 + LEASE_MS - 1));
     assert!(!lease.is_valid(1_000 + LEASE_MS));
 }
@@ -30,8 +31,9 @@
 #[test]
 fn a_late_older_confirmation_does_not_shorten_the_lease() {
     let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
-    lease.renew(2_000);
-    lease.renew(1_000);
+    lease.put_in_force(1);
+    lease.confirm(2_000, 1);
+    lease.confirm(1_000, 1);
     assert_eq!(lease.age_ms(2_500), Some(500));
 }
 
@@ -39,14 +41,45 @@
 #[test]
 fn a_lease_is_shorter_while_a_newer_document_is_known() {
     let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
-    lease.renew(1_000);
-    lease.set_outdated(true);
+    lease.put_in_force(1);
+    lease.confirm(1_000, 1);
+    lease.record_version(2);
     assert!(lease.is_valid(1_000 + LEASE_OUTDATED_MS - 1));
     assert!(!lease.is_valid(1_000 + LEASE_OUTDATED_MS));
-    lease.set_outdated(false);
+    lease.put_in_force(2);
     assert!(lease.is_valid(1_000 + LEASE_MS - 1));
 }
 
+/// Guards against an instance that puts each document in force in time, but loses its lease because it
+/// always knows of the next one as well.
+#[test]
+fn an_instance_one_document_behind_keeps_its_lease() {
+    let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
+    lease.confirm(0, 1);
+    lease.put_in_force(1);
+    for version in 2..100 {
+        let told_at_ms = version * 400;
+        lease.confirm(told_at_ms, version);
+        assert!(lease.is_valid(told_at_ms));
+        lease.confirm(told_at_ms + 300, version + 1);
+        lease.put_in_force(version);
+        assert!(lease.is_valid(told_at_ms + 399));
+        assert_eq!(lease.age_ms(told_at_ms + 300), Some(300));
+    }
+}
+
+#[test]
+fn a_confirmation_does_not_cover_an_older_document() {
+    let mut lease = Lease::new(LEASE_MS, LEASE_OUTDATED_MS);
+    lease.confirm(0, 1);
+    lease.put_in_force(1);
+    lease.confirm(1_000, 3);
+    lease.put_in_force(2);
+    assert_eq!(lease.age_ms(1_500), Some(1_500));
+    lease.put_in_force(3);
+    assert_eq!(lease.age_ms(1_500), Some(500));
+}
+
 #[test]
 fn the_document_with_the_highest_version_is_kept() {
     #[allow(
