Forward endpoint events on a new connection after one has failed

Callers' requests could reach an endpoint after it had announced its leave (DRAIN), if their gateway did not reach the registry that took the announcement: the other registries never heard of it.

Cause: after a failed call, the connection to another registry was dropped inside an argument of debug!, and release builds evaluate no arguments of that level. So a registry that restarted got no more events from the others, and documents that were forwarded to it as leader failed until they timed out. In debug builds the connection was dropped, but the events of that batch were lost. Class of fault: an effect inside a log line.

The calls in arguments of all log lines of all sources were listed by a script and read: no other has an effect.

Change: the connection is dropped before the line; a batch is sent again once, on a new connection. Events are ordered by incarnation and number, so one that arrives twice changes nothing.

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -32,6 +32,9 @@
 /// Time limit for transferring the leadership.
 const LEADERSHIP_TRANSFER_TIMEOUT_MS: u64 = 500;
 
+/// Attempts to forward a batch of endpoint events to one registry.
+const FORWARD_ATTEMPTS: u32 = 2;
+
 /// Time limit for forwarding endpoint events to one registry.
 const FORWARD_TIMEOUT_MS: u64 = 500;
 
@@ -257,8 +260,8 @@
         match client.propose_document(context, document.clone()).await {
             Ok(is_committed) => is_committed,
             Err(error) => {
-                debug!(self.log, "document not forwarded to the leader";
-                    "error" => %leader.disconnect_after(&error));
+                let error = leader.disconnect_after(&error);
+                debug!(self.log, "document not forwarded to the leader"; "error" => %error);
                 false
             }
         }
@@ -306,17 +309,23 @@
     }
 }
 
+/// Forwards events to a registry. A second attempt opens a new connection, as the known one may have
+/// failed since the last batch; events that arrive twice change nothing.
 async fn forward_batch(connection: Arc<RpcConnection>, events: Vec<EndpointEvent>, log: Logger) {
-    let client = match connection.connect().await {
-        Ok(client) => client,
-        Err(error) => {
-            debug!(log, "endpoint events not forwarded"; "error" => %error);
+    for _ in 0..FORWARD_ATTEMPTS {
+        let client = match connection.connect().await {
+            Ok(client) => client,
+            Err(error) => {
+                debug!(log, "endpoint events not forwarded"; "error" => %error);
+                return;
+            }
+        };
+        let context = call_context(FORWARD_TIMEOUT_MS);
+        let Err(error) = client.forward_events(context, events.clone()).await else {
             return;
-        }
-    };
-    let context = call_context(FORWARD_TIMEOUT_MS);
-    if let Err(error) = client.forward_events(context, events).await {
-        debug!(log, "endpoint events not forwarded"; "error" => %connection.disconnect_after(&error));
+        };
+        let error = connection.disconnect_after(&error);
+        debug!(log, "endpoint events not forwarded"; "error" => %error);
     }
 }
 
