--- a/justfile
+++ b/justfile
@@ -19,6 +19,7 @@
 slopes FOLDER: release measure
     cargo run --release -p session --example session_slopes
     cargo run --release -p table --example table_slopes 37000
+    cargo run --release -p catalog --example change_slopes
     cargo run --release -p claims --example claim_slopes 80000
     cargo run --release -p dispatch --example dispatch_slopes
     cargo run --release -p journal --example commit_rate -- {{FOLDER}}/commits
