Keep the limits that endpoints name, for all gateways together

An endpoint that had named a limit of about 4 requests a second got 33 to 51 in 4 s (LIMIT).

Cause: gateways did not read the limit. Class of fault: a bound on what all instances do, of which none of them knows.

Change: a request to a limited endpoint needs a permit of the aggregating registry, which spaces the permits of one endpoint by its limit and saves none up. The rule stands where a slot is occupied, so first attempts, retries, resumptions and migrations all pass it; a request that returns to the endpoint which has stopped its generation is sent in any case, and counted. Gateways request permits only for requests that they have, so shares follow demand. A limited endpoint is no longer a candidate without a permit, and is neither failed nor ejected. Requests that no endpoint takes in time are refused at once, also those that are queued already, with the time until the next permit in Retry-After. Without a registry each gateway has an equal share of the limit.

What a limit is: responses tell it, gateways report what responses told them with their loads, and the newest report holds. Only a response to a request that was sent after the limit was named ends it. A new leader learns all limits from the next reports and starts without saved permits; an incarnation that restarts has none.

Ruled out: an equal share for each gateway: at 4 requests a second and 85 gateways each may send one in 21 s, while busy gateways refuse (a_busy_gateway_gets_what_idle_ ones_leave). Shares by reported demand: a report is up to 250 ms old, and a share is mostly less than one request.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -329,8 +329,8 @@
             return RequestError::failed(reason);
         }
         let placement = self.placement_request(true);
-        let pause_left_ms = self.gateway.fleet.pause_left_ms(&placement);
-        RequestError::not_run(reason, RETRY_WAIT_MS.max(pause_left_ms))
+        let unavailable_ms = self.gateway.fleet.unavailable_ms(&placement);
+        RequestError::not_run(reason, RETRY_WAIT_MS.max(unavailable_ms))
     }
 
     fn stopped_error(&self) -> RequestError {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -152,6 +152,8 @@
     pub is_endpoint_leaving: bool,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive_ms: Option<u64>,
+    /// Requests in 1,000 s that the endpoint takes from all instances together, if it names a limit.
+    pub limit_per_1000_s: Option<u64>,
     /// Reason why the request did not run and never will; `None` if it may have run.
     pub rejection: Option<Rejection>,
     /// Id of the request that the response belongs to.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -109,7 +109,25 @@
         !self.is_leaving() && self.pause_left_ms(now_ms) == 0
     }
 
-    fn notice(&self) -> MutexGuard<'_, EndpointNotice> {
+    /// Time until a request may be sent to the endpoint, as far as its pause and its limit tell.
+    pub(crate) fn unavailable_ms(&self, now_ms: u64) -> u64 {
+        let notice = self.notice();
+        let limit_ms = notice.limit.wait_ms(now_ms);
+        notice.pause_left_ms(now_ms).max(limit_ms)
+    }
+
+    /// Whether a new request may be placed at the endpoint, which is not leaving, now.
+    pub(crate) fn has_permit(&self, now_ms: u64) -> bool {
+        let notice = self.notice();
+        !notice.is_paused(now_ms) && notice.limit.allows_request(now_ms)
+    }
+
+    /// Whether the endpoint has named a limit on the requests of all instances.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.notice().limit.requests_per_1000_s().is_some()
+    }
+
+    pub(crate) fn notice(&self) -> MutexGuard<'_, EndpointNotice> {
         self.notice.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/gateway/src/endpoint_notice.rs
+++ b/crates/gateway/src/endpoint_notice.rs
@@ -1,3 +1,5 @@
+use crate::EndpointLimit;
+
 /// Longest pause that an endpoint can request.
 const PAUSE_MS_MAX: u64 = 3_600_000;
 
@@ -5,6 +7,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointNotice {
     is_leaving: bool,
+    /// Limit on the requests of all instances.
+    pub limit: EndpointLimit,
     paused_until_ms: u64,
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod candidates;
 mod known_endpoint;
+mod limits;
 mod past_incarnations;
 mod pending_reservation;
 mod recent_placements;
@@ -27,6 +28,7 @@
 use crate::retry_after_schedule::RETRY_AFTER_MS_MAX;
 use crate::{RetryAfterSchedule, Topology, WaitQueue};
 use known_endpoint::{KnownEndpoint, choose_subset, update_slowness};
+pub(crate) use limits::{PermitRequester, run_permit_requests};
 use past_incarnations::PastIncarnations;
 pub(crate) use pending_reservation::PendingReservation;
 use recent_placements::{RATE_WINDOW_MS, RecentPlacements};
@@ -48,6 +50,7 @@
 /// Known endpoints, their loads and the queue of this instance.
 #[derive(Debug)]
 pub(crate) struct Fleet {
+    permit_requests: PermitRequester,
     started_at: Instant,
     state: Mutex<FleetState>,
     subset_seed: u64,
@@ -80,6 +83,8 @@
 /// Placement that a queued request waits for, and the channel that receives its slot.
 #[derive(Debug)]
 struct QueuedRequest {
+    /// Time at which it stops waiting.
+    deadline_ms: u64,
     placement: PlacementRequest,
     slot_sender: oneshot::Sender<Slot>,
 }
@@ -120,8 +125,9 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(topology: Topology) -> Arc<Self> {
+    pub(crate) fn new(topology: Topology, permit_requests: PermitRequester) -> Arc<Self> {
         Arc::new(Self {
+            permit_requests,
             started_at: Instant::now(),
             state: Mutex::new(FleetState {
                 serve_interval_ms: SERVE_INTERVAL_MS_DEFAULT,
@@ -317,15 +323,16 @@
     ) -> Result<Slot, RequestError> {
         let (number, slot_receiver) = {
             let mut state = self.lock();
-            let pause_left_ms =
-                state.pause_left_ms(self.now_ms(), placement, &placement.excluded_ids);
+            let unavailable_ms =
+                state.unavailable_ms(self.now_ms(), placement, &placement.excluded_ids);
             let queue_ms = state.count_ahead(placement) * state.serve_interval_ms;
-            if queue_ms.max(pause_left_ms) > placement.wait_ms_max {
+            if queue_ms.max(unavailable_ms) > placement.wait_ms_max {
                 let reason = "no room is expected in time";
                 return Err(self.no_capacity_error(&mut state, placement, reason));
             }
             let (slot_sender, slot_receiver) = oneshot::channel();
             let queued = QueuedRequest {
+                deadline_ms: self.now_ms() + placement.wait_ms_max,
                 placement: placement.clone(),
                 slot_sender,
             };
@@ -368,6 +375,7 @@
             return None;
         }
         let mut options = self.candidates(&state, placement);
+        self.request_permits(&state, placement);
         options.sort_by_key(|(_, candidate)| {
             (
                 !candidate.has_capacity(&placement.demand),
@@ -397,7 +405,7 @@
         }
     }
 
-    /// Places as many queued requests as fit.
+    /// Places as many queued requests as fit, and refuses those that no endpoint takes in time.
     pub(crate) fn serve_queue(self: &Arc<Self>) {
         let mut guard = self.lock();
         if guard.queue.is_empty() {
@@ -405,25 +413,33 @@
         }
         let mut queue = std::mem::take(&mut guard.queue);
         let state = &mut *guard;
+        let now_ms = self.now_ms();
         let mut slots = Vec::new();
         let served = queue.serve(|waiter| {
             if waiter.payload.slot_sender.is_closed() {
                 return false;
             }
-            let slot = self.choose_and_occupy(state, &waiter.payload.placement);
-            let is_placed = slot.is_some();
-            slots.extend(slot);
-            is_placed
+            let placement = &waiter.payload.placement;
+            let slot = self.choose_and_occupy(state, placement);
+            let unavailable_ms = state.unavailable_ms(now_ms, placement, &placement.excluded_ids);
+            let is_hopeless = now_ms + unavailable_ms > waiter.payload.deadline_ms;
+            let is_removed = slot.is_some() || is_hopeless;
+            if is_removed {
+                slots.push(slot);
+            }
+            is_removed
         });
-        let now_ms = self.now_ms();
-        for _ in &served {
+        for _ in slots.iter().flatten() {
             state.record_served(now_ms);
         }
         state.queue = queue;
         drop(guard);
         for (waiter, slot) in served.into_iter().zip(slots) {
-            // If the request no longer waits, the slot is dropped and thereby released.
-            let _ = waiter.payload.slot_sender.send(slot);
+            // A request without a slot learns of its refusal by the closed channel. If it no longer
+            // waits, the slot is dropped and thereby released.
+            if let Some(slot) = slot {
+                let _ = waiter.payload.slot_sender.send(slot);
+            }
         }
     }
 
@@ -434,6 +450,7 @@
     ) -> Option<Slot> {
         let unseen = state.estimate_unseen_requests(self.now_ms(), &placement.demand);
         let options = self.candidates(state, placement);
+        self.request_permits(state, placement);
         let candidates: Vec<Candidate> = options.iter().map(|(_, candidate)| *candidate).collect();
         let at = choose_candidate(&candidates, &placement.demand, unseen, rand::random())?;
         Some(self.occupy(state, &options[at].0, &placement.demand))
@@ -446,6 +463,7 @@
         demand: &Demand,
     ) -> Slot {
         let now_ms = self.now_ms();
+        self.use_permit(now_ms, endpoint);
         if demand.predicted_tokens > 0 {
             state.recent_generations.record(now_ms);
         } else {
@@ -461,10 +479,10 @@
     }
 
     /// Time until an endpoint takes requests like this one again, but at most the longest time after
-    /// which a client may retry; 0 unless all of its endpoints are paused.
-    pub(crate) fn pause_left_ms(&self, placement: &PlacementRequest) -> u64 {
-        let pause_left_ms = self.lock().pause_left_ms(self.now_ms(), placement, &[]);
-        pause_left_ms.min(RETRY_AFTER_MS_MAX)
+    /// which a client may retry; 0 unless all of its endpoints are paused or have reached their limits.
+    pub(crate) fn unavailable_ms(&self, placement: &PlacementRequest) -> u64 {
+        let unavailable_ms = self.lock().unavailable_ms(self.now_ms(), placement, &[]);
+        unavailable_ms.min(RETRY_AFTER_MS_MAX)
     }
 
     fn no_capacity_error(
@@ -475,9 +493,9 @@
     ) -> RequestError {
         let now_ms = self.now_ms();
         // The client's next request excludes no endpoints.
-        let pause_left_ms = state.pause_left_ms(now_ms, placement, &[]);
+        let unavailable_ms = state.unavailable_ms(now_ms, placement, &[]);
         let schedule = &mut state.retry_after_schedule;
-        let retry_after_ms = pause_left_ms + schedule.next_ms(now_ms, state.serve_interval_ms);
+        let retry_after_ms = unavailable_ms + schedule.next_ms(now_ms, state.serve_interval_ms);
         RequestError::not_run(reason, retry_after_ms.min(RETRY_AFTER_MS_MAX))
     }
 
--- a/crates/gateway/src/fleet/candidates.rs
+++ b/crates/gateway/src/fleet/candidates.rs
@@ -35,7 +35,7 @@
         let engine = state.engine(&placement.service);
         let copy_tokens_per_s = engine.map_or(0, EngineSpec::copy_tokens_per_s);
         let is_usable = |known: &&KnownEndpoint| {
-            known.endpoint.pause_left_ms(now_ms) == 0
+            known.endpoint.has_permit(now_ms)
                 && !placement.excluded_ids.contains(&known.endpoint.id)
                 && self.is_copy_possible(placement, &known.endpoint)
         };
@@ -48,6 +48,14 @@
             // If most endpoints look unhealthy at once, the cause is rarely the endpoints.
             healthy = usable;
         }
+        if placement.demand.is_migration {
+            // The copy comes before the request, which would use its permit late.
+            let has_no_limit = |known: &&KnownEndpoint| !known.endpoint.is_limited();
+            let unlimited: Vec<_> = healthy.iter().copied().filter(has_no_limit).collect();
+            if !unlimited.is_empty() {
+                healthy = unlimited;
+            }
+        }
         let key_max = prefill_sort_key_max(&healthy);
         healthy
             .into_iter()
@@ -91,8 +99,8 @@
 }
 
 impl FleetState {
-    /// Endpoints that may serve a request unless it excludes them or they are paused.
-    fn suitable<'a>(
+    /// Endpoints that may serve a request unless it excludes them, or they are paused or limited.
+    pub(super) fn suitable<'a>(
         &'a self,
         placement: &'a PlacementRequest,
     ) -> impl Iterator<Item = &'a KnownEndpoint> {
@@ -105,8 +113,8 @@
     }
 
     /// Time until the first endpoint for a request, other than the excluded ones, takes requests
-    /// again; 0 unless all of them are paused.
-    pub(super) fn pause_left_ms(
+    /// again; 0 unless all of them are paused or have reached their limits.
+    pub(super) fn unavailable_ms(
         &self,
         now_ms: u64,
         placement: &PlacementRequest,
@@ -114,7 +122,7 @@
     ) -> u64 {
         self.suitable(placement)
             .filter(|known| !excluded_ids.contains(&known.endpoint.id))
-            .map(|known| known.endpoint.pause_left_ms(now_ms))
+            .map(|known| known.endpoint.unavailable_ms(now_ms))
             .min()
             .unwrap_or(0)
     }
--- a/crates/gateway/src/fleet/pending_reservation.rs
+++ b/crates/gateway/src/fleet/pending_reservation.rs
@@ -33,10 +33,12 @@
             .collect()
     }
 
-    /// Occupies the reserved option; `None` if its endpoint has since begun to leave or to pause.
+    /// Occupies the reserved option; `None` if its endpoint has since begun to leave or to pause, or its
+    /// permit is used.
     pub(crate) fn occupy(self, option: usize) -> Option<Slot> {
         let (endpoint, _) = self.options.get(option)?;
-        if !endpoint.takes_requests(self.fleet.now_ms()) {
+        let now_ms = self.fleet.now_ms();
+        if !endpoint.takes_requests(now_ms) || !endpoint.has_permit(now_ms) {
             return None;
         }
         let mut state = self.fleet.lock();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::clock::elapsed_ms;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, PermitRequester, run_permit_requests};
 use crate::gateway_state::{ActiveCatalog, GatewayState};
 use crate::ingress::Ingress;
 use crate::part_evidence::{PartReporter, report_parts};
@@ -78,7 +78,8 @@
             subscription,
             topology,
         } = settings;
-        let fleet = Fleet::new(topology);
+        let (permit_requester, needed_permits) = PermitRequester::new();
+        let fleet = Fleet::new(topology, permit_requester);
         let active_catalog = ActiveCatalog::new(&fleet);
         let subscription = Subscription::spawn(subscription, active_catalog.clone());
         let (stream_reporter, begun_streams) = StreamReporter::new();
@@ -101,6 +102,7 @@
         let ingress = Ingress::bind(&state, client_address, ready_address, ready_path).await?;
         tokio::spawn(watch_endpoints(Arc::clone(&state)));
         tokio::spawn(exchange_loads(Arc::clone(&state)));
+        tokio::spawn(run_permit_requests(Arc::clone(&state), needed_permits));
         tokio::spawn(report_streams(Arc::clone(&state), begun_streams));
         tokio::spawn(report_parts(Arc::clone(&state), part_reports));
         Ok(Self { ingress, state })
@@ -152,16 +154,22 @@
         let subscribed = gateway.fleet.subscribed_endpoints();
         let (loads, reservations) = gateway.fleet.report_loads();
         let services = gateway.service_loads();
+        let limits = gateway.fleet.report_limits();
         let exchange =
             gateway
                 .subscription
-                .exchange_loads(subscribed, loads, reservations, services);
+                .exchange_loads(subscribed, loads, reservations, services, limits);
         match exchange.await {
             Ok(aggregate) => {
                 if aggregate.needs_endpoint_names {
                     gateway.fleet.resend_subset();
                 }
                 last_answer_at = Instant::now();
+                for limit in gateway.fleet.apply_limits(&aggregate.limits) {
+                    info!(gateway.log, "limit of endpoint changed"; "endpoint" => &limit.id,
+                        "requests_per_1000_s" => limit.requests_per_1000_s, "source" => "report",
+                        "age_ms" => limit.age_ms);
+                }
                 gateway.fleet.apply_aggregate(&aggregate, interval_ms);
                 gateway.apply_service_aggregate(&aggregate.services);
             }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -18,7 +18,7 @@
 use crate::outcome::Outcome;
 use crate::part_evidence::PartReporter;
 use crate::stream_origin::StreamReporter;
-use crate::{Dialect, RequestCounts, ResponseHead, RetryBudget, RetryLimits};
+use crate::{Dialect, Rejection, RequestCounts, ResponseHead, RetryBudget, RetryLimits};
 
 /// Time before the end of a drain at which requests without a response are answered.
 const LAST_RESPONSES_MS: u64 = 300;
@@ -58,11 +58,13 @@
         request: Request<Full<Bytes>>,
         may_reuse: bool,
     ) -> Result<(EndpointResponse, ResponseHead), SendError> {
+        let sent_at_ms = self.fleet.now_ms();
         let response = endpoint.pool.send(request, may_reuse).await?;
         let parts = &response.parts;
         let head = self
             .dialect
             .parse_response_head(parts.status, &parts.headers);
+        self.record_limit(endpoint, sent_at_ms, &head);
         if head.is_endpoint_leaving && endpoint.record_leaving() {
             info!(self.log, "endpoint announced its leave"; "endpoint" => &endpoint.id);
         }
@@ -75,6 +77,23 @@
         Ok((response, head))
     }
 
+    /// Applies the limit that a response names, or that it names none any more.
+    fn record_limit(&self, endpoint: &Endpoint, sent_at_ms: u64, head: &ResponseHead) {
+        let limit = head.limit_per_1000_s;
+        let is_anothers = head.rejection == Some(Rejection::Misdirected);
+        // Responses to other calls than requests of clients repeat no id, and may name no limit at all.
+        let ends_limit = head.request_id.is_some();
+        if is_anothers || (limit.is_none() && !ends_limit) {
+            return;
+        }
+        let now_ms = self.fleet.now_ms();
+        let mut notice = endpoint.notice();
+        if notice.limit.record_response(now_ms, sent_at_ms, limit) {
+            info!(self.log, "limit of endpoint changed"; "endpoint" => &endpoint.id,
+                "requests_per_1000_s" => limit, "source" => "response");
+        }
+    }
+
     /// Counts a client's request in the retry budget of its service.
     pub(crate) fn record_request(&self, service: &str) {
         let now_ms = self.fleet.now_ms();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod dialect;
 mod endpoint;
 mod endpoint_health;
+mod endpoint_limit;
 mod endpoint_notice;
 mod event_intervals;
 mod event_reader;
@@ -43,6 +44,7 @@
     ResponseHead,
 };
 pub use endpoint_health::EndpointHealth;
+pub use endpoint_limit::EndpointLimit;
 pub use endpoint_notice::EndpointNotice;
 pub use event_intervals::{EventIntervals, slowness_percent};
 pub use event_reader::EventReader;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,6 +19,9 @@
 //! while the aggregated load that a subscriber received last is older. If this registry does not
 //! answer, subscribers choose by that load.
 //!
+//! The same registry grants permits for requests to endpoints that have named a limit on what they take
+//! from all instances together ([`EndpointLimits`]).
+//!
 //! Registries also remember the service and software version that began each recent stream, so that
 //! a client can resume it through any instance. And they quarantine the parts of prompts that crash
 //! endpoints, by the crashes and sound answers that all subscribers report.
@@ -29,6 +32,7 @@
 mod directory;
 mod directory_view;
 mod document;
+mod endpoint_limits;
 mod error;
 mod group;
 mod lease;
@@ -52,6 +56,9 @@
 pub use directory::{Directory, RecordOutcome};
 pub use directory_view::{DirectoryView, EndpointView};
 pub use document::{Document, DocumentDecoder, DocumentStateMachine};
+pub use endpoint_limits::{
+    EndpointLimit, EndpointLimits, PermitAnswer, PermitRequest, interval_us,
+};
 pub use error::Error;
 pub use lease::Lease;
 pub use load_aggregator::LoadAggregator;
--- a/crates/registry/src/load_aggregator.rs
+++ b/crates/registry/src/load_aggregator.rs
@@ -7,8 +7,9 @@
 use placement::{Demand, Load, choose_candidate};
 
 use crate::{
-    AggregatedLoads, CoveredReservations, EndpointLoad, LoadReport, ReservationAnswer,
-    ReservationOption, ReservationRequest, ServiceLoad, SubscribedEndpoints,
+    AggregatedLoads, CoveredReservations, EndpointLimits, EndpointLoad, LoadReport, PermitAnswer,
+    PermitRequest, ReservationAnswer, ReservationOption, ReservationRequest, ServiceLoad,
+    SubscribedEndpoints,
 };
 
 /// Time after which the last report of an instance is dropped; an instance sends ten reports in it.
@@ -24,6 +25,7 @@
     /// Sum of all reports, sorted by endpoint.
     aggregated: Vec<EndpointLoad>,
     first_report_ms: Option<u64>,
+    limits: EndpointLimits,
     /// Sorted by instance.
     reports: Vec<ReceivedReport>,
     /// Sorted by instance and number.
@@ -84,13 +86,19 @@
             Err(index) => self.reports.insert(index, received),
         }
         let (Ok(index) | Err(index)) = found;
-        let loads = self.loads(
-            &instance,
-            self.reports[index].subscribed_endpoints.as_deref(),
-        );
+        for limit in &self.reports[index].report.limits {
+            self.limits.record(now_ms, limit);
+        }
+        let subscribed_endpoints = self.reports[index].subscribed_endpoints.as_deref();
+        let loads = self.loads(&instance, subscribed_endpoints);
+        let is_subscribed = |id: &str| {
+            subscribed_endpoints
+                .is_none_or(|names| names.binary_search_by(|name| name.as_str().cmp(id)).is_ok())
+        };
         AggregatedLoads {
             needs_endpoint_names,
             instances: u32::try_from(self.reports.len()).unwrap_or(u32::MAX),
+            limits: self.limits.published(now_ms, is_subscribed),
             loads,
             services: self.aggregated_services(),
         }
@@ -125,6 +133,16 @@
         }
     }
 
+    /// Grants permits for requests to limited endpoints, one answer for each request.
+    pub fn grant_permits(&mut self, now_ms: u64, requests: &[PermitRequest]) -> Vec<PermitAnswer> {
+        self.limits.expire(now_ms);
+        let instances = self.reports.len() as u64;
+        let requests = requests.iter();
+        requests
+            .map(|request| self.limits.grant(now_ms, request, instances))
+            .collect()
+    }
+
     /// Load of all instances on an endpoint, including uncovered reservations.
     fn load(&self, endpoint: &str) -> Load {
         let found = self
--- a/crates/registry/src/rpc.rs
+++ b/crates/registry/src/rpc.rs
@@ -3,7 +3,7 @@
 use placement::{Candidate, Demand, Load};
 use serde::{Deserialize, Serialize};
 
-use crate::{BegunStreams, Document, Registration, StreamOrigin};
+use crate::{BegunStreams, Document, EndpointLimit, Registration, StreamOrigin};
 
 /// Remote calls between the instances of a deployment. All are served by registries.
 #[tarpc::service]
@@ -23,6 +23,9 @@
     async fn propose_document(document: Document) -> bool;
     /// Takes a [`ReservationRequest`] and returns a [`ReservationAnswer`], both in postcard's form.
     async fn reserve(request: Vec<u8>) -> Vec<u8>;
+    /// Takes a list of [`PermitRequest`](crate::PermitRequest) and returns a
+    /// [`PermitAnswer`](crate::PermitAnswer) for each, both in postcard's form.
+    async fn take_permits(requests: Vec<u8>) -> Vec<u8>;
     /// Records events of endpoints that another registry received.
     async fn forward_events(events: Vec<EndpointEvent>);
     /// Records streams that have begun.
@@ -179,6 +182,8 @@
     pub subscribed_endpoints: SubscribedEndpoints,
     /// Name of the instance.
     pub instance: String,
+    /// What responses told it of limits.
+    pub limits: Vec<EndpointLimit>,
     /// Load of its requests, sorted by endpoint.
     pub loads: Vec<EndpointLoad>,
     /// Its reservations that are part of the load or were given up.
@@ -236,6 +241,8 @@
     pub needs_endpoint_names: bool,
     /// Number of instances that reported recently.
     pub instances: u32,
+    /// Limits of the subscribed endpoints that have named one.
+    pub limits: Vec<EndpointLimit>,
     /// Load of each subscribed endpoint, sorted by endpoint.
     pub loads: Vec<EndpointLoad>,
     /// Requests and retries of each service, sorted by service.
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -20,7 +20,7 @@
 use crate::rpc::{ChangeChunk, ChangePosition, PollAnswer, PollRequest, RegistryRpc};
 use crate::{
     BegunStreams, Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator, PartChange,
-    PartReport, ReservationAnswer, StreamOrigin, StreamOrigins,
+    PartReport, PermitRequest, ReservationAnswer, StreamOrigin, StreamOrigins,
 };
 
 /// Parts of a registry that remote calls use.
@@ -170,6 +170,22 @@
         postcard::to_stdvec(&answer).expect("a reservation answer can be encoded")
     }
 
+    async fn take_permits(self, _context: Context, requests: Vec<u8>) -> Vec<u8> {
+        let now_ms = self.publisher.now_ms();
+        let requests: Vec<PermitRequest> = match postcard::from_bytes(&requests) {
+            Ok(requests) => requests,
+            Err(error) => {
+                // The subscriber cannot decode an empty answer, so its request fails.
+                warn!(self.log, "request for permits not decoded"; "error" => %error);
+                return Vec::new();
+            }
+        };
+        let aggregator = self.load_aggregator.lock();
+        let mut aggregator = aggregator.unwrap_or_else(PoisonError::into_inner);
+        let answers = aggregator.grant_permits(now_ms, &requests);
+        postcard::to_stdvec(&answers).expect("answers can be encoded")
+    }
+
     async fn forward_events(self, _context: Context, events: Vec<EndpointEvent>) {
         for event in events {
             self.publisher.record_event(event);
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -1,5 +1,6 @@
 mod documents;
 mod parts;
+mod permits;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +19,7 @@
 use crate::connection::{RpcConnection, call_context};
 use crate::rpc::{LoadReport, PollAnswer, PollRequest};
 use crate::{
-    AggregatedLoads, BegunStreams, CoveredReservations, DirectoryView, EndpointLoad,
+    AggregatedLoads, BegunStreams, CoveredReservations, DirectoryView, EndpointLimit, EndpointLoad,
     EndpointRecord, EndpointView, Error, Lease, PartView, ReservationAnswer, ReservationOption,
     ReservationRequest, ServiceLoad, StreamOrigin, SubscribedEndpoints, SubscriptionSettings,
     time_since_boot_ms,
@@ -183,6 +184,7 @@
         loads: Vec<EndpointLoad>,
         reservations: CoveredReservations,
         services: Vec<ServiceLoad>,
+        limits: Vec<EndpointLimit>,
     ) -> Result<AggregatedLoads, Error> {
         let registry = self.subscriber.aggregating_registry();
         let connection = registry.ok_or(Error::Unavailable {
@@ -192,6 +194,7 @@
         let report = LoadReport {
             subscribed_endpoints,
             instance: self.subscriber.settings.instance.clone(),
+            limits,
             loads,
             reservations,
             services,
--- a/crates/registry/tests/a_lease_counts_from_the_request.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_request.rs
@@ -137,6 +137,7 @@
     LoadReport {
         subscribed_endpoints: SubscribedEndpoints::All,
         instance: instance.to_owned(),
+        limits: Vec::new(),
         loads: vec![EndpointLoad {
             id: "a".to_owned(),
             load: Load {
--- a/crates/registry/tests/room_that_is_reserved_counts_at_once.rs
+++ b/crates/registry/tests/room_that_is_reserved_counts_at_once.rs
@@ -35,6 +35,7 @@
     LoadReport {
         subscribed_endpoints: SubscribedEndpoints::All,
         instance: instance.to_owned(),
+        limits: Vec::new(),
         loads: loads.collect(),
         reservations: CoveredReservations {
             pending_numbers: pending_numbers.to_vec(),
