Count permits, and name limits in the reasons of refusals

A refusal because all endpoints had reached their limits gave the reason of a full fleet, and no metric told how often permits were refused.

A request for permits counts only the requests that wait before it for the same service, not those of all services: permits that nobody uses are lost.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -494,6 +494,11 @@
         let now_ms = self.now_ms();
         // The client's next request excludes no endpoints.
         let unavailable_ms = state.unavailable_ms(now_ms, placement, &[]);
+        let reason = if unavailable_ms > 0 {
+            "all endpoints are paused or have reached their limits"
+        } else {
+            reason
+        };
         let schedule = &mut state.retry_after_schedule;
         let retry_after_ms = unavailable_ms + schedule.next_ms(now_ms, state.serve_interval_ms);
         RequestError::not_run(reason, retry_after_ms.min(RETRY_AFTER_MS_MAX))
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use registry::{EndpointLimit, PermitRequest};
+use registry::{EndpointLimit, PermitAnswer, PermitRequest};
 use slog::{debug, info};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep};
@@ -42,16 +42,18 @@
 }
 
 impl Fleet {
-    /// Requests permits of the limited endpoints for a request and those that wait.
+    /// Requests permits of the limited endpoints for a request and those that wait before it.
     pub(super) fn request_permits(&self, state: &FleetState, placement: &PlacementRequest) {
         let now_ms = self.now_ms();
-        let waiting_requests = state.queue.len() + 1;
+        let waiting_requests = usize::try_from(state.count_ahead(placement)).unwrap_or(usize::MAX);
         let not_excluded = state
             .suitable(placement)
             .filter(|known| !placement.excluded_ids.contains(&known.endpoint.id));
         for known in not_excluded {
             let mut notice = known.endpoint.notice();
-            let permits = notice.limit.begin_requests(now_ms, waiting_requests);
+            let permits = notice
+                .limit
+                .begin_requests(now_ms, waiting_requests.saturating_add(1));
             for _ in 0..permits {
                 self.permit_requests.request(&known.endpoint, false);
             }
@@ -138,6 +140,7 @@
                 "error" => %error);
             let instances = gateway.subscription.subscriber_count();
             for permit in needed.iter().filter(|permit| !permit.is_taken) {
+                gateway.metrics.record_permit("unanswered");
                 let mut notice = permit.endpoint.notice();
                 notice
                     .limit
@@ -150,8 +153,13 @@
         debug!(gateway.log, "permit answered"; "endpoint" => &permit.endpoint.id,
             "answer" => ?answer, "is_taken" => permit.is_taken);
         if permit.is_taken {
+            gateway.metrics.record_permit("taken");
             continue;
         }
+        gateway.metrics.record_permit(match answer {
+            PermitAnswer::Granted { .. } => "granted",
+            PermitAnswer::Refused { .. } => "refused",
+        });
         let mut notice = permit.endpoint.notice();
         notice.limit.apply_answer(now_ms, answer);
         let wait_ms = notice.limit.wait_ms(now_ms);
--- a/crates/telemetry/src/gateway_metrics.rs
+++ b/crates/telemetry/src/gateway_metrics.rs
@@ -29,6 +29,7 @@
     quarantine_refusals: Counter<u64>,
     request_duration: Histogram<f64>,
     requests: Counter<u64>,
+    permits: Counter<u64>,
     reservations: Counter<u64>,
     retries: Counter<u64>,
     time_to_first_event: Histogram<f64>,
@@ -76,6 +77,7 @@
             quarantine_refusals: meter.u64_counter("quarantine_refusals").build(),
             request_duration: histogram("request_duration"),
             requests: meter.u64_counter("requests").build(),
+            permits: meter.u64_counter("permits").build(),
             reservations: meter.u64_counter("reservations").build(),
             retries: meter.u64_counter("repeated_sendings").build(),
             time_to_first_event: histogram("time_to_first_event"),
@@ -139,6 +141,11 @@
         self.quarantine_refusals.add(1, &[]);
     }
 
+    /// Counts a request for a permit to send a request to a limited endpoint, by its outcome.
+    pub fn record_permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a reservation request by its outcome.
     pub fn record_reservation(&self, outcome: &'static str) {
         self.reservations
