--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -33,6 +33,8 @@
 /// Actor that owns the replica and state machine of a group, and executes the replica's outputs.
 #[derive(xtra::Actor)]
 pub(crate) struct ReplicaHost {
+    /// Length of the commands that were applied since the latest snapshot.
+    applied_bytes: u64,
     applied_index: watch::Sender<LogIndex>,
     channels: HostChannels,
     events: EventReceiver,
@@ -76,6 +78,7 @@
         let (applied_index, applied_index_receiver) = watch::channel(snapshot_index);
         let (leader_status, leader_status_receiver) = watch::channel(LeaderStatus::default());
         let host = Self {
+            applied_bytes: 0,
             applied_index,
             channels,
             events,
@@ -150,6 +153,7 @@
             );
             let response = match &entry.payload {
                 Payload::Command(command) => {
+                    self.applied_bytes += command.len() as u64;
                     self.state_machine
                         .apply(entry.index, entry.timestamp_ms, command)
                 }
@@ -162,6 +166,7 @@
 
     fn restore(&mut self, snapshot: &Snapshot) {
         self.state_machine.restore(&snapshot.data);
+        self.applied_bytes = 0;
         self.snapshot_index = snapshot.index;
         self.applied_index.send_replace(snapshot.index);
     }
@@ -171,10 +176,12 @@
         let entry_count = applied_index.0 - self.snapshot_index.0;
         let age_ms = self.now_ms() - self.snapshot_ms;
         let is_due = entry_count >= self.settings.compact_after_entries
+            || self.applied_bytes >= self.settings.compact_after_bytes
             || entry_count > 0 && age_ms >= self.settings.compact_after_ms;
         if !is_due {
             return;
         }
+        self.applied_bytes = 0;
         self.snapshot_index = applied_index;
         self.snapshot_ms = self.now_ms();
         let data = self.state_machine.snapshot();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,6 +9,8 @@
 pub struct Settings {
     /// Maximum length of a command.
     pub command_bytes_max: usize,
+    /// A snapshot is taken once commands of this length were applied since the last one.
+    pub compact_after_bytes: u64,
     /// A snapshot is taken once this many entries were applied since the last one.
     pub compact_after_entries: u64,
     /// A snapshot is taken after this time if any entry was applied since the last one. Without it,
@@ -47,6 +49,7 @@
     ) -> Self {
         Self {
             command_bytes_max: 1024 * 1024,
+            compact_after_bytes: u64::MAX,
             compact_after_entries: 10_000,
             compact_after_ms: 600_000,
             election_timeout_ms: 1_000,
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -237,14 +237,28 @@
     );
 }
 
+async fn has_snapshot(group: &Group) -> bool {
+    let mut files = std::fs::read_dir(group.folder(0)).unwrap();
+    files.any(|file| file.unwrap().path().extension() == Some("snap".as_ref()))
+}
+
+/// Guards against few large commands that fill a small disk before a snapshot replaces them.
+#[tokio::test(start_paused = true)]
+async fn large_commands_are_replaced_by_a_snapshot_soon() {
+    let group = Group::open(1);
+    let large = "0".repeat(100_000);
+    for _ in 0..3 {
+        group.propose(&large).await;
+    }
+    assert!(!has_snapshot(&group).await);
+    group.propose(&large).await;
+    group.wait_until(has_snapshot).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_group_with_few_commands_takes_a_snapshot_after_some_time() {
     let group = Group::open(1);
     group.propose("0").await;
-    let has_snapshot = async |group: &Group| {
-        let mut files = std::fs::read_dir(group.folder(0)).unwrap();
-        files.any(|file| file.unwrap().path().extension() == Some("snap".as_ref()))
-    };
     assert!(!has_snapshot(&group).await);
     time::sleep(Duration::from_mins(10)).await;
     group.wait_until(has_snapshot).await;
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -101,6 +101,7 @@
     pub fn settings(&self, instance_id: usize) -> Settings {
         let initial_voters = (0..self.voter_count).map(instance_name).collect();
         Settings {
+            compact_after_bytes: 350_000,
             compact_after_entries: 50,
             ..Settings::new(
                 &self.folder(instance_id),
--- a/crates/registry/src/group.rs
+++ b/crates/registry/src/group.rs
@@ -40,7 +40,10 @@
 /// Largest document; more than the largest body that clients send.
 const DOCUMENT_BYTES_MAX: usize = 8 * 1024 * 1024;
 
-/// Documents in the log before a snapshot replaces them; limits the journal if they are large.
+/// Bytes of documents in the log before a snapshot replaces them: an eighth of the smallest disk.
+const COMPACT_AFTER_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Documents in the log before a snapshot replaces them.
 const COMPACT_AFTER_ENTRIES: u64 = 64;
 
 /// Replicated group of this instance, which is reopened after a journal failure.
@@ -150,6 +153,7 @@
         }
         Settings {
             command_bytes_max: DOCUMENT_BYTES_MAX,
+            compact_after_bytes: COMPACT_AFTER_BYTES,
             compact_after_entries: COMPACT_AFTER_ENTRIES,
             election_timeout_ms: ELECTION_TIMEOUT_MS,
             heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
