--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -116,8 +116,8 @@
         notice.pause_left_ms(now_ms).max(limit_ms)
     }
 
-    /// Whether a new request may be placed at the endpoint, which is not leaving, now.
-    pub(crate) fn has_permit(&self, now_ms: u64) -> bool {
+    /// Whether its pause and its limit allow a new request now; it may be leaving nevertheless.
+    pub(crate) fn allows_placement(&self, now_ms: u64) -> bool {
         let notice = self.notice();
         !notice.is_paused(now_ms) && notice.limit.allows_request(now_ms)
     }
--- a/crates/gateway/src/fleet/candidates.rs
+++ b/crates/gateway/src/fleet/candidates.rs
@@ -35,7 +35,7 @@
         let engine = state.engine(&placement.service);
         let copy_tokens_per_s = engine.map_or(0, EngineSpec::copy_tokens_per_s);
         let is_usable = |known: &&KnownEndpoint| {
-            known.endpoint.has_permit(now_ms)
+            known.endpoint.allows_placement(now_ms)
                 && !placement.excluded_ids.contains(&known.endpoint.id)
                 && self.is_copy_possible(placement, &known.endpoint)
         };
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -122,11 +122,12 @@
 
 async fn request_batch(gateway: &Arc<GatewayState>, needed: &[NeededPermit]) {
     let requests = needed.iter().map(|permit| {
-        let notice = permit.endpoint.notice();
+        let limit = permit.endpoint.notice().limit.requests_per_1000_s();
         PermitRequest {
             id: permit.endpoint.id.clone(),
             is_taken: permit.is_taken,
-            requests_per_1000_s: notice.limit.requests_per_1000_s().unwrap_or(u64::MAX),
+            // A limit that has ended since restricts nothing.
+            requests_per_1000_s: limit.unwrap_or(u64::MAX),
             started_at_ms: permit.endpoint.started_at_ms,
         }
     });
--- a/crates/gateway/src/fleet/pending_reservation.rs
+++ b/crates/gateway/src/fleet/pending_reservation.rs
@@ -38,7 +38,7 @@
     pub(crate) fn occupy(self, option: usize) -> Option<Slot> {
         let (endpoint, _) = self.options.get(option)?;
         let now_ms = self.fleet.now_ms();
-        if !endpoint.takes_requests(now_ms) || !endpoint.has_permit(now_ms) {
+        if !endpoint.takes_requests(now_ms) || !endpoint.allows_placement(now_ms) {
             return None;
         }
         let mut state = self.fleet.lock();
