Resume a stream of unknown origin only if its version is beyond doubt

Callers saw streams joined from two software versions after all gateways were killed at once and came back.

Cause: a decision rested on what one gateway had seen since its start. A stream whose origin was unknown was resumed at the only version of which this gateway had seen endpoints, although another version's last endpoint had left before it started, or had not been heard since the registries restarted. And the origin was reported for each attempt as it was sent, so a second attempt that delivered left the first one's version on record for 20 ms, or for good at a registry that did not get the second report.

Change: the software versions that may have begun a stream are replicated. A version is added before its endpoints are published, and removed by the leader once none of its endpoints has been present for a minute, unless it was added since. A stream of unknown origin is resumed only if a quorum confirms that its service has had one version; otherwise it is refused as not run. An origin is reported once, when the first event is there, which only one attempt of a request delivers; so there is nothing to overtake. The event does not wait for the report; the report goes out at once instead of after 20 ms, does not wait for earlier ones, and another registry replaces one that does not answer. Resumed streams are reported by both of their ids.

Ruled out: a report that is confirmed before the first event leaves would make every first event wait for a registry, and loses nothing else that a refusal does not cover; an origin in the client's own request has no carrier on the users' platform, whose bodies, stamps and ids are not ours to change.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -315,9 +315,6 @@
         };
         let endpoint = &slot.endpoint;
         progress.record_sent(endpoint);
-        if resume_point.last_event_id.is_none() {
-            self.gateway.report_stream(&self.request, endpoint);
-        }
         let answered = self.request_response(endpoint, resume_point, progress);
         match answered.await {
             Ok(accepted) => AttemptOutcome::Accepted(Box::new(accepted), slot),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -350,11 +350,6 @@
             && self.possible_runs + in_flight < route.attempts_max
     }
 
-    /// Whether the request was sent to more than one endpoint.
-    pub(crate) fn is_retried(&self) -> bool {
-        !self.excluded_ids.is_empty() || self.possible_runs > 1
-    }
-
     fn may_still_be_answered(&self) -> bool {
         !self.in_flight.is_empty() || self.may_run_again()
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,7 +7,6 @@
 mod pending_reservation;
 mod recent_placements;
 mod slot;
-mod software_versions;
 mod subset;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,7 +32,6 @@
 pub(crate) use pending_reservation::PendingReservation;
 use recent_placements::{RATE_WINDOW_MS, RecentPlacements};
 pub(crate) use slot::Slot;
-use software_versions::SoftwareVersions;
 pub use subset::{subset_key, subset_key_max};
 
 /// Assumed interval between requests served from the queue, before the first one is served.
@@ -75,7 +73,6 @@
     reservations: CoveredReservations,
     retry_after_schedule: RetryAfterSchedule,
     serve_interval_ms: u64,
-    software_versions: SoftwareVersions,
     /// Sorted ids of the endpoints in the subscribed subset; empty if it holds all endpoints.
     subset: Vec<String>,
 }
@@ -153,7 +150,6 @@
         let now_ms = self.now_ms();
         let mut guard = self.lock();
         let state = &mut *guard;
-        state.software_versions.update(now_ms, endpoints);
         let previous = std::mem::take(&mut state.endpoints);
         let mut previous = previous.into_iter().peekable();
         for endpoint in endpoints {
@@ -198,12 +194,6 @@
         self.serve_queue();
     }
 
-    /// Origin of all recent streams of a service, if it has had only one software version.
-    pub(crate) fn only_origin(&self, service: &str) -> Option<StreamOrigin> {
-        let now_ms = self.now_ms();
-        self.lock().software_versions.only_origin(now_ms, service)
-    }
-
     /// Whether an endpoint of the origin's service has its software version.
     pub(crate) fn has_origin(&self, origin: &StreamOrigin) -> bool {
         self.lock().endpoints.iter().any(|known| {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -279,10 +279,8 @@
             let request = &self.attempts.request;
             self.first_event_ms = Some(request.elapsed_ms());
             self.stream.slot.complete_prefill();
-            if self.attempts.is_retried() {
-                let endpoint = &self.stream.slot.endpoint;
-                self.attempts.gateway.report_stream(request, endpoint);
-            }
+            let endpoint = &self.stream.slot.endpoint;
+            self.attempts.gateway.report_stream(request, endpoint);
         }
         self.update_prediction();
         self.unsent.push_back(whole_events);
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -2,13 +2,18 @@
 //!
 //! A client may resume a stream in another request and at another instance, and endpoints do not
 //! check what they continue. So each instance reports the origin of a resumable stream to the
-//! registries as soon as the request is sent to an endpoint, and looks it up when a client resumes
-//! one. A resumption whose origin is unknown is refused unless the service has only one version.
+//! registries, and looks it up when a client resumes one.
+//!
+//! The report is made when the first event is there: only then it is decided which of the request's
+//! attempts the client gets, so a request never has two origins. The event does not wait for the
+//! report. If the report is lost with this instance, the origin is unknown. A resumption of unknown
+//! origin is refused unless a quorum of the registries confirms that its service has had one version.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use catalog::Route;
+use futures::future::{Either, select};
 use registry::{BegunStreams, StreamOrigin};
 use slog::{info, warn};
 use tokio::sync::mpsc;
@@ -21,7 +26,7 @@
 use crate::handler::RoutedRequest;
 use crate::outcome::RequestError;
 
-/// Time for which begun streams are batched; their first events come later.
+/// Shortest time between two reports; streams that begin meanwhile are reported together.
 const REPORT_INTERVAL_MS: u64 = 20;
 
 /// Begun streams that wait for a report.
@@ -33,11 +38,12 @@
 /// Time after which a client may retry a resumption that was refused.
 const RESUMPTION_RETRY_AFTER_MS: u64 = 500;
 
-/// Stream that an endpoint begins.
+/// Stream whose first event an endpoint has sent.
 #[derive(Debug)]
 pub(crate) struct BegunStream {
     origin: StreamOrigin,
-    request_id: String,
+    /// Ids by which a client may resume it.
+    request_ids: Vec<String>,
 }
 
 /// Sender of begun streams to [`report_streams`].
@@ -52,21 +58,24 @@
 }
 
 impl GatewayState {
-    /// Reports the endpoint of a stream that a client may resume.
+    /// Reports the endpoint whose first event a client gets, if the client may resume the stream. A
+    /// resumed stream is reported by the id of its first request too.
     pub(crate) fn report_stream(&self, request: &RoutedRequest, endpoint: &Endpoint) {
-        let is_resumable = is_resumable(&request.route) && request.software_version.is_none();
-        let Some(request_id) = request.head.request_id.as_ref().filter(|_| is_resumable) else {
+        if !is_resumable(&request.route) {
             return;
-        };
+        }
+        let head = &request.head;
+        let resumed_id = head.resumed_request_id.as_ref();
+        let resumed_id = resumed_id.filter(|_| request.software_version.is_some());
         let begun = BegunStream {
             origin: StreamOrigin {
                 service: endpoint.service.clone(),
                 software_version: endpoint.software_version.clone(),
             },
-            request_id: request_id.clone(),
+            request_ids: head.request_id.iter().chain(resumed_id).cloned().collect(),
         };
         if let Err(error) = self.stream_reporter.0.try_send(begun) {
-            warn!(self.log, "stream not reported"; "request" => request_id, "error" => %error);
+            warn!(self.log, "stream not reported"; "request" => request.id(), "error" => %error);
         }
     }
 
@@ -81,14 +90,18 @@
             return Ok(None);
         }
         let started_at = Instant::now();
-        let found = self.find_origin(head.resumed_request_id.as_deref()).await;
-        let origin = found
-            .clone()
-            .or_else(|| self.fleet.only_origin(service).filter(|_| !is_split(route)))
-            .filter(|origin| is_routed(route, origin));
+        let known = self.find_origin(head.resumed_request_id.as_deref());
+        let only = async {
+            if is_split(route) {
+                return None;
+            }
+            self.subscription.find_only_origin(service).await
+        };
+        let origin = first_found(known, only).await;
+        let origin = origin.filter(|origin| is_routed(route, origin));
         info!(self.log, "stream resumption received"; "request" => &head.request_id,
             "resumes" => &head.resumed_request_id, "last_event" => head.last_event_id,
-            "is_known" => found.is_some(),
+            "is_known" => origin.is_some(),
             "service" => origin.as_ref().map(|origin| origin.service.clone()),
             "software_version" => origin.as_ref().map(|origin| origin.software_version.clone()),
             "duration_ms" => elapsed_ms(started_at));
@@ -118,41 +131,53 @@
     }
 }
 
-/// Reports begun streams in batches; returns when the gateway has stopped.
+/// Reports begun streams in batches; returns when the gateway has stopped. A report does not wait for
+/// the answers to earlier ones.
 pub(crate) async fn report_streams(
     gateway: Arc<GatewayState>,
     mut begun_streams: mpsc::Receiver<BegunStream>,
 ) {
     while let Some(first) = begun_streams.recv().await {
+        let batch = group_by_origin(first, &mut begun_streams);
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(async move { gateway.subscription.report_streams(&batch).await });
         sleep(Duration::from_millis(REPORT_INTERVAL_MS)).await;
-        let mut batch = group_by_origin(first, &mut begun_streams);
-        batch.retain(|streams| !streams.request_ids.is_empty());
-        gateway.subscription.report_streams(&batch).await;
     }
 }
 
-/// Groups the queued streams by origin; the last origin of a request counts.
+/// First of two results that is not `None`.
+async fn first_found<T>(
+    one: impl Future<Output = Option<T>>,
+    other: impl Future<Output = Option<T>>,
+) -> Option<T> {
+    let (one, other) = (std::pin::pin!(one), std::pin::pin!(other));
+    match select(one, other).await {
+        Either::Left((None, other)) => other.await,
+        Either::Right((None, one)) => one.await,
+        Either::Left((found, _)) | Either::Right((found, _)) => found,
+    }
+}
+
+/// Groups the queued streams by origin.
 fn group_by_origin(
     first: BegunStream,
     begun_streams: &mut mpsc::Receiver<BegunStream>,
 ) -> Vec<BegunStreams> {
     let mut batch: Vec<BegunStreams> = Vec::new();
     let mut next = Some(first);
-    while let Some(BegunStream { origin, request_id }) = next {
-        for streams in &mut batch {
-            streams.request_ids.retain(|known| *known != request_id);
-        }
+    while let Some(begun) = next {
+        let BegunStream {
+            origin,
+            mut request_ids,
+        } = begun;
         match batch.binary_search_by(|streams| streams.origin.cmp(&origin)) {
-            Ok(at) => batch[at].request_ids.push(request_id),
+            Ok(at) => batch[at].request_ids.append(&mut request_ids),
             Err(at) => {
-                let request_ids = vec![request_id];
-                batch.insert(
-                    at,
-                    BegunStreams {
-                        origin,
-                        request_ids,
-                    },
-                );
+                let streams = BegunStreams {
+                    origin,
+                    request_ids,
+                };
+                batch.insert(at, streams);
             }
         }
         next = begun_streams.try_recv().ok();
--- a/crates/registry/src/directory.rs
+++ b/crates/registry/src/directory.rs
@@ -1,4 +1,4 @@
-use crate::{EndpointRecord, EndpointState, Registration};
+use crate::{EndpointRecord, EndpointState, Registration, StreamOrigin};
 
 /// Time for which an incarnation is kept after its last heartbeat, also if it left. Late heartbeats
 /// of it arrive within seconds.
@@ -127,6 +127,17 @@
         Some(&self.entries[index].registration)
     }
 
+    /// Whether an endpoint of a software version has not left.
+    #[must_use]
+    pub fn has_version(&self, origin: &StreamOrigin) -> bool {
+        self.entries.iter().any(|entry| {
+            let registration = &entry.registration;
+            registration.state != EndpointState::Gone
+                && registration.service == origin.service
+                && registration.software_version == origin.software_version
+        })
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| entry.registration.id.as_str().cmp(id))
--- a/crates/registry/src/group.rs
+++ b/crates/registry/src/group.rs
@@ -15,7 +15,7 @@
 
 use crate::membership::{GroupMembers, next_voter_change};
 use crate::transport::VoterTransport;
-use crate::{Document, DocumentStateMachine, Error, RegistrySettings};
+use crate::{Document, Error, RegistrySettings, RegistryStateMachine, SoftwareVersions};
 
 /// Time between two checks of the group and its members.
 const MAINTENANCE_INTERVAL_MS: u64 = 200;
@@ -54,6 +54,8 @@
     handle: Mutex<Option<Arc<GroupHandle>>>,
     is_closed: AtomicBool,
     settings: RegistrySettings,
+    /// Software versions as of the latest applied change.
+    software_versions: watch::Sender<SoftwareVersions>,
     transport: Arc<VoterTransport>,
 }
 
@@ -66,6 +68,7 @@
             handle: Mutex::new(None),
             is_closed: AtomicBool::new(false),
             settings,
+            software_versions: watch::channel(SoftwareVersions::default()).0,
             transport: Arc::new(transport),
         });
         group.reopen()?;
@@ -83,6 +86,11 @@
         self.document.subscribe()
     }
 
+    /// Software versions as far as this instance has applied the log.
+    pub(crate) fn software_versions(&self) -> watch::Receiver<SoftwareVersions> {
+        self.software_versions.subscribe()
+    }
+
     pub(crate) async fn deliver(&self, envelope: Envelope) {
         if let Some(handle) = self.handle() {
             handle.deliver(envelope).await;
@@ -134,7 +142,7 @@
     }
 
     fn reopen(&self) -> Result<(), Error> {
-        let state_machine = DocumentStateMachine::new(&self.document);
+        let state_machine = RegistryStateMachine::new(&self.document, &self.software_versions);
         let transport = Arc::clone(&self.transport);
         let handle = GroupHandle::open(self.group_settings(), Box::new(state_machine), transport)?;
         *self.lock() = Some(Arc::new(handle));
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -23,7 +23,9 @@
 //! from all instances together ([`EndpointLimits`]).
 //!
 //! Registries also remember the service and software version that began each recent stream, so that
-//! a client can resume it through any instance. And they quarantine the parts of prompts that crash
+//! a client can resume it through any instance. The software versions that may have begun streams are
+//! replicated, so that a stream whose origin was lost is resumed only if there is no doubt about its
+//! version ([`SoftwareVersions`]). And registries quarantine the parts of prompts that crash
 //! endpoints, by the crashes and sound answers that all subscribers report.
 
 mod boot_clock;
@@ -40,6 +42,7 @@
 mod membership;
 mod part_quarantine;
 mod part_view;
+mod proposer;
 mod publisher;
 mod read_index;
 mod registration;
@@ -47,15 +50,18 @@
 mod rpc;
 mod server;
 mod settings;
+mod software_versions;
+mod state_machine;
 mod stream_origins;
 mod subscription;
 mod transport;
+mod version_register;
 
 pub use boot_clock::time_since_boot_ms;
 pub use catalog_history::CatalogHistory;
 pub use directory::{Directory, RecordOutcome};
 pub use directory_view::{DirectoryView, EndpointView};
-pub use document::{Document, DocumentDecoder, DocumentStateMachine};
+pub use document::{Document, DocumentDecoder};
 pub use endpoint_limits::{
     EndpointLimit, EndpointLimits, PermitAnswer, PermitRequest, interval_us,
 };
@@ -76,5 +82,7 @@
     ReservationRequest, ServiceLoad, SubscribedEndpoints,
 };
 pub use settings::{RegistrySettings, SubscriptionSettings};
+pub use software_versions::{SoftwareVersions, VersionChange, VersionEntry};
+pub use state_machine::{RegistryCommand, RegistryStateMachine};
 pub use stream_origins::{BegunStreams, StreamOrigin, StreamOrigins};
 pub use subscription::{CatalogSink, Subscription};
--- a/crates/registry/src/publisher.rs
+++ b/crates/registry/src/publisher.rs
@@ -12,9 +12,10 @@
 use crate::read_index::ReadIndexBatcher;
 use crate::registry::elapsed_ms;
 use crate::rpc::{ChangeChunk, ChangePosition, PollAnswer, PollRequest};
+use crate::version_register::VersionRegister;
 use crate::{
     Accusation, CatalogHistory, Directory, EndpointEvent, PartChange, PartQuarantine,
-    PublishedPart, RecordOutcome,
+    PublishedPart, RecordOutcome, StreamOrigin,
 };
 
 /// Time after its last poll in which an instance counts as a subscriber.
@@ -62,6 +63,7 @@
     silent_after_ms: u64,
     /// Names with the time of the last poll in ms, sorted by name.
     subscribers: Mutex<Vec<(String, u64)>>,
+    version_register: Arc<VersionRegister>,
 }
 
 impl Publisher {
@@ -71,6 +73,7 @@
         inner_port: u16,
         heartbeat_interval_ms: u64,
         catalog_history: CatalogHistory,
+        version_register: &Arc<VersionRegister>,
     ) -> Arc<Self> {
         let publisher = Arc::new(Self {
             catalog_history: Mutex::new(catalog_history),
@@ -86,6 +89,7 @@
             registries: Mutex::new(Vec::new()),
             silent_after_ms: heartbeat_interval_ms * SILENT_AFTER_HEARTBEAT_TENTHS / 10,
             subscribers: Mutex::new(Vec::new()),
+            version_register: Arc::clone(version_register),
         });
         tokio::spawn(Arc::clone(&publisher).run_maintenance());
         tokio::spawn(Arc::clone(&publisher).follow_documents());
@@ -107,6 +111,11 @@
         outcome
     }
 
+    /// Whether an endpoint of a software version is in the directory and has not left.
+    pub(crate) fn is_version_present(&self, origin: &StreamOrigin) -> bool {
+        lock(&self.directory).has_version(origin)
+    }
+
     /// Applies a crash of an endpoint, and wakes the subscribers if it changes an accused part.
     pub(crate) fn accuse_parts(&self, accusation: &Accusation) -> Vec<PartChange> {
         let mut quarantine = lock(&self.part_quarantine);
@@ -159,7 +168,7 @@
         self.record_subscriber(&request.instance);
         let mut directory_changed = self.directory_changed.subscribe();
         let mut document = self.group.document();
-        let is_confirmed = request.wants_confirmation && self.read_index.confirm_document().await;
+        let is_confirmed = request.wants_confirmation && self.read_index.confirm_newest().await;
         let cursor = if request.directory_epoch == self.epoch {
             request.directory_cursor
         } else {
@@ -266,6 +275,10 @@
                 self.publish_parts(&quarantine, false);
             }
             lock(&self.subscribers).retain(|entry| now_ms - entry.1 < SUBSCRIBER_TTL_MS);
+            let is_present = |origin: &StreamOrigin| self.is_version_present(origin);
+            self.version_register
+                .remove_absent(now_ms, is_present)
+                .await;
             let members = self.group.members().await;
             let addresses = members.iter().filter_map(|name| {
                 let ip = name.as_str().parse().ok()?;
--- a/crates/registry/src/read_index.rs
+++ b/crates/registry/src/read_index.rs
@@ -1,4 +1,4 @@
-//! Confirms that the local document is the newest, in rounds that concurrent requests share.
+//! Confirms that the local state is the newest, in rounds that concurrent requests share.
 //!
 //! A round is a read index: a quorum confirms the leader by answering its heartbeats, then this
 //! instance applies everything that was committed when the round began. A request is answered by a
@@ -47,8 +47,8 @@
         }
     }
 
-    /// Whether the local document was the newest at some time after the call.
-    pub(crate) async fn confirm_document(&self) -> bool {
+    /// Whether the local replicated state was the newest at some time after the call.
+    pub(crate) async fn confirm_newest(&self) -> bool {
         let requested_at = Instant::now();
         let mut last_round = self.last_round.lock().await;
         if let Some(round) = *last_round {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -11,18 +11,20 @@
 
 use crate::connection::{RpcConnection, call_context};
 use crate::group::{Group, instance_name};
+use crate::proposer::Proposer;
 use crate::publisher::Publisher;
 use crate::read_index::ReadIndexBatcher;
 use crate::server::Server;
+use crate::version_register::VersionRegister;
 use crate::{
-    CatalogHistory, Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator,
-    RecordOutcome, Registration, RegistrySettings,
+    CatalogHistory, Document, EndpointEvent, EndpointState, Error, LoadAggregator, RecordOutcome,
+    Registration, RegistryCommand, RegistrySettings, StreamOrigin,
 };
 
 /// Time limit for replicating or reading a document; clients try another registry after a second.
 const DOCUMENT_TIMEOUT_MS: u64 = 900;
 
-/// Delay before a document is proposed again, possibly to a new leader, or read again.
+/// Delay before a document is read again.
 const DOCUMENT_RETRY_DELAY_MS: u64 = 30;
 
 /// Time for which endpoint events are batched before they are forwarded; far shorter than the time
@@ -43,9 +45,11 @@
     forwarded_events: mpsc::UnboundedSender<EndpointEvent>,
     group: Arc<Group>,
     log: Logger,
+    proposer: Arc<Proposer>,
     publisher: Arc<Publisher>,
     read_index: Arc<ReadIndexBatcher>,
     server: AbortHandle,
+    version_register: Arc<VersionRegister>,
 }
 
 impl Registry {
@@ -67,12 +71,15 @@
         let catalog_history = CatalogHistory::new(Arc::clone(&settings.decoder), &log);
         let group = Group::open(settings)?;
         let read_index = Arc::new(ReadIndexBatcher::new(&group, address.port()));
+        let proposer = Arc::new(Proposer::new(&group, &read_index, &log));
+        let version_register = Arc::new(VersionRegister::new(&group, &proposer, &log));
         let publisher = Publisher::spawn(
             &group,
             &read_index,
             address.port(),
             heartbeat_interval_ms,
             catalog_history,
+            &version_register,
         );
         let server = Server {
             group: Arc::clone(&group),
@@ -81,6 +88,7 @@
             publisher: Arc::clone(&publisher),
             read_index: Arc::clone(&read_index),
             stream_origins: Arc::default(),
+            version_register: Arc::clone(&version_register),
         };
         let server = server.bind(listen).await?;
         let (forwarded_events, queued_events) = mpsc::unbounded_channel();
@@ -96,9 +104,11 @@
             forwarded_events,
             group,
             log,
+            proposer,
             publisher,
             read_index,
             server,
+            version_register,
         })
     }
 
@@ -108,20 +118,13 @@
     ///
     /// Returns [`Error::Unavailable`] if no quorum commits it in time; it may still be committed.
     pub async fn replicate_document(&self, document: Document) -> Result<(), Error> {
-        let time = Duration::from_millis(DOCUMENT_TIMEOUT_MS);
         let version = document.version;
         let started_at = Instant::now();
-        let replication = timeout(time, async {
-            while !self.propose(&document).await {
-                sleep(Duration::from_millis(DOCUMENT_RETRY_DELAY_MS)).await;
-            }
-        });
-        let outcome = replication.await;
+        let command = RegistryCommand::PutDocument(document);
+        let outcome = self.proposer.propose(&command, DOCUMENT_TIMEOUT_MS).await;
         info!(self.log, "document proposed"; "version" => version,
             "is_committed" => outcome.is_ok(), "duration_ms" => elapsed_ms(started_at));
-        outcome.map_err(|_| Error::Unavailable {
-            timeout_ms: DOCUMENT_TIMEOUT_MS,
-        })
+        outcome
     }
 
     /// Reads the newest document of the group.
@@ -131,7 +134,7 @@
     /// Returns [`Error::Unavailable`] if no quorum confirms in time that it is the newest.
     pub async fn read_newest_document(&self) -> Result<Document, Error> {
         let started_at = Instant::now();
-        while !self.read_index.confirm_document().await {
+        while !self.read_index.confirm_newest().await {
             if elapsed_ms(started_at) >= DOCUMENT_TIMEOUT_MS {
                 return Err(Error::Unavailable {
                     timeout_ms: DOCUMENT_TIMEOUT_MS,
@@ -142,13 +145,25 @@
         Ok(self.group.document().borrow().clone())
     }
 
-    /// Records a heartbeat, publishes it to subscribers and forwards it to the other registries.
+    /// Records a heartbeat, publishes it to subscribers and forwards it to the other registries. The
+    /// first heartbeat of a software version is recorded once the group knows the version.
     ///
     /// # Errors
     ///
     /// Fails while this registry is cut off from the group: subscribers might not get the event.
-    pub fn record_heartbeat(&self, registration: Registration) -> Result<RecordOutcome, Error> {
+    pub async fn record_heartbeat(
+        &self,
+        registration: Registration,
+    ) -> Result<RecordOutcome, Error> {
         self.check_connected()?;
+        if registration.state == EndpointState::Ready {
+            let origin = StreamOrigin {
+                service: registration.service.clone(),
+                software_version: registration.software_version.clone(),
+            };
+            let is_present = || self.publisher.is_version_present(&origin);
+            self.version_register.add(&origin, is_present).await?;
+        }
         let (id, state) = (registration.id.clone(), registration.state);
         let software_version = registration.software_version.clone();
         let event = EndpointEvent::Heartbeat(registration);
@@ -242,30 +257,6 @@
         // The receiving task runs as long as the runtime, so this does not fail before.
         let _ = self.forwarded_events.send(event);
     }
-
-    async fn propose(&self, document: &Document) -> bool {
-        let Some(leader) = self.read_index.leader().await else {
-            let Some(handle) = self.group.handle() else {
-                return false;
-            };
-            return handle
-                .propose(DocumentStateMachine::encode_command(document))
-                .await
-                .is_ok();
-        };
-        let Ok(client) = leader.connect().await else {
-            return false;
-        };
-        let context = call_context(DOCUMENT_TIMEOUT_MS);
-        match client.propose_document(context, document.clone()).await {
-            Ok(is_committed) => is_committed,
-            Err(error) => {
-                let error = leader.disconnect_after(&error);
-                debug!(self.log, "document not forwarded to the leader"; "error" => %error);
-                false
-            }
-        }
-    }
 }
 
 /// Task that forwards endpoint events to the other registries in batches.
--- a/crates/registry/src/rpc.rs
+++ b/crates/registry/src/rpc.rs
@@ -3,7 +3,7 @@
 use placement::{Candidate, Demand, Load};
 use serde::{Deserialize, Serialize};
 
-use crate::{BegunStreams, Document, EndpointLimit, Registration, StreamOrigin};
+use crate::{BegunStreams, Document, EndpointLimit, Registration, StreamOrigin, VersionChange};
 
 /// Remote calls between the instances of a deployment. All are served by registries.
 #[tarpc::service]
@@ -36,6 +36,11 @@
     async fn report_parts(report: Vec<u8>);
     /// Returns whether a request may probe these parts of its prompt.
     async fn grant_probe(parts: Vec<u64>) -> bool;
+    /// Replicates a change of the software versions; returns whether it is committed.
+    async fn propose_version_change(change: VersionChange) -> bool;
+    /// Returns the origin of all streams of a service that clients may still resume, if there is only
+    /// one and a quorum confirms it.
+    async fn find_only_origin(service: String) -> Option<StreamOrigin>;
 }
 
 /// Event of an endpoint, as received by a registry and forwarded to the others.
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -18,9 +18,10 @@
 use crate::publisher::Publisher;
 use crate::read_index::ReadIndexBatcher;
 use crate::rpc::{ChangeChunk, ChangePosition, PollAnswer, PollRequest, RegistryRpc};
+use crate::version_register::VersionRegister;
 use crate::{
-    BegunStreams, Document, DocumentStateMachine, EndpointEvent, Error, LoadAggregator, PartChange,
-    PartReport, PermitRequest, ReservationAnswer, StreamOrigin, StreamOrigins,
+    BegunStreams, Document, EndpointEvent, Error, LoadAggregator, PartChange, PartReport,
+    PermitRequest, RegistryCommand, ReservationAnswer, StreamOrigin, StreamOrigins, VersionChange,
 };
 
 /// Parts of a registry that remote calls use.
@@ -32,6 +33,7 @@
     pub(crate) publisher: Arc<Publisher>,
     pub(crate) read_index: Arc<ReadIndexBatcher>,
     pub(crate) stream_origins: Arc<Mutex<StreamOrigins>>,
+    pub(crate) version_register: Arc<VersionRegister>,
 }
 
 impl Server {
@@ -72,6 +74,14 @@
 }
 
 impl Server {
+    /// Proposes a command to the local replica; returns whether it is committed.
+    async fn propose(&self, command: &RegistryCommand) -> bool {
+        let Some(handle) = self.group.handle() else {
+            return false;
+        };
+        handle.propose(command.encode()).await.is_ok()
+    }
+
     /// Logs a change with the instance that reported its cause, and the endpoint that crashed.
     fn log_part_change(&self, change: &PartChange, instance: &str, endpoint_id: Option<&str>) {
         match change {
@@ -147,11 +157,7 @@
     }
 
     async fn propose_document(self, _context: Context, document: Document) -> bool {
-        let Some(handle) = self.group.handle() else {
-            return false;
-        };
-        let command = DocumentStateMachine::encode_command(&document);
-        handle.propose(command).await.is_ok()
+        self.propose(&RegistryCommand::PutDocument(document)).await
     }
 
     async fn reserve(self, _context: Context, request: Vec<u8>) -> Vec<u8> {
@@ -239,4 +245,15 @@
             "is_granted" => is_granted);
         is_granted
     }
+
+    async fn propose_version_change(self, _context: Context, change: VersionChange) -> bool {
+        self.propose(&RegistryCommand::ChangeVersions(change)).await
+    }
+
+    async fn find_only_origin(self, _context: Context, service: String) -> Option<StreamOrigin> {
+        if !self.read_index.confirm_newest().await {
+            return None;
+        }
+        self.version_register.only_origin(&service)
+    }
 }
--- a/crates/registry/src/stream_origins.rs
+++ b/crates/registry/src/stream_origins.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Time for which an origin is kept at least; clients wait less for a stream.
-const RETENTION_MS: u64 = 60_000;
+pub(crate) const RETENTION_MS: u64 = 60_000;
 
 /// Service and software version whose endpoint began a stream.
 #[derive(Debug, Clone, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -23,7 +23,7 @@
     pub software_version: String,
 }
 
-/// Streams of one origin.
+/// Streams of one origin, whose first events are about to be delivered.
 #[derive(Debug, Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BegunStreams {
     /// Service and software version that began them.
@@ -46,7 +46,7 @@
 }
 
 impl StreamOrigins {
-    /// Records begun streams; a later origin of a request replaces an earlier one.
+    /// Records begun streams. A request has one origin, as only one of its attempts delivers a first event.
     pub fn record(&mut self, now_ms: u64, begun: BegunStreams) {
         self.rotate(now_ms);
         let origin = self.shared(begun.origin);
--- a/crates/registry/src/subscription.rs
+++ b/crates/registry/src/subscription.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::connection::{RpcConnection, call_context};
-use crate::rpc::{LoadReport, PollAnswer, PollRequest};
+use crate::rpc::{LoadReport, PollAnswer, PollRequest, RegistryRpcClient};
 use crate::{
     AggregatedLoads, BegunStreams, CoveredReservations, DirectoryView, EndpointLimit, EndpointLoad,
     EndpointRecord, EndpointView, Error, Lease, PartView, ReservationAnswer, ReservationOption,
@@ -47,13 +47,16 @@
 /// Registries that each stream is reported to, so that two may be lost.
 const STREAM_REPORT_COPIES: usize = 3;
 
-/// Time limit for reporting streams to one registry: four round trips between regions. The next
-/// report waits for it.
+/// Time limit for reporting streams to one registry: four round trips between regions.
 const STREAM_REPORT_TIMEOUT_MS: u64 = 100;
 
 /// Time limit for finding the origin of a stream: four round trips between regions.
 const STREAM_ORIGIN_TIMEOUT_MS: u64 = 100;
 
+/// Time limit for finding the only origin of a service: a registry's wait for its last confirmation, and
+/// one round of confirmation.
+const ONLY_ORIGIN_TIMEOUT_MS: u64 = 350;
+
 /// Consecutive failures after which a registry that is not a seed is removed.
 const CONSECUTIVE_FAILURES_MAX: u32 = 48;
 
@@ -257,43 +260,73 @@
 }
 
 impl Subscription {
-    /// Reports streams that have begun to some of the registries.
+    /// Reports streams that have begun to some of the registries; others take the place of those that do
+    /// not answer.
     pub async fn report_streams(&self, begun: &[BegunStreams]) {
         let registries = self.subscriber.connected_registries();
-        let reports = registries
+        let mut clients = registries
             .iter()
-            .filter_map(|connection| Some((connection, connection.connected_client()?)))
-            .take(STREAM_REPORT_COPIES)
-            .map(async |(connection, client)| {
+            .filter_map(|connection| Some((connection, connection.connected_client()?)));
+        let mut missing_copies = STREAM_REPORT_COPIES;
+        while missing_copies > 0 {
+            let reports = clients.by_ref().take(missing_copies);
+            let reports = reports.map(async |(connection, client)| {
                 let context = call_context(STREAM_REPORT_TIMEOUT_MS);
-                if let Err(error) = client.record_streams(context, begun.to_vec()).await {
+                let reported = client.record_streams(context, begun.to_vec()).await;
+                if let Err(error) = &reported {
                     debug!(self.subscriber.log, "streams not reported";
                         "registry" => %connection.address(), "error" => %error);
                 }
+                reported.is_ok()
             });
-        join_all(reports).await;
+            let results = join_all(reports).await;
+            if results.is_empty() {
+                warn!(self.subscriber.log, "streams reported to too few registries";
+                    "missing_copies" => missing_copies);
+                return;
+            }
+            missing_copies -= results.iter().filter(|is_reported| **is_reported).count();
+        }
     }
 
     /// Finds the service and software version that began the stream of a request; `None` if no
     /// connected registry knows it.
     pub async fn find_stream_origin(&self, request_id: &str) -> Option<StreamOrigin> {
+        self.first_origin(async move |client: RegistryRpcClient| {
+            let context = call_context(STREAM_ORIGIN_TIMEOUT_MS);
+            let request_id = request_id.to_owned();
+            client.find_stream_origin(context, request_id).await
+        })
+        .await
+    }
+
+    /// Origin of all streams of a service that clients may still resume; `None` if it has had several
+    /// software versions, or no quorum confirms that it has not.
+    pub async fn find_only_origin(&self, service: &str) -> Option<StreamOrigin> {
+        self.first_origin(async move |client: RegistryRpcClient| {
+            let context = call_context(ONLY_ORIGIN_TIMEOUT_MS);
+            client.find_only_origin(context, service.to_owned()).await
+        })
+        .await
+    }
+
+    /// First origin that one of the connected registries answers.
+    async fn first_origin<F>(&self, find: impl Fn(RegistryRpcClient) -> F) -> Option<StreamOrigin>
+    where
+        F: Future<Output = Result<Option<StreamOrigin>, RpcError>>,
+    {
         let registries = self.subscriber.connected_registries();
-        let mut lookups: FuturesUnordered<_> = registries
+        let clients = registries
             .iter()
-            .filter_map(|connection| connection.connected_client())
-            .map(async |client| {
-                let context = call_context(STREAM_ORIGIN_TIMEOUT_MS);
-                client
-                    .find_stream_origin(context, request_id.to_owned())
-                    .await
-            })
-            .collect();
+            .filter_map(|connection| connection.connected_client());
+        let mut lookups: FuturesUnordered<_> = clients.map(&find).collect();
         while let Some(answer) = lookups.next().await {
             match answer {
                 Ok(None) => {}
                 Ok(origin) => return origin,
-                Err(error) => debug!(self.subscriber.log, "origin of a stream not found";
-                    "request" => request_id, "error" => %error),
+                Err(error) => {
+                    debug!(self.subscriber.log, "origin not found"; "error" => %error);
+                }
             }
         }
         None
--- a/crates/registry/tests/a_lease_counts_from_the_request.rs
+++ b/crates/registry/tests/a_lease_counts_from_the_request.rs
@@ -6,8 +6,8 @@
 use placement::Load;
 use quickcheck::QuickCheck;
 use registry::{
-    CoveredReservations, Document, DocumentStateMachine, EndpointLoad, Lease, LoadAggregator,
-    LoadReport, ServiceLoad, SubscribedEndpoints,
+    CoveredReservations, Document, EndpointLoad, Lease, LoadAggregator, LoadReport,
+    RegistryCommand, RegistryStateMachine, ServiceLoad, SubscribedEndpoints,
 };
 use tokio::sync::watch;
 
@@ -88,7 +88,8 @@
     )]
     fn keeps_the_highest_version(versions: Vec<u64>) -> bool {
         let (published, current) = watch::channel(Document::default());
-        let mut state_machine = DocumentStateMachine::new(&published);
+        let software_versions = watch::Sender::default();
+        let mut state_machine = RegistryStateMachine::new(&published, &software_versions);
         let mut highest: Option<(u64, usize)> = None;
         for (position, &version) in versions.iter().enumerate() {
             let document = Document {
@@ -96,7 +97,8 @@
                 version,
             };
             let index = LogIndex(position as u64 + 1);
-            state_machine.apply(index, 0, &DocumentStateMachine::encode_command(&document));
+            let command = RegistryCommand::PutDocument(document);
+            state_machine.apply(index, 0, &command.encode());
             if version > highest.map_or(0, |highest| highest.0) {
                 highest = Some((version, position));
             }
@@ -117,18 +119,16 @@
 #[test]
 fn a_snapshot_restores_the_document() {
     let (published, _current) = watch::channel(Document::default());
-    let mut state_machine = DocumentStateMachine::new(&published);
+    let software_versions = watch::Sender::default();
+    let mut state_machine = RegistryStateMachine::new(&published, &software_versions);
     let document = Document {
         bytes: b"{}".to_vec(),
         version: 7,
     };
-    state_machine.apply(
-        LogIndex(1),
-        0,
-        &DocumentStateMachine::encode_command(&document),
-    );
+    let command = RegistryCommand::PutDocument(document.clone());
+    state_machine.apply(LogIndex(1), 0, &command.encode());
     let (published, current) = watch::channel(Document::default());
-    let mut restored = DocumentStateMachine::new(&published);
+    let mut restored = RegistryStateMachine::new(&published, &software_versions);
     restored.restore(&state_machine.snapshot());
     assert_eq!(*current.borrow(), document);
 }
--- a/crates/registry/tests/events_reach_restarted_registries.rs
+++ b/crates/registry/tests/events_reach_restarted_registries.rs
@@ -41,7 +41,7 @@
 }
 
 async fn record(registry: &Registry, id: &str) {
-    poll_until(async || registry.record_heartbeat(registration(id)).ok()).await;
+    poll_until(async || registry.record_heartbeat(registration(id)).await.ok()).await;
     sleep(Duration::from_millis(FORWARD_MS)).await;
 }
 
