Accuse the other parts of a probe that crashes

Callers whose prompts held a sound shared part were refused for minutes: the part had been quarantined by mistake, and each of its probes also held the part that crashes endpoints. Cause: a crash under a quarantined part accused nothing else, so the crashing part was never accused, and each crashed probe made the quarantine of the sound one longer.

A crash in the probation now counts against the probe's other parts. The rule that pulls the other way, that sound parts of the probes of a crashing part stay free, has a test of its own: what answers soundly between is cleared.

Ruled out: to end the sound part's quarantine at once, as it may still be the one that crashes, and each such try costs an endpoint.

--- a/crates/registry/src/part_quarantine.rs
+++ b/crates/registry/src/part_quarantine.rs
@@ -6,7 +6,8 @@
 //! without a sound answer between them. A sound answer clears its parts at any time.
 //!
 //! A quarantine ends in a probation, in which one request at a time may try the part. A crash of
-//! this probe starts a longer quarantine.
+//! this probe starts a longer quarantine. It accuses the probe's other parts too, as the quarantined
+//! one may be sound; those that are answer soundly in other requests.
 
 use serde::{Deserialize, Serialize};
 
@@ -172,36 +173,59 @@
     pub fn accuse(&mut self, now_ms: u64, accusation: &Accusation) -> Vec<PartChange> {
         let Accusation { endpoint, parts } = accusation;
         let mut changes = Vec::new();
-        let quarantined: Vec<usize> = parts
-            .iter()
-            .filter_map(|&part| self.find(part).ok())
-            .filter(|&at| self.entries[at].quarantine.is_some())
-            .collect();
+        let is_quarantined = |part: &u64| {
+            let found = self.find(*part).ok();
+            found.is_some_and(|at| self.entries[at].quarantine.is_some())
+        };
+        let (quarantined, others): (Vec<u64>, Vec<u64>) =
+            parts.iter().partition(|part| is_quarantined(part));
         if quarantined.is_empty() && !self.is_explained(endpoint) {
-            for &part in parts {
-                let entry = self.entry(now_ms, part);
-                if entry.count(now_ms, endpoint) {
-                    changes.push(PartChange::Accused {
-                        accusations: entry.accusations,
-                        part,
-                    });
-                }
+            changes.extend(self.accuse_unquarantined(now_ms, endpoint, &others));
+        }
+        let mut is_probe = false;
+        for &part in &quarantined {
+            let entry = self.entry(now_ms, part);
+            entry.remember(endpoint);
+            if let Some(change) = entry.extend_quarantine(now_ms) {
+                is_probe = true;
+                changes.push(change);
             }
-            if let Some(at) = self.most_suspect(parts) {
-                let entry = &mut self.entries[at];
-                changes.push(entry.quarantine(now_ms, 0));
+        }
+        for &part in &quarantined {
+            if let Ok(at) = self.find(part) {
                 changes.extend(self.clear_explained(at));
             }
         }
-        for &at in &quarantined {
-            let entry = &mut self.entries[at];
-            entry.remember(endpoint);
-            changes.extend(entry.extend_quarantine(now_ms));
+        if is_probe {
+            // Another part may have crashed the probe, and the quarantined one may be sound.
+            changes.extend(self.accuse_unquarantined(now_ms, endpoint, &others));
+        }
+        self.version += u64::from(!changes.is_empty());
+        changes
+    }
+
+    /// Counts a crash against parts that are not quarantined, and quarantines the most suspect one.
+    fn accuse_unquarantined(
+        &mut self,
+        now_ms: u64,
+        endpoint: &AccusingEndpoint,
+        parts: &[u64],
+    ) -> Vec<PartChange> {
+        let mut changes = Vec::new();
+        for &part in parts {
+            let entry = self.entry(now_ms, part);
+            if entry.count(now_ms, endpoint) {
+                changes.push(PartChange::Accused {
+                    accusations: entry.accusations,
+                    part,
+                });
+            }
         }
-        for at in quarantined {
+        if let Some(at) = self.most_suspect(parts) {
+            let entry = &mut self.entries[at];
+            changes.push(entry.quarantine(now_ms, 0));
             changes.extend(self.clear_explained(at));
         }
-        self.version += u64::from(!changes.is_empty());
         changes
     }
 
--- a/crates/registry/tests/wrong_suspicions_end.rs
+++ b/crates/registry/tests/wrong_suspicions_end.rs
@@ -51,6 +51,36 @@
     assert_ne!(states[0], None, "three probes crashed: {states:?}");
 }
 
+/// Guards against quarantining the sound parts of the probes of a part that does crash endpoints, which
+/// other requests share.
+#[test]
+fn probes_of_a_crashing_part_spare_parts_that_answer() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now_ms = 0;
+    for _ in 0..3 {
+        now_ms += EVENT_MS;
+        accuse(&mut quarantine, now_ms, &[FIRST, BAD]);
+        quarantine.record_sound(now_ms + 1, FIRST);
+    }
+    let mut duration_ms = QUARANTINE_MS;
+    for _ in 0..3 {
+        now_ms += duration_ms;
+        duration_ms *= 3;
+        assert!(quarantine.grant_probe(now_ms, &[FIRST, BAD]));
+        accuse(&mut quarantine, now_ms, &[FIRST, BAD]);
+        assert!(matches!(
+            state(&quarantine, now_ms, BAD),
+            Some(PartState::Quarantined { .. })
+        ));
+        assert!(!matches!(
+            state(&quarantine, now_ms, FIRST),
+            Some(PartState::Quarantined { .. })
+        ));
+        quarantine.record_sound(now_ms + 1, FIRST);
+        assert_eq!(state(&quarantine, now_ms + 1, FIRST), None);
+    }
+}
+
 /// Guards against a quarantine of a registry that restarted, which outlives its part's release if
 /// the part is accused once more before the next poll.
 #[test]
