Notice clients that leave with bytes behind their request

An endpoint worked on for a client that had left, until its deadline, if a blank line or the begin of another request stood behind the request. Cause: hyper looks for the close of a connection during an answer only while its buffer is empty.

The reading half of the connection is shared with a watch that, while a request is answered, waits until the connection is readable and ends it if the client has closed; unread bytes are looked behind every 100 ms. The rule that pulls the other way has a test: a client that sends its next request early gets both answers.

Ruled out: a task of its own that reads ahead for each connection, which copies every byte once more.

--- a/crates/gateway/src/client_phase.rs
+++ b/crates/gateway/src/client_phase.rs
@@ -3,27 +3,36 @@
 //! hyper can bound the time until a request head is complete, but the bound is fixed when a
 //! connection is accepted, and it spans the idle time before the head. Limits change with
 //! documents and differ for the two, so the phases are observed here: the stream reports the first
-//! byte of a head, and a guard within the response body reports the end of a response.
+//! byte of a head, and a guard within the response body reports the end of a response. The reading half of
+//! the stream also tells that the client has left during an answer, which hyper notices only if nothing
+//! was sent behind the request.
 
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use catalog::Limits;
+use futures::FutureExt;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::gateway_state::ActiveCatalog;
 use crate::response::{IncompleteBody, ResponseBody};
 
+/// Interval at which a connection with unread bytes is checked for the close behind them; short beside
+/// the half second in which the endpoint of a client that left has to be released.
+const CLOSE_POLL_INTERVAL_MS: u64 = 100;
+
 /// What a client connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Activity {
@@ -118,6 +127,14 @@
         }
     }
 
+    /// Waits until a request is answered.
+    async fn answering(&self) {
+        let mut phases = self.phase.subscribe();
+        let is_answering = |phase: &ClientPhase| phase.activity == Activity::Answering;
+        // The observer holds the sender, so the wait can't fail.
+        let _ = phases.wait_for(is_answering).await;
+    }
+
     /// Waits until no head is received in part.
     pub(crate) async fn head_received(&self) {
         let mut phases = self.phase.subscribe();
@@ -153,6 +170,37 @@
     }
 }
 
+/// Reading half of a client's connection, which hyper and the observer of the connection share.
+#[derive(Clone)]
+pub(crate) struct ClientReader(Arc<Mutex<OwnedReadHalf>>);
+
+impl ClientReader {
+    /// Waits until the client has closed its connection while a request is answered. hyper does not
+    /// notice that if bytes of another request, or a blank line, came before the close.
+    pub(crate) async fn client_left(&self, observer: &PhaseObserver) {
+        loop {
+            observer.answering().await;
+            // Fails if the connection is lost, which the next read or write reports.
+            let readable = poll_fn(|context| self.lock().as_ref().poll_read_ready(context)).await;
+            if readable.is_err() || self.is_closed_by_client() {
+                return;
+            }
+            // Unread bytes keep the connection readable.
+            sleep(Duration::from_millis(CLOSE_POLL_INTERVAL_MS)).await;
+        }
+    }
+
+    fn is_closed_by_client(&self) -> bool {
+        let reader = self.lock();
+        let ready = reader.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(Ready::is_read_closed))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, OwnedReadHalf> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 async fn sleep_until_some(end: Option<Instant>) {
     match end {
         Some(end) => sleep_until(end).await,
@@ -204,23 +252,32 @@
 /// Stream of a client that reports reads and writes to the observer.
 pub(crate) struct ObservedStream {
     observer: PhaseObserver,
-    stream: TcpStream,
+    reader: ClientReader,
+    writer: OwnedWriteHalf,
 }
 
 impl ObservedStream {
-    pub(crate) fn new(stream: TcpStream, observer: PhaseObserver) -> Self {
-        Self { observer, stream }
+    /// Returns the stream, and its reading half for [`ClientReader::client_left`].
+    pub(crate) fn new(stream: TcpStream, observer: PhaseObserver) -> (Self, ClientReader) {
+        let (reader, writer) = stream.into_split();
+        let reader = ClientReader(Arc::new(Mutex::new(reader)));
+        let stream = Self {
+            observer,
+            reader: reader.clone(),
+            writer,
+        };
+        (stream, reader)
     }
 }
 
 impl AsyncRead for ObservedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        ready!(Pin::new(&mut *self.reader.lock()).poll_read(context, buffer))?;
         if buffer.filled().len() > filled {
             self.observer.record_read();
         }
@@ -234,21 +291,21 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        let written = ready!(Pin::new(&mut self.writer).poll_write(context, bytes))?;
         self.observer.record_write();
         Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(&mut self.writer).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(&mut self.writer).poll_shutdown(context)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.writer.is_write_vectored()
     }
 
     fn poll_write_vectored(
@@ -256,7 +313,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices))?;
+        let written = ready!(Pin::new(&mut self.writer).poll_write_vectored(context, slices))?;
         self.observer.record_write();
         Poll::Ready(Ok(written))
     }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -164,7 +164,7 @@
     let log = gateway.log.clone();
     let head_bytes_max = gateway.active_catalog.limits().head_bytes_max;
     let observer = PhaseObserver::new(&gateway.active_catalog);
-    let stream = ObservedStream::new(stream, observer.clone());
+    let (stream, reader) = ObservedStream::new(stream, observer.clone());
     let service = service_fn(|request| {
         let guard = observer.start_answer();
         let response = respond(&gateway, request);
@@ -177,12 +177,17 @@
             .max_buf_size(head_bytes_max.max(HEAD_BUFFER_BYTES_MIN))
             .serve_connection(TokioIo::new(stream), service)
     );
+    let mut client_left = std::pin::pin!(reader.client_left(&observer));
     let mut is_closing = false;
     let result = loop {
         tokio::select! {
             // Received bytes are read before the connection may be closed.
             biased;
             result = connection.as_mut() => break result,
+            () = client_left.as_mut() => {
+                debug!(log, "client connection closed during an answer");
+                return;
+            }
             () = wait_until_closable(&mut closing, &observer), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
