Learn how slowly the engines of a service prefill

Callers of a deployment whose engines are slower than the sheets of today's got late answers and failures: prompts were admitted by an assumed prefill rate, waited for each other, and what could not be answered in time was not refused. Only slowness beside the median of a service was learnt.

Change: each gateway keeps the lower quartile of this ratio over the last 16 prompts of 20 s for each service (placement::prefill_slowness, no network). At 150 % or more it scales the expected prefill of its placements, reservations included, and the time for which a request may wait.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -12,7 +12,6 @@
 use futures::future::{OptionFuture, select_all};
 use hyper::http::response;
 use hyper::{Response, StatusCode, header};
-use placement::PREFILL_TOKENS_PER_MS;
 use slog::{debug, info};
 use tokio::time::{Instant, sleep_until};
 
@@ -374,7 +373,8 @@
     fn placement_request(&self, is_retry: bool) -> PlacementRequest {
         let request = &self.request;
         let demand = request.demand();
-        let prefill_ms = demand.prefill_tokens / PREFILL_TOKENS_PER_MS;
+        let fleet = &self.gateway.fleet;
+        let prefill_ms = fleet.idle_prefill_ms(&request.service, &demand);
         let target_ms = request.route.target_latency_ms * WAIT_PERCENT / 100;
         let wait_ms = target_ms.saturating_sub(prefill_ms + request.elapsed_ms());
         let wait_ms = if is_retry {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,7 +13,9 @@
 use std::time::Duration;
 
 use catalog::{Catalog, EngineSpec};
-use placement::{Candidate, Demand, Load, choose_candidate};
+use placement::{
+    Candidate, Demand, Load, PREFILL_TOKENS_PER_MS, PrefillSlowness, choose_candidate,
+};
 use registry::{
     AggregatedLoads, CoveredReservations, EndpointLoad, EndpointState, StreamOrigin,
     SubscribedEndpoints,
@@ -67,6 +69,8 @@
     is_subset_sent: bool,
     last_served_ms: u64,
     past_incarnations: PastIncarnations,
+    /// Slowness of the prefill by service, sorted by service.
+    prefill_slowness: Vec<(String, PrefillSlowness)>,
     queue: WaitQueue<QueuedRequest>,
     recent_generations: RecentPlacements,
     recent_plain_requests: RecentPlacements,
@@ -384,6 +388,33 @@
         })
     }
 
+    /// Compares the time to a first event with the assumed time of the prefill. Returns the slowness of
+    /// the service and the number of observations behind it if it has changed much.
+    fn record_prefill(
+        &self,
+        service: &str,
+        expected_ms: u64,
+        observed_ms: u64,
+    ) -> Option<(u64, usize)> {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let known = &mut state.prefill_slowness;
+        let found = known.binary_search_by(|known| known.0.as_str().cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            known.insert(at, (service.to_owned(), PrefillSlowness::default()));
+            at
+        });
+        let slowness = &mut known[at].1;
+        slowness.record(now_ms, expected_ms, observed_ms);
+        slowness.changed(now_ms)
+    }
+
+    /// Expected time of a prefill at an engine of usual speed where no other prompt waits.
+    pub(crate) fn idle_prefill_ms(&self, service: &str, demand: &Demand) -> u64 {
+        let percent = self.lock().prefill_slowness_percent(self.now_ms(), service);
+        demand.prefill_tokens * percent / (100 * PREFILL_TOKENS_PER_MS)
+    }
+
     pub(crate) fn endpoint_and_queue_counts(&self) -> (u64, u64) {
         let state = self.lock();
         (state.endpoints.len() as u64, state.queue.len() as u64)
@@ -459,12 +490,15 @@
         } else {
             state.recent_plain_requests.record(now_ms);
         }
+        let expected_prefill_ms = state.expected_prefill_ms(endpoint, demand);
         let load = Load::from(demand);
         endpoint.stats().local_load.add(&load);
         Slot {
             endpoint: Arc::clone(endpoint),
+            expected_prefill_ms,
             fleet: Arc::clone(self),
             load,
+            occupied_at: Instant::now(),
         }
     }
 
@@ -512,6 +546,27 @@
 }
 
 impl FleetState {
+    /// Assumed time until the prefill of a request is complete, before it is placed at the endpoint.
+    fn expected_prefill_ms(&self, endpoint: &Endpoint, demand: &Demand) -> u64 {
+        if demand.prefill_tokens == 0 {
+            return 0;
+        }
+        let found = self
+            .endpoints
+            .binary_search_by(|known| known.endpoint.id.cmp(&endpoint.id));
+        let slowness_percent = found.map_or(100, |at| self.endpoints[at].slowness_percent);
+        let tokens = endpoint.load().prefill_tokens + demand.prefill_tokens;
+        tokens * slowness_percent / (100 * PREFILL_TOKENS_PER_MS)
+    }
+
+    /// Prefill time of a service's engines in percent of the assumed one.
+    fn prefill_slowness_percent(&self, now_ms: u64, service: &str) -> u64 {
+        let found = self
+            .prefill_slowness
+            .binary_search_by(|known| known.0.as_str().cmp(service));
+        found.map_or(100, |at| self.prefill_slowness[at].1.percent(now_ms))
+    }
+
     /// Requests that the other instances are expected to have placed since their last load reports.
     fn estimate_unseen_requests(&mut self, now_ms: u64, demand: &Demand) -> usize {
         let placements = if demand.predicted_tokens > 0 {
--- a/crates/gateway/src/fleet/candidates.rs
+++ b/crates/gateway/src/fleet/candidates.rs
@@ -57,6 +57,7 @@
             }
         }
         let key_max = prefill_sort_key_max(&healthy);
+        let service_percent = state.prefill_slowness_percent(now_ms, &placement.service);
         healthy
             .into_iter()
             .map(|known| {
@@ -70,7 +71,7 @@
                     load: endpoint.load(),
                     memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
                     slots: known.slots,
-                    slowness_percent: known.slowness_percent,
+                    slowness_percent: known.slowness_percent * service_percent / 100,
                 };
                 (Arc::clone(endpoint), candidate)
             })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -278,7 +278,12 @@
         } else {
             let request = &self.attempts.request;
             self.first_event_ms = Some(request.elapsed_ms());
-            self.stream.slot.complete_prefill();
+            let changed = self.stream.slot.complete_prefill();
+            if let Some((percent, observations)) = changed {
+                info!(self.attempts.gateway.log, "prefill slowness changed";
+                    "service" => &self.stream.slot.endpoint.service, "percent" => percent,
+                    "observations" => observations, "request" => request.id());
+            }
             let endpoint = &self.stream.slot.endpoint;
             self.attempts.gateway.report_stream(request, endpoint);
         }
--- a/crates/gateway/src/relay/continuation.rs
+++ b/crates/gateway/src/relay/continuation.rs
@@ -317,7 +317,8 @@
             suspension.free();
         }
         self.stall_start_at = Instant::now();
-        stream.slot.complete_prefill();
+        // What is resumed may be cached in part, so a change is not logged by this request.
+        let _ = stream.slot.complete_prefill();
         self.stream = stream;
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,8 +12,12 @@
 //!   same time. KV cache copies queue on the link of the target engine, so a generation goes to a
 //!   target whose copies in flight leave time for its own.
 
+mod prefill_slowness;
+
 use serde::{Deserialize, Serialize};
 
+pub use prefill_slowness::PrefillSlowness;
+
 /// Engine memory that predictions may fill, in percent. Predictions are of final sizes, which
 /// requests do not reach all at once: halfway, a request uses about a tenth less.
 const MEMORY_FILL_PERCENT: u64 = 108;
@@ -127,7 +131,7 @@
     pub memory_tokens: u64,
     /// Requests that the endpoint serves at once.
     pub slots: u32,
-    /// Service time in percent of that of the median endpoint.
+    /// Service time in percent of that of a usual endpoint.
     pub slowness_percent: u64,
 }
 
