--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod past_incarnations;
 mod pending_reservation;
+mod prefill;
 mod recent_placements;
 mod slot;
 mod subset;
@@ -13,9 +14,7 @@
 use std::time::Duration;
 
 use catalog::{Catalog, EngineSpec};
-use placement::{
-    Candidate, Demand, Load, PREFILL_TOKENS_PER_MS, PrefillSlowness, choose_candidate,
-};
+use placement::{Candidate, Demand, Load, PrefillSlowness, choose_candidate};
 use registry::{
     AggregatedLoads, CoveredReservations, EndpointLoad, EndpointState, StreamOrigin,
     SubscribedEndpoints,
@@ -388,33 +387,6 @@
         })
     }
 
-    /// Compares the time to a first event with the assumed time of the prefill. Returns the slowness of
-    /// the service and the number of observations behind it if it has changed much.
-    fn record_prefill(
-        &self,
-        service: &str,
-        expected_ms: u64,
-        observed_ms: u64,
-    ) -> Option<(u64, usize)> {
-        let now_ms = self.now_ms();
-        let mut state = self.lock();
-        let known = &mut state.prefill_slowness;
-        let found = known.binary_search_by(|known| known.0.as_str().cmp(service));
-        let at = found.unwrap_or_else(|at| {
-            known.insert(at, (service.to_owned(), PrefillSlowness::default()));
-            at
-        });
-        let slowness = &mut known[at].1;
-        slowness.record(now_ms, expected_ms, observed_ms);
-        slowness.changed(now_ms)
-    }
-
-    /// Expected time of a prefill at an engine of usual speed where no other prompt waits.
-    pub(crate) fn idle_prefill_ms(&self, service: &str, demand: &Demand) -> u64 {
-        let percent = self.lock().prefill_slowness_percent(self.now_ms(), service);
-        demand.prefill_tokens * percent / (100 * PREFILL_TOKENS_PER_MS)
-    }
-
     pub(crate) fn endpoint_and_queue_counts(&self) -> (u64, u64) {
         let state = self.lock();
         (state.endpoints.len() as u64, state.queue.len() as u64)
@@ -546,27 +518,6 @@
 }
 
 impl FleetState {
-    /// Assumed time until the prefill of a request is complete, before it is placed at the endpoint.
-    fn expected_prefill_ms(&self, endpoint: &Endpoint, demand: &Demand) -> u64 {
-        if demand.prefill_tokens == 0 {
-            return 0;
-        }
-        let found = self
-            .endpoints
-            .binary_search_by(|known| known.endpoint.id.cmp(&endpoint.id));
-        let slowness_percent = found.map_or(100, |at| self.endpoints[at].slowness_percent);
-        let tokens = endpoint.load().prefill_tokens + demand.prefill_tokens;
-        tokens * slowness_percent / (100 * PREFILL_TOKENS_PER_MS)
-    }
-
-    /// Prefill time of a service's engines in percent of the assumed one.
-    fn prefill_slowness_percent(&self, now_ms: u64, service: &str) -> u64 {
-        let found = self
-            .prefill_slowness
-            .binary_search_by(|known| known.0.as_str().cmp(service));
-        found.map_or(100, |at| self.prefill_slowness[at].1.percent(now_ms))
-    }
-
     /// Requests that the other instances are expected to have placed since their last load reports.
     fn estimate_unseen_requests(&mut self, now_ms: u64, demand: &Demand) -> usize {
         let placements = if demand.predicted_tokens > 0 {
