--- a/review/stand-ins/src/bin/many_changes.rs
+++ b/review/stand-ins/src/bin/many_changes.rs
@@ -82,19 +82,27 @@
                 self.end(at, &format!("exit, {status}"));
             }
         }
-        let due: Vec<usize> = self.restarts.iter().filter(|due| due.1 <= Instant::now())
-            .map(|due| due.0).collect();
+        let due: Vec<usize> = self
+            .restarts
+            .iter()
+            .filter(|due| due.1 <= Instant::now())
+            .map(|due| due.0)
+            .collect();
         self.restarts.retain(|waiting| !due.contains(&waiting.0));
         for at in due {
             self.fleet.start(at, false);
-            self.record.line(&format!("{} started again", self.fleet.name(at)));
+            self.record
+                .line(&format!("{} started again", self.fleet.name(at)));
         }
     }
 
     fn end(&mut self, at: usize, reason: &str) {
         self.ends[at] += 1;
         self.restarts.push((at, Instant::now() + RESTART_DELAY));
-        self.record.line(&format!("{} ended by itself: {reason}", self.fleet.name(at)));
+        self.record.line(&format!(
+            "{} ended by itself: {reason}",
+            self.fleet.name(at)
+        ));
     }
 
     fn wait(&mut self, time: Duration) {
@@ -128,7 +136,10 @@
             );
             match sent {
                 Ok(response) if response.status == 200 => {
-                    self.record.line(&format!("version {version} acknowledged by {}", self.fleet.name(at)));
+                    self.record.line(&format!(
+                        "version {version} acknowledged by {}",
+                        self.fleet.name(at)
+                    ));
                     return true;
                 }
                 Ok(response) if response.status == 400 => {
@@ -167,7 +178,11 @@
         }
         version += 2;
     }
-    let changes = if has_trouble { CHANGES_MAX } else { CHANGES_WITHOUT_TROUBLE };
+    let changes = if has_trouble {
+        CHANGES_MAX
+    } else {
+        CHANGES_WITHOUT_TROUBLE
+    };
     let mut acknowledged = 0;
     for change in 0..changes {
         if record.elapsed_s() > CHANGES_END_S {
@@ -183,14 +198,22 @@
     platform.wait(Duration::from_secs(2));
     let registries = 0..usize::from(REGISTRIES);
     for at in registries.clone() {
-        record.line(&format!("{}: {} ends by itself, at most {} MB", platform.fleet.name(at),
-            platform.ends[at], platform.peak_mb[at]));
+        record.line(&format!(
+            "{}: {} ends by itself, at most {} MB",
+            platform.fleet.name(at),
+            platform.ends[at],
+            platform.peak_mb[at]
+        ));
     }
-    let with_ends = registries.filter(|at| platform.ends[*at] >= ENDS_MAX).count();
+    let with_ends = registries
+        .filter(|at| platform.ends[*at] >= ENDS_MAX)
+        .count();
     let is_broken = with_ends >= MACHINES_WITH_ENDS;
-    let verdict = format!("{acknowledged} changes acknowledged; {with_ends} of {REGISTRIES} registries \
+    let verdict = format!(
+        "{acknowledged} changes acknowledged; {with_ends} of {REGISTRIES} registries \
         ended by themselves {ENDS_MAX} times or more: the rule {}",
-        if is_broken { "was broken" } else { "held" });
+        if is_broken { "was broken" } else { "held" }
+    );
     record.line(&verdict);
     println!("{verdict}");
     ExitCode::from(u8::from(is_broken))
--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -11,11 +11,11 @@
 const PROGRAM: &str = "target/release/gentiancleat";
 const METRICS_PORT: u16 = 9464;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
-
 unsafe extern "C" {
     fn kill(process_id: i32, signal: i32) -> i32;
 }
@@ -33,6 +33,7 @@
 struct Machine {
     child: Option<Child>,
     ip: Ipv4Addr,
+    is_bootstrapping: bool,
     name: String,
     region: &'static str,
     role: Role,
@@ -44,6 +45,8 @@
     machines: Vec<Machine>,
     memory_mb: u64,
     ports: Ports,
+    /// Registries that the settings name as seeds.
+    seeds: Vec<usize>,
 }
 
 #[derive(Clone, Copy)]
@@ -59,23 +62,44 @@
 impl Fleet {
     /// Prepares the machines; the registries have the first numbers. Nothing is started.
     pub fn new(registries: u8, gateways: u8, memory_mb: u64) -> Self {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("the clock is set");
         let process_id = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-{process_id}-{}", now.as_millis()));
         fs::create_dir_all(&folder).expect("a temporary folder can be made");
-        let ports = Ports { control: 18748, front: 18740, inner: 17200, ready: 18749 };
+        let ports = Ports {
+            control: 18748,
+            front: 18740,
+            inner: 17200,
+            ready: 18749,
+        };
         let subnet = (0..200).find_map(|offset| free_subnet(process_id + offset, ports));
         let (second, third) = subnet.expect("loopback addresses with free ports");
         let roles = (0..registries).map(|_| Role::Registry);
         let roles = roles.chain((0..gateways).map(|_| Role::Gateway));
         let machines = roles.zip(1..).map(|(role, number)| Machine {
             child: None,
+            is_bootstrapping: false,
             ip: Ipv4Addr::new(127, second, third, number),
-            name: format!("{}-{number}", if role == Role::Registry { "core" } else { "edge" }),
+            name: format!(
+                "{}-{number}",
+                if role == Role::Registry {
+                    "core"
+                } else {
+                    "edge"
+                }
+            ),
             region: REGIONS[usize::from(number - 1) % REGIONS.len()],
             role,
         });
-        Self { machines: machines.collect(), folder, memory_mb, ports }
+        Self {
+            machines: machines.collect(),
+            folder,
+            memory_mb,
+            ports,
+            seeds: vec![0, 1, 2],
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -124,10 +148,12 @@
     }
 
     pub fn start(&mut self, at: usize, is_bootstrapping: bool) {
-        let settings_path = self.folder.join(format!("{}.toml", self.machines[at].name));
-        fs::write(&settings_path, self.settings(at, is_bootstrapping))
-            .expect("settings can be written");
-        let log = File::options().create(true).append(true).open(self.log_path(at));
+        self.machines[at].is_bootstrapping = is_bootstrapping;
+        let settings_path = self.write_settings(at);
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path(at));
         let log = log.expect("a log can be opened");
         let child = Command::new(PROGRAM)
             .args(["platform", "--metrics-port", &METRICS_PORT.to_string()])
@@ -139,6 +165,24 @@
         self.machines[at].child = Some(child.expect("the program can be started"));
     }
 
+    /// Names other seeds in the settings of all running machines, and sends them SIGHUP.
+    pub fn set_seeds(&mut self, seeds: &[usize]) {
+        self.seeds = seeds.to_vec();
+        for at in (0..self.len()).filter(|at| self.is_running(*at)) {
+            self.write_settings(at);
+            self.signal(at, SIGHUP);
+        }
+    }
+
+    /// Replaces the settings file in one step.
+    fn write_settings(&self, at: usize) -> PathBuf {
+        let path = self.folder.join(format!("{}.toml", self.machines[at].name));
+        let temporary = path.with_extension("new");
+        fs::write(&temporary, self.settings(at)).expect("settings can be written");
+        fs::rename(&temporary, &path).expect("settings can be replaced");
+        path
+    }
+
     /// Ends a process with SIGKILL.
     pub fn kill(&mut self, at: usize) {
         if let Some(mut child) = self.machines[at].child.take() {
@@ -186,12 +230,18 @@
     }
 
     /// Settings file as DEPLOY.md shows it, with the values of a small deployment.
-    fn settings(&self, at: usize, is_bootstrapping: bool) -> String {
+    fn settings(&self, at: usize) -> String {
         let machine = &self.machines[at];
-        let Ports { control, front, inner, ready } = self.ports;
+        let is_bootstrapping = machine.is_bootstrapping;
+        let Ports {
+            control,
+            front,
+            inner,
+            ready,
+        } = self.ports;
         let ip = machine.ip;
-        let seeds = self.machines.iter().filter(|machine| machine.role == Role::Registry);
-        let seeds = seeds.take(3).map(|seed| format!("\"{}:{control}\"", seed.ip));
+        let seeds = self.seeds.iter().map(|seed| &self.machines[*seed]);
+        let seeds = seeds.map(|seed| format!("\"{}:{control}\"", seed.ip));
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let (class, serves, data, listen, cpu, memory) = match machine.role {
             Role::Gateway => (
@@ -287,7 +337,13 @@
     let second = u8::try_from(number % 200 + 20).ok()?;
     let third = u8::try_from(number / 200 % 200 + 1).ok()?;
     let first_ip = Ipv4Addr::new(127, second, third, 1);
-    let all = [ports.control, ports.front, ports.inner, ports.ready, METRICS_PORT];
+    let all = [
+        ports.control,
+        ports.front,
+        ports.inner,
+        ports.ready,
+        METRICS_PORT,
+    ];
     let is_free = |port: &u16| TcpListener::bind((first_ip, *port)).is_ok();
     all.iter().all(is_free).then_some((second, third))
 }
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -16,7 +16,10 @@
 impl Response {
     /// Time after which the client may come back.
     pub fn retry_after(&self) -> Option<Duration> {
-        let value = self.head.lines().find_map(|line| line.strip_prefix("retry-after:"))?;
+        let value = self
+            .head
+            .lines()
+            .find_map(|line| line.strip_prefix("retry-after:"))?;
         Duration::try_from_secs_f64(value.trim().parse().ok()?).ok()
     }
 }
@@ -34,7 +37,10 @@
     let mut stream = TcpStream::connect_timeout(&address, timeout)?;
     stream.set_nodelay(true)?;
     let mut head = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
-    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+    if !headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
         head.push_str(&format!("Host: {address}\r\n"));
     }
     for (name, value) in headers {
@@ -70,9 +76,13 @@
     let status = head.split(' ').nth(1)?.parse().ok()?;
     if head.contains("transfer-encoding: chunked") {
         let body = received[head_end..].to_vec();
-        return body.ends_with(b"0\r\n\r\n").then_some(Response { status, body, head });
+        return body
+            .ends_with(b"0\r\n\r\n")
+            .then_some(Response { status, body, head });
     }
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"));
     let length: usize = length.map_or(Some(0), |length| length.trim().parse().ok())?;
     let body = received.get(head_end..head_end + length)?.to_vec();
     Some(Response { status, body, head })
--- a/review/stand-ins/src/record.rs
+++ b/review/stand-ins/src/record.rs
@@ -27,6 +27,7 @@
     pub fn line(&self, text: &str) {
         let line = format!("{:8.3} {text}\n", self.elapsed_s());
         let mut file = self.file.lock().expect("no writer panics");
-        file.write_all(line.as_bytes()).expect("the record can be written");
+        file.write_all(line.as_bytes())
+            .expect("the record can be written");
     }
 }
--- a/review/stand-ins/src/replica.rs
+++ b/review/stand-ins/src/replica.rs
@@ -86,8 +86,13 @@
             let is_acknowledged = sent.is_ok_and(|response| response.status == 200);
             if is_acknowledged != is_known {
                 is_known = is_acknowledged;
-                let state = if is_known { "acknowledged" } else { "not acknowledged" };
-                self.record.line(&format!("heartbeat {sequence} of {} {state}", self.id));
+                let state = if is_known {
+                    "acknowledged"
+                } else {
+                    "not acknowledged"
+                };
+                self.record
+                    .line(&format!("heartbeat {sequence} of {} {state}", self.id));
             }
             if is_acknowledged {
                 sleep(HEARTBEAT_INTERVAL);
@@ -114,7 +119,9 @@
             let header = |name: &str| {
                 head.lines().find_map(|line| {
                     let (found, value) = line.split_once(':')?;
-                    found.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+                    found
+                        .eq_ignore_ascii_case(name)
+                        .then(|| value.trim().to_owned())
                 })
             };
             let length = header("content-length").map_or(0, |length| length.parse().unwrap_or(0));
@@ -122,7 +129,8 @@
             reader.read_exact(&mut body)?;
             let request_id = header("x-request-id").unwrap_or_default();
             if request_id.is_empty() {
-                let refusal = "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                let refusal =
+                    "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
                 writer.write_all(refusal.as_bytes())?;
                 continue;
             }
@@ -135,11 +143,15 @@
             }
             self.runs.fetch_add(1, Ordering::Relaxed);
             sleep(WORK);
-            let stamp = format!("X-Request-Id: {request_id}\r\nX-Replica-Stamp: {}\r\n", self.id);
+            let stamp = format!(
+                "X-Request-Id: {request_id}\r\nX-Replica-Stamp: {}\r\n",
+                self.id
+            );
             let answer = match self.kind {
                 Kind::Plain => format!("HTTP/1.1 200 OK\r\n{stamp}Content-Length: 6\r\n\r\nbooked"),
                 Kind::Stream => {
-                    let events = (1..=3).map(|number| format!("id: {number}\ndata: piece {number}\n\n"));
+                    let events =
+                        (1..=3).map(|number| format!("id: {number}\ndata: piece {number}\n\n"));
                     let chunks = events.map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
                     let chunks: String = chunks.collect();
                     format!(
@@ -163,11 +175,20 @@
 pub fn put_heartbeat(registry: SocketAddr, id: &str, body: &str) -> Result<Response> {
     let path = format!("/gentiancleat/instances/{id}");
     let headers = [("Content-Type", "application/json")];
-    request(registry, "PUT", &path, &headers, body.as_bytes(), HEARTBEAT_TIMEOUT)
+    request(
+        registry,
+        "PUT",
+        &path,
+        &headers,
+        body.as_bytes(),
+        HEARTBEAT_TIMEOUT,
+    )
 }
 
 /// Time of day in ms since the Unix epoch.
 pub fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("the clock is set");
     u64::try_from(since_epoch.as_millis()).expect("the time fits")
 }
